Add the build skeleton, the base library, the schema and the design page

Cause: the repository was empty; parts built in parallel need fixed ports, messages and style checks first. Change: CMake build, formatter and linter settings, Error, Result, EventLog, Metrics, JSON mapping with errors that name the field, protobuf schema for the API and for peers, narrow ports to the platform, docs/design.md. Conclusion: modules can be built side by side against these ports.

--- /dev/null
+++ b/Source/Base/Identifier.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include <string>
+
+namespace jayramp {
+
+/// A random 128-bit identifier as 32 hexadecimal digits.
+auto makeIdentifier() -> std::string;
+
+} // namespace jayramp
--- /dev/null
+++ b/Tests/Unit/MetricsTest.cpp
@@ -0,0 +1,31 @@
+#include "Base/Metrics.h"
+
+#include <gtest/gtest.h>
+
+namespace jayramp {
+namespace {
+
+// Guards against histogram buckets that are not cumulative or that lose values
+// outside the range of the bins.
+TEST(MetricsTest, bucketsAreCumulativeAndWhole) {
+  Metrics Registry;
+  Registry.observe("wait_seconds", "", std::chrono::microseconds(1));
+  Registry.observe("wait_seconds", "", std::chrono::milliseconds(10));
+  Registry.observe("wait_seconds", "", std::chrono::seconds(1000));
+  std::string Text = Registry.renderText();
+  EXPECT_NE(Text.find("wait_seconds_bucket{le=\"+Inf\"} 3"), std::string::npos);
+  EXPECT_NE(Text.find("wait_seconds_bucket{le=\"100\"} 2"), std::string::npos);
+  EXPECT_NE(Text.find("wait_seconds_count 3"), std::string::npos);
+}
+
+// Guards against counters of different reasons that share one series.
+TEST(MetricsTest, keepsLabelsApart) {
+  Metrics Registry;
+  Registry.count("refused_total", "reason=\"QUEUE_FULL\"");
+  Registry.count("refused_total", "reason=\"STOPPING\"", 2);
+  EXPECT_EQ(Registry.counter("refused_total", "reason=\"STOPPING\""), 2U);
+  EXPECT_EQ(Registry.counter("refused_total", "reason=\"NO_WORKER\""), 0U);
+}
+
+} // namespace
+} // namespace jayramp
--- /dev/null
+++ b/Utilities/generate-schema.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Regenerates Source/Schema/Generated from the schema files.
+set -euo pipefail
+cd "$(dirname "$0")/../Source/Schema"
+mkdir -p Generated
+protoc --cpp_out=Generated jayramp/v1/jayramp.proto jayramp/peer/v1/peer.proto
--- /dev/null
+++ b/Utilities/install.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Installs the build dependencies from Debian's package registry.
+set -euo pipefail
+packages=(libcpprest-dev libssl-dev libzmq3-dev cppzmq-dev libprotobuf-dev
+  protobuf-compiler libyaml-cpp-dev libboost-dev libcxxopts-dev libspdlog-dev
+  librapidcheck-dev libgtest-dev spin ccache ninja-build cmake g++ gcc
+  clang-format clang-tidy)
+if dpkg -s "${packages[@]}" >/dev/null 2>&1; then
+  exit 0
+fi
+apt-get update -qq
+DEBIAN_FRONTEND=noninteractive apt-get install -y -qq --no-install-recommends \
+  "${packages[@]}" >/dev/null
