--- /dev/null
+++ b/Source/Platform/HttpWorkerClient.cpp
@@ -0,0 +1,227 @@
+#include "Platform/HttpWorkerClient.h"
+
+#include "Platform/HttpAddress.h"
+#include "Platform/HttpCall.h"
+#include "Platform/HttpChannel.h"
+#include "Platform/HttpFailure.h"
+#include "Platform/RequestAttempt.h"
+#include "Platform/TaskCall.h"
+
+#include <cpprest/json.h>
+
+#include <algorithm>
+#include <exception>
+#include <stdexcept>
+#include <utility>
+
+namespace jayramp {
+
+namespace {
+
+using web::json::value;
+
+constexpr unsigned Ok = 200;
+constexpr unsigned Conflict = 409;
+constexpr unsigned InternalError = 500;
+constexpr unsigned ServiceUnavailable = 503;
+
+class OutcomeVisitor {
+public:
+  auto operator()(HttpAnswer &Answer) const -> AttemptOutcome {
+    if (Answer.Status == Ok)
+      return AttemptAnswered{std::move(Answer.Body)};
+    if (Answer.Status == InternalError)
+      return AttemptFailed{std::move(Answer.Body)};
+    if (Answer.Status == ServiceUnavailable && !Answer.Refused.empty())
+      return AttemptRefused{std::move(Answer.Refused)};
+    // Without the header nothing says that the worker has not started it.
+    return AttemptBroken{"unexpected status " + std::to_string(Answer.Status)};
+  }
+
+  auto operator()(HttpNotSent &Outcome) const -> AttemptOutcome {
+    return AttemptNotSent{std::move(Outcome.Detail)};
+  }
+
+  auto operator()(HttpBroken &Outcome) const -> AttemptOutcome {
+    return AttemptBroken{std::move(Outcome.Detail), Outcome.AnswerCut};
+  }
+};
+
+/// Whether \p Value can be sent as a header without changing its meaning.
+auto isHeaderSafe(const std::string &Value) -> bool {
+  constexpr unsigned char FirstPrintable = 0x20;
+  constexpr unsigned char Delete = 0x7f;
+  return std::none_of(Value.begin(), Value.end(), [](unsigned char Character) {
+    return Character < FirstPrintable || Character == Delete;
+  });
+}
+
+auto verbName(TaskVerb Verb) -> std::string {
+  switch (Verb) {
+  case TaskVerb::Prepare:
+    return "prepare";
+  case TaskVerb::Start:
+    return "start";
+  case TaskVerb::Renew:
+    return "renew";
+  case TaskVerb::Checkpoint:
+    return "checkpoint";
+  case TaskVerb::Throttle:
+    return "throttle";
+  case TaskVerb::Stop:
+    return "stop";
+  }
+  return "renew";
+}
+
+auto toJson(const TaskCall &Call) -> value {
+  auto Json = value::object();
+  Json["epoch"] = value(Call.Epoch);
+  auto Tasks = value::array(Call.Tasks.size());
+  for (std::size_t Index = 0; Index < Call.Tasks.size(); ++Index) {
+    const TaskOrder &Order = Call.Tasks[Index];
+    value &Entry = Tasks[Index];
+    Entry["task"] = value(Order.Task);
+    Entry["job"] = value(Order.Job);
+    auto Accelerators = value::array(Order.Accelerators.size());
+    for (std::size_t Each = 0; Each < Order.Accelerators.size(); ++Each)
+      Accelerators[Each] = value(Order.Accelerators[Each]);
+    Entry["accelerators"] = Accelerators;
+    Entry["lease_ms"] = value(static_cast<std::int64_t>(Order.Lease.count()));
+  }
+  Json["tasks"] = Tasks;
+  return Json;
+}
+
+auto taskFromJson(const value &Json) -> TaskStatus {
+  TaskStatus Task;
+  Task.Task = Json.at("task").as_string();
+  Task.State = Json.at("state").as_string();
+  if (Json.has_string_field("job"))
+    Task.Job = Json.at("job").as_string();
+  if (Json.has_number_field("usage"))
+    Task.Usage = Json.at("usage").as_double();
+  return Task;
+}
+
+auto tasksFromJson(const value &Json) -> std::vector<TaskStatus> {
+  std::vector<TaskStatus> Tasks;
+  for (const value &Entry : Json.at("tasks").as_array())
+    Tasks.push_back(taskFromJson(Entry));
+  return Tasks;
+}
+
+auto statusFromJson(const value &Json) -> WorkerStatus {
+  WorkerStatus Status;
+  Status.Name = Json.at("name").as_string();
+  Status.Leaving = Json.at("state").as_string() == "leaving";
+  Status.Epoch = Json.at("epoch").as_number().to_uint64();
+  Status.Slots = Json.at("slots").as_number().to_uint32();
+  Status.SlotsUsed = Json.at("slots_used").as_number().to_uint32();
+  Status.Accelerators = Json.at("accelerators").as_number().to_uint32();
+  Status.Tasks = tasksFromJson(Json);
+  return Status;
+}
+
+auto fencedError(const std::string &Operation, std::uint64_t Epoch) -> Error {
+  return Error::make(ErrorKind::Fenced, Operation,
+                     "epoch " + std::to_string(Epoch) +
+                         " is older than the newest that the worker has seen",
+                     "adopt the newest view before acting on this worker");
+}
+
+} // namespace
+
+auto HttpWorkerClient::create(Metrics &Registry)
+    -> Result<std::unique_ptr<HttpWorkerClient>> {
+  BOOST_OUTCOME_TRY(Channel, HttpChannel::create("worker", Registry));
+  return std::unique_ptr<HttpWorkerClient>(
+      new HttpWorkerClient(std::move(Channel)));
+}
+
+HttpWorkerClient::HttpWorkerClient(std::unique_ptr<HttpChannel> Channel)
+    : Channel(std::move(Channel)) {}
+
+HttpWorkerClient::~HttpWorkerClient() = default;
+
+auto HttpWorkerClient::execute(RequestAttempt Attempt, AttemptDone Done)
+    -> void {
+  if (!isHeaderSafe(Attempt.Account) || !isHeaderSafe(Attempt.Key))
+    return Done(
+        AttemptNotSent{"the account or the key has a control character"});
+  if (auto Checked = checkHttpAddress("worker address", Attempt.WorkerAddress);
+      !Checked)
+    return Done(AttemptNotSent{Checked.error().message()});
+  HttpCall Call{
+      .Address = std::move(Attempt.WorkerAddress),
+      .Method = "POST",
+      .Path = "/v1/requests",
+      .Headers = {{"Content-Type", "application/octet-stream"},
+                  {"Jayramp-Account", std::move(Attempt.Account)},
+                  {"Jayramp-Key", std::move(Attempt.Key)},
+                  {"Jayramp-Attempt", std::to_string(Attempt.Number)},
+                  {"Jayramp-Epoch", std::to_string(Attempt.Epoch)},
+                  {"Jayramp-Deadline-Ms",
+                   std::to_string(Attempt.Timeout.count())}},
+      .Body = std::move(Attempt.Payload),
+      .Timeout = Attempt.Timeout,
+      .FreshConnection = !Attempt.Idempotent};
+  Channel->send(std::move(Call),
+                [Done = std::move(Done)](HttpOutcome Outcome) {
+                  Done(std::visit(OutcomeVisitor(), Outcome));
+                });
+}
+
+auto HttpWorkerClient::status(const std::string &WorkerAddress,
+                              std::uint64_t Epoch, Milliseconds Timeout)
+    -> Result<WorkerStatus> {
+  BOOST_OUTCOME_TRY(checkHttpAddress("worker address", WorkerAddress));
+  HttpOutcome Outcome =
+      Channel->call({.Address = WorkerAddress,
+                     .Method = "GET",
+                     .Path = "/v1/status",
+                     .Headers = {{"Jayramp-Epoch", std::to_string(Epoch)}},
+                     .Timeout = Timeout});
+  std::string Operation = "status of worker " + WorkerAddress;
+  const auto *Answer = std::get_if<HttpAnswer>(&Outcome);
+  if (Answer && Answer->Status == Conflict)
+    return fencedError(Operation, Epoch);
+  // The epoch that it announces stays with the worker, so it has an effect.
+  if (!Answer || Answer->Status != Ok)
+    return httpFailure(Operation, Outcome, true);
+  try {
+    return statusFromJson(value::parse(Answer->Body));
+  } catch (const std::exception &Failure) {
+    return malformedAnswer(Operation, Failure.what(), true);
+  }
+}
+
+auto HttpWorkerClient::control(const std::string &WorkerAddress,
+                               const TaskCall &Call, Milliseconds Timeout)
+    -> Result<std::vector<TaskStatus>> {
+  BOOST_OUTCOME_TRY(checkHttpAddress("worker address", WorkerAddress));
+  std::string Verb = verbName(Call.Verb);
+  HttpOutcome Outcome =
+      Channel->call({.Address = WorkerAddress,
+                     .Method = "POST",
+                     .Path = "/v1/tasks/" + Verb,
+                     .Headers = {{"Content-Type", "application/json"}},
+                     .Body = toJson(Call).serialize(),
+                     .Timeout = Timeout});
+  std::string Operation = Verb + " of tasks on worker " + WorkerAddress;
+  const auto *Answer = std::get_if<HttpAnswer>(&Outcome);
+  if (Answer && Answer->Status == Conflict)
+    return fencedError(Operation, Call.Epoch);
+  if (!Answer || Answer->Status != Ok)
+    return httpFailure(Operation, Outcome, true);
+  try {
+    auto Tasks = tasksFromJson(value::parse(Answer->Body));
+    if (Tasks.size() != Call.Tasks.size())
+      throw std::runtime_error("the number of tasks is wrong");
+    return Tasks;
+  } catch (const std::exception &Failure) {
+    return malformedAnswer(Operation, Failure.what(), true);
+  }
+}
+
+} // namespace jayramp
