Add the interfaces of the request decision classes

Cause: the request runtime is written at the same time and needs stable headers. Conclusion: interfaces only; definitions and tests follow.

--- /dev/null
+++ b/Source/Requests/OutcomeTracker.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "Platform/AttemptOutcome.h"
+#include "Requests/AttemptDecision.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+namespace jayramp {
+
+/// State of one request over its attempts. The first whole answer settles it.
+///
+/// Not synchronized: the caller holds the request's mutex during every call.
+class OutcomeTracker {
+public:
+  explicit OutcomeTracker(bool IsIdempotent);
+
+  /// Starts an attempt and returns its number, from 1. Nothing if the request
+  /// is settled, or is non-idempotent and an attempt may have run or is open.
+  auto startAttempt() -> std::optional<std::uint32_t>;
+
+  /// Applies the result of attempt \p Number. Results may come late, twice and
+  /// in any order.
+  auto attemptEnded(std::uint32_t Number, const AttemptOutcome &Result)
+      -> AttemptDecision;
+
+  /// Settles the request without an answer: deadline, cancellation, no retry
+  /// left. NOT_RUN only if every attempt is known not to have run. Returns the
+  /// earlier outcome if it was settled before.
+  auto close(std::string_view Detail) -> RequestOutcome;
+
+  auto outcome() const -> const std::optional<RequestOutcome> &;
+  auto attempts() const -> std::uint32_t;
+  /// Attempts that may have reached a worker.
+  auto sentAttempts() const -> std::uint32_t;
+  auto openAttempts() const -> std::uint32_t;
+  auto lateResults() const -> std::uint32_t;
+  auto duplicateResults() const -> std::uint32_t;
+  auto mayHaveRun() const -> bool;
+
+private:
+  enum class AttemptState { Open, NotRun, MayHaveRun, Ended };
+
+  bool Idempotent;
+  std::map<std::uint32_t, AttemptState> States;
+  std::optional<RequestOutcome> Settled;
+  std::uint32_t Late = 0;
+  std::uint32_t Duplicates = 0;
+};
+
+} // namespace jayramp
--- /dev/null
+++ b/Source/Requests/RecordVersion.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace jayramp {
+
+/// Order of the writes to a key: a home writes only in its own view and
+/// numbers its writes, so reordered replication messages cannot undo a write.
+struct RecordVersion {
+  std::uint64_t View = 0;
+  std::uint64_t Sequence = 0;
+
+  auto operator<=>(const RecordVersion &) const = default;
+};
+
+} // namespace jayramp
--- /dev/null
+++ b/Source/Requests/ReplicationDecision.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "Requests/KeyRecord.h"
+
+#include <variant>
+
+namespace jayramp {
+
+/// The claim is granted: answer its holder.
+struct ReplicationGranted {
+  KeyRecord Record;
+};
+
+/// The outcome is held by the backup too: acknowledge the holder's report.
+struct ReplicationOfOutcome {
+  KeyRecord Record;
+};
+
+/// The acknowledgement belongs to an older view or an older write.
+struct ReplicationStale {};
+
+/// What an acknowledgement from the backup allows the home to do.
+using ReplicationDecision =
+    std::variant<ReplicationGranted, ReplicationOfOutcome, ReplicationStale>;
+
+/// Answer of the backup to a record that the home sent.
+enum class ReplicaAnswer {
+  Stored,       ///< Held; the home may count on it.
+  AlreadyNewer, ///< A newer write is held; the home may count on it.
+  WrongView,    ///< Sent in another view: refused.
+  NotBackup,    ///< This host is not the shard's backup: refused.
+  RegistryFull, ///< No room for another record: refused.
+};
+
+} // namespace jayramp
--- /dev/null
+++ b/Source/Requests/SlotAsk.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "Requests/WorkClass.h"
+
+#include <string>
+
+namespace jayramp {
+
+/// A request of an entry host for one slot.
+struct SlotAsk {
+  std::string GrantId; ///< Equal in all repeats.
+  std::string HolderHost;
+  std::string HolderIncarnation;
+  WorkClass Class = WorkClass::Short;
+};
+
+} // namespace jayramp
