--- a/Source/Requests/ClaimDecision.h
+++ b/Source/Requests/ClaimDecision.h
@@ -12,7 +12,8 @@
   KeyRecord Record;
 };
 
-/// The claim's holder may dispatch; the backup of this view has the record.
+/// The claim's holder may dispatch; the backup of this view has the record. A
+/// holder that no longer waits for this claim must report it released.
 struct ClaimGranted {
   KeyRecord Record;
 };
--- a/Source/Requests/FairQueue.h
+++ b/Source/Requests/FairQueue.h
@@ -17,8 +17,11 @@
 
 /// Waiting requests of one entry host, shared among client accounts by weight.
 ///
+/// Shares hold within each class. Short work always goes first: while it alone
+/// exceeds the capacity, long work waits until its deadline.
+///
 /// Not synchronized: the caller holds one mutex during every call, queries
-/// included. Each call but expire() costs O(log n).
+/// included. A call costs O(log n) for each entry that it moves or expires.
 class FairQueue {
 public:
   static auto make(FairQueueLimits Limits) -> Result<FairQueue>;
@@ -48,7 +51,8 @@
 
   /// Adds slot time that an account used beyond the entry's cost, or negative
   /// time that it did not use.
-  auto charge(std::string_view Account, double Cost) -> void;
+  auto charge(std::string_view Account, double Cost,
+              WorkClass Class = WorkClass::Short) -> void;
 
   /// Wait that a new entry would meet by the observed rate of pop(); zero
   /// while no rate was observed.
@@ -62,47 +66,51 @@
 
 private:
   using Line = std::map<std::int64_t, std::uint64_t>; ///< Order to entry id.
-  struct Account {
+  using Ranking = std::set<std::pair<double, std::size_t>>;
+  struct AccountState {
     std::string Name;
     double Share = 1.0;
-    double VirtualTime = 0.0;
+    std::array<double, 2> VirtualTime{};
     std::array<Line, 2> Lines;
   };
   struct Waiting {
     QueueEntry Entry;
     std::size_t Account = 0;
     std::int64_t Order = 0;
+    TimePoint Since;
   };
-  /// Observed time between two pops of a class while entries were waiting.
-  struct Rate {
-    std::optional<TimePoint> LastPop;
-    double IntervalSeconds = 0.0;
+  /// One work class. `Pops` and `BusySeconds` decay together; their quotient
+  /// is the service rate while entries were waiting.
+  struct ClassState {
+    Ranking Ready; ///< Accounts with entries, by virtual time.
+    std::size_t Count = 0;
     double ActiveShare = 0.0;
+    double VirtualNow = 0.0;
+    double Pops = 0.0;
+    double BusySeconds = 0.0;
+    TimePoint MeasuredAt;
+    std::optional<std::uint64_t> CountedPop;
   };
-  using Ranking = std::set<std::pair<double, std::size_t>>;
 
   explicit FairQueue(FairQueueLimits Limits);
 
   auto indexOf(std::string_view Name) -> std::size_t;
-  auto insert(const QueueEntry &Entry, std::int64_t Order) -> bool;
-  auto remove(std::uint64_t Id) -> std::optional<QueueEntry>;
-  auto setVirtualTime(std::size_t Index, double Value) -> void;
+  auto insert(const QueueEntry &Entry, std::int64_t Order, TimePoint Since)
+      -> void;
+  auto remove(std::uint64_t Id) -> std::optional<Waiting>;
+  auto setVirtualTime(std::size_t Index, std::size_t Class, double Value)
+      -> void;
   auto popClass(std::size_t Class, TimePoint Now) -> std::optional<QueueEntry>;
-  auto firstLive(std::size_t Class, TimePoint Now)
-      -> std::optional<std::uint64_t>;
-  auto observePop(std::size_t Class, TimePoint Now) -> void;
-  auto waitOf(const Account *Known, WorkClass Class, TimePoint Now) const
-      -> Milliseconds;
+  auto collectExpired(TimePoint Now) -> void;
+  auto measure(std::size_t Class, TimePoint Now) -> void;
 
   FairQueueLimits Limits;
-  std::vector<Account> Accounts;
+  std::vector<AccountState> Accounts;
   std::map<std::string, std::size_t, std::less<>> AccountIndex;
   std::unordered_map<std::uint64_t, Waiting> Entries;
   std::set<std::pair<TimePoint, std::uint64_t>> Deadlines;
-  std::array<Ranking, 2> Ready; ///< Accounts with entries, by virtual time.
-  std::array<Rate, 2> Rates;
-  std::array<std::size_t, 2> Counts{};
-  double VirtualNow = 0.0;
+  std::array<ClassState, 2> Classes;
+  std::vector<QueueEntry> Expired; ///< Left the queue; expire() returns them.
   std::int64_t NextOrder = 0;
   std::int64_t FrontOrder = -1;
 };
--- a/Source/Requests/KeyRegistry.h
+++ b/Source/Requests/KeyRegistry.h
@@ -29,14 +29,14 @@
   ~KeyRegistry();
 
   /// Shard of a key, equal on all hosts and in all versions of the program.
+  /// Messages that name another shard for a key are refused.
   static auto shardOf(std::string_view Account, std::string_view Key)
       -> std::uint32_t;
 
   /// Home: decides on a claim. Repeats with the same id are safe.
   auto claim(const KeyClaim &Claim, TimePoint Now) -> ClaimDecision;
 
-  /// Home: the backup answered Stored or AlreadyNewer to \p Sent in the view
-  /// \p ViewVersion.
+  /// Home: the backup answered Stored to \p Sent in the view \p ViewVersion.
   auto replicationAcknowledged(std::uint64_t ViewVersion, const KeyRecord &Sent,
                                TimePoint Now) -> ReplicationDecision;
 
--- a/Source/Requests/OutcomeTracker.h
+++ b/Source/Requests/OutcomeTracker.h
@@ -6,6 +6,8 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
+#include <string_view>
 
 namespace jayramp {
 
@@ -45,6 +47,7 @@
   bool Idempotent;
   std::map<std::uint32_t, AttemptState> States;
   std::optional<RequestOutcome> Settled;
+  std::optional<std::string> FailureBody; ///< Of an idempotent attempt.
   std::uint32_t Late = 0;
   std::uint32_t Duplicates = 0;
 };
--- a/Source/Requests/ReplicationDecision.h
+++ b/Source/Requests/ReplicationDecision.h
@@ -26,7 +26,7 @@
 /// Answer of the backup to a record that the home sent.
 enum class ReplicaAnswer {
   Stored,       ///< Held; the home may count on it.
-  AlreadyNewer, ///< A newer write is held; the home may count on it.
+  AlreadyNewer, ///< A newer write is held; not an acknowledgement.
   WrongView,    ///< Sent in another view: refused.
   NotBackup,    ///< This host is not the shard's backup: refused.
   RegistryFull, ///< No room for another record: refused.
--- /dev/null
+++ b/Source/Requests/SlotLedger.cpp
@@ -0,0 +1,291 @@
+#include "Requests/SlotLedger.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jayramp {
+
+namespace {
+
+constexpr double LatencyWeight = 0.2; ///< Of the newest answer.
+
+// Share of comparisons that a worker on trial wins regardless of its load. At
+// low load an idle healthy worker would otherwise always be preferred.
+constexpr double TrialPreference = 0.2;
+
+} // namespace
+
+SlotLedger::SlotLedger(SlotPolicy Policy)
+    : Policy(Policy), Random(Policy.Seed) {}
+
+auto SlotLedger::make(SlotPolicy Policy) -> Result<SlotLedger> {
+  if (Policy.LongPercent > 100)
+    return Error::make(ErrorKind::InvalidArgument, "LongPercent",
+                       std::to_string(Policy.LongPercent) +
+                           " is not a percentage",
+                       "set a value from 0 to 100");
+  if (Policy.ShortLimit <= Milliseconds(0))
+    return Error::make(ErrorKind::InvalidArgument, "ShortLimit",
+                       "every request would count as long",
+                       "set a limit above 0 ms");
+  return SlotLedger(Policy);
+}
+
+auto SlotLedger::longLimit(std::uint32_t Slots) const -> std::uint32_t {
+  if (Policy.LongPercent == 0 || Slots == 0)
+    return 0;
+  std::uint32_t Limit = std::max(1U, Slots * Policy.LongPercent / 100);
+  return Slots >= 2 ? std::min(Limit, Slots - 1) : Limit;
+}
+
+auto SlotLedger::freeOf(const Worker &Entry) const -> std::uint32_t {
+  if (!Entry.Known || Entry.Leaving)
+    return 0;
+  std::uint32_t Used = Entry.Granted + Entry.Foreign;
+  return Used >= Entry.Slots ? 0 : Entry.Slots - Used;
+}
+
+auto SlotLedger::freeLongOf(const Worker &Entry) const -> std::uint32_t {
+  // The class of foreign work is not known; it counts as long.
+  std::uint32_t Used = Entry.Long + Entry.Foreign;
+  std::uint32_t Limit = longLimit(Entry.Slots);
+  return std::min(freeOf(Entry), Used >= Limit ? 0 : Limit - Used);
+}
+
+auto SlotLedger::addWorker(std::string_view Name, std::string_view Address)
+    -> void {
+  Workers[std::string(Name)].Address = Address;
+}
+
+auto SlotLedger::removeWorker(std::string_view Name) -> void {
+  auto Position = Workers.find(Name);
+  if (Position == Workers.end())
+    return;
+  Workers.erase(Position);
+  std::erase_if(Grants,
+                [&](const auto &Item) { return Item.second.Worker == Name; });
+}
+
+auto SlotLedger::setEpoch(std::uint64_t NewEpoch) -> void {
+  Epoch = std::max(Epoch, NewEpoch);
+}
+
+auto SlotLedger::settledGrants(std::string_view Name, TimePoint At) const
+    -> std::uint32_t {
+  return static_cast<std::uint32_t>(
+      std::count_if(Grants.begin(), Grants.end(), [&](const auto &Item) {
+        return Item.second.Worker == Name &&
+               Item.second.Since + Policy.SettleTime <= At;
+      }));
+}
+
+auto SlotLedger::applyStatus(const SlotStatus &Status, TimePoint Now) -> bool {
+  auto Position = Workers.find(Status.Worker);
+  if (Position == Workers.end())
+    return false;
+  Worker &Entry = Position->second;
+  if (Entry.Known && Status.RequestedAt <= Entry.LastStatus)
+    return false;
+  Entry.Slots = Status.Slots;
+  Entry.Leaving = Status.Leaving;
+  Entry.LastStatus = Status.RequestedAt;
+  if (!Entry.Known) {
+    Entry.Known = true;
+    Entry.Foreign = Status.SlotsUsed;
+    Entry.ForeignSince = Now;
+    return true;
+  }
+  // Grants that are not yet visible in the status would make foreign slots
+  // look free, so only settled grants are subtracted.
+  if (Status.RequestedAt >= Entry.ForeignSince) {
+    std::uint32_t Settled = settledGrants(Status.Worker, Status.RequestedAt);
+    std::uint32_t Visible =
+        Status.SlotsUsed > Settled ? Status.SlotsUsed - Settled : 0;
+    Entry.Foreign = std::min(Entry.Foreign, Visible);
+  }
+  return true;
+}
+
+auto SlotLedger::markLeaving(std::string_view Name) -> void {
+  auto Position = Workers.find(Name);
+  if (Position != Workers.end())
+    Position->second.Leaving = true;
+}
+
+auto SlotLedger::choose(const std::vector<WorkerMap::iterator> &Usable,
+                        const std::vector<double> &Shares)
+    -> WorkerMap::iterator {
+  if (Usable.size() == 1)
+    return Usable.front();
+  std::size_t First = Random() % Usable.size();
+  std::size_t Second = Random() % (Usable.size() - 1);
+  if (Second >= First)
+    ++Second;
+  std::uniform_real_distribution<double> Chance(0.0, 1.0);
+  for (std::size_t Index : {First, Second})
+    if (Shares[Index] < 1.0 && Chance(Random) < TrialPreference)
+      return Usable[Index];
+  bool Compare = Usable[First]->second.LatencyMs > 0 &&
+                 Usable[Second]->second.LatencyMs > 0;
+  auto Cost = [&](std::size_t Index) {
+    const Worker &Entry = Usable[Index]->second;
+    double Load = (Entry.Granted + Entry.Foreign + 1) /
+                  std::max(1.0, std::ceil(Shares[Index] * Entry.Slots));
+    return Compare ? Load * Entry.LatencyMs : Load;
+  };
+  return Cost(First) <= Cost(Second) ? Usable[First] : Usable[Second];
+}
+
+auto SlotLedger::grant(const SlotAsk &Ask, const ShareOf &Share,
+                       std::string_view Excluded, TimePoint Now)
+    -> SlotDecision {
+  if (auto Known = find(Ask.GrantId))
+    return *Known;
+  std::vector<WorkerMap::iterator> Usable;
+  std::vector<double> Shares;
+  bool AnyWorker = false;
+  bool AnySlot = false;
+  for (auto Position = Workers.begin(); Position != Workers.end(); ++Position) {
+    const Worker &Entry = Position->second;
+    if (!Entry.Known || Entry.Leaving || Position->first == Excluded)
+      continue;
+    double Allowed = std::min(1.0, Share ? Share(Position->first) : 1.0);
+    if (!(Allowed > 0))
+      continue;
+    AnyWorker = true;
+    // A worker on trial takes only as many requests as its share of slots.
+    auto Limit = static_cast<std::uint32_t>(std::ceil(Allowed * Entry.Slots));
+    if (freeOf(Entry) == 0 || Entry.Granted + Entry.Foreign >= Limit)
+      continue;
+    AnySlot = true;
+    if (Ask.Class == WorkClass::Long && freeLongOf(Entry) == 0)
+      continue;
+    Usable.push_back(Position);
+    Shares.push_back(Allowed);
+  }
+  if (!AnyWorker)
+    return SlotNoWorker{};
+  if (!AnySlot)
+    return SlotNoneFree{};
+  if (Usable.empty())
+    return SlotLongShareUsed{};
+  auto Chosen = choose(Usable, Shares);
+  ++Chosen->second.Granted;
+  if (Ask.Class == WorkClass::Long)
+    ++Chosen->second.Long;
+  SlotGrant Grant{Ask.GrantId,
+                  Chosen->first,
+                  Chosen->second.Address,
+                  Epoch,
+                  Ask.HolderHost,
+                  Ask.HolderIncarnation,
+                  Ask.Class,
+                  Now};
+  Grants.emplace(Ask.GrantId, Grant);
+  return Grant;
+}
+
+auto SlotLedger::release(std::string_view GrantId,
+                         std::optional<Milliseconds> Latency)
+    -> std::optional<SlotGrant> {
+  auto Position = Grants.find(GrantId);
+  if (Position == Grants.end())
+    return std::nullopt;
+  SlotGrant Ended = std::move(Position->second);
+  Grants.erase(Position);
+  auto Owner = Workers.find(Ended.Worker);
+  if (Owner == Workers.end())
+    return Ended;
+  Worker &Entry = Owner->second;
+  --Entry.Granted;
+  if (Ended.Class == WorkClass::Long)
+    --Entry.Long;
+  if (Latency) {
+    auto Measured = std::max(1.0, static_cast<double>(Latency->count()));
+    Entry.LatencyMs =
+        Entry.LatencyMs > 0
+            ? Entry.LatencyMs + LatencyWeight * (Measured - Entry.LatencyMs)
+            : Measured;
+  }
+  return Ended;
+}
+
+auto SlotLedger::releaseLostHolders(const std::set<std::string> &Live,
+                                    TimePoint Now) -> std::vector<SlotGrant> {
+  std::vector<SlotGrant> Ended;
+  for (const auto &[Id, Grant] : Grants)
+    if (Live.count(Grant.HolderIncarnation) == 0)
+      Ended.push_back(Grant);
+  for (const SlotGrant &Grant : Ended) {
+    release(Grant.GrantId, std::nullopt);
+    auto Owner = Workers.find(Grant.Worker);
+    if (Owner == Workers.end())
+      continue;
+    ++Owner->second.Foreign;
+    Owner->second.ForeignSince = Now;
+  }
+  return Ended;
+}
+
+auto SlotLedger::reclassify(TimePoint Now) -> std::vector<SlotGrant> {
+  std::vector<SlotGrant> Changed;
+  for (auto &[Id, Grant] : Grants) {
+    if (Grant.Class == WorkClass::Long ||
+        Now - Grant.Since <= Policy.ShortLimit)
+      continue;
+    Grant.Class = WorkClass::Long;
+    auto Owner = Workers.find(Grant.Worker);
+    if (Owner != Workers.end())
+      ++Owner->second.Long;
+    Changed.push_back(Grant);
+  }
+  return Changed;
+}
+
+auto SlotLedger::freeSlots() const -> std::uint32_t {
+  std::uint32_t Sum = 0;
+  for (const auto &[Name, Entry] : Workers)
+    Sum += freeOf(Entry);
+  return Sum;
+}
+
+auto SlotLedger::freeLongSlots() const -> std::uint32_t {
+  std::uint32_t Sum = 0;
+  for (const auto &[Name, Entry] : Workers)
+    Sum += freeLongOf(Entry);
+  return Sum;
+}
+
+auto SlotLedger::freeSlots(std::string_view Name) const -> std::uint32_t {
+  auto Position = Workers.find(Name);
+  return Position == Workers.end() ? 0 : freeOf(Position->second);
+}
+
+auto SlotLedger::foreignSlots(std::string_view Name) const -> std::uint32_t {
+  auto Position = Workers.find(Name);
+  return Position == Workers.end() ? 0 : Position->second.Foreign;
+}
+
+auto SlotLedger::usedSlots(std::string_view Name) const -> std::uint32_t {
+  auto Position = Workers.find(Name);
+  return Position == Workers.end()
+             ? 0
+             : Position->second.Granted + Position->second.Foreign;
+}
+
+auto SlotLedger::workers() const -> std::vector<std::string> {
+  std::vector<std::string> Names;
+  for (const auto &[Name, Entry] : Workers)
+    Names.push_back(Name);
+  return Names;
+}
+
+auto SlotLedger::find(std::string_view GrantId) const
+    -> std::optional<SlotGrant> {
+  auto Position = Grants.find(GrantId);
+  if (Position == Grants.end())
+    return std::nullopt;
+  return Position->second;
+}
+
+} // namespace jayramp
