--- /dev/null
+++ b/Source/Membership/PeerEndpoint.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string>
+
+namespace jayramp {
+
+/// Where one incarnation of a peer listens.
+struct PeerEndpoint {
+  std::string Name;
+  std::string Incarnation;
+  std::string Address; ///< "IP:port".
+
+  auto operator==(const PeerEndpoint &) const -> bool = default;
+};
+
+} // namespace jayramp
--- /dev/null
+++ b/Source/Membership/ServingDecision.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace jayramp {
+
+/// Why a host may not serve.
+enum class ServingRefusal {
+  NotMember,   ///< This incarnation is not in the view.
+  StaleView,   ///< No recent confirmation, and no majority in an outage.
+  Rebalancing, ///< An earlier view may still be served elsewhere.
+};
+
+/// Name as in the `Reason` of the API: STALE_VIEW or REBALANCING.
+auto toString(ServingRefusal Refusal) -> std::string_view;
+
+/// The host may serve under this view.
+struct ServingPermitted {
+  std::uint64_t ViewVersion = 0;
+  /// True if a majority without any recent confirmation permits it.
+  bool Outage = false;
+
+  auto operator==(const ServingPermitted &) const -> bool = default;
+};
+
+/// The host must answer "not run".
+struct ServingRefused {
+  ServingRefusal Refusal = ServingRefusal::StaleView;
+  std::string Detail;
+
+  auto operator==(const ServingRefused &) const -> bool = default;
+};
+
+using ServingDecision = std::variant<ServingPermitted, ServingRefused>;
+
+} // namespace jayramp
