--- /dev/null
+++ b/Source/Configuration/Configuration.cpp
@@ -0,0 +1,42 @@
+#include "Configuration/Configuration.h"
+
+#include "Schema/JsonMapping.h"
+
+#include "jayramp/v1/jayramp.pb.h"
+
+namespace jayramp {
+
+Configuration::Configuration()
+    : Document(std::make_shared<const v1::ConfigurationDocument>()) {}
+
+Configuration::Configuration(std::uint64_t Version,
+                             const v1::ConfigurationDocument &Source)
+    : Version(Version),
+      Document(std::make_shared<const v1::ConfigurationDocument>(Source)) {}
+
+auto Configuration::parseRow(std::uint64_t Version, std::string_view Text)
+    -> Result<Configuration> {
+  v1::ConfigurationDocument Parsed;
+  BOOST_OUTCOME_TRYV(parseJson(Text, Parsed));
+  return Configuration(Version, Parsed);
+}
+
+auto Configuration::parseBytes(std::uint64_t Version, const std::string &Bytes)
+    -> Result<Configuration> {
+  v1::ConfigurationDocument Parsed;
+  if (!Parsed.ParseFromString(Bytes))
+    return Error::make(ErrorKind::InvalidArgument, "document",
+                       "is not a serialized ConfigurationDocument",
+                       "send a message of the published schema");
+  return Configuration(Version, Parsed);
+}
+
+auto Configuration::rowText() const -> std::string {
+  return renderJson(*Document);
+}
+
+auto Configuration::bytes() const -> std::string {
+  return Document->SerializeAsString();
+}
+
+} // namespace jayramp
--- a/Source/Configuration/ConfigurationCommands.h
+++ b/Source/Configuration/ConfigurationCommands.h
@@ -5,6 +5,7 @@
 #include "Configuration/ConfigurationOutcome.h"
 
 #include <cstdint>
+#include <memory>
 
 namespace jayramp::v1 {
 class ClientAccount;
@@ -29,6 +30,7 @@
   ConfigurationCommands(TableService &Tables, ConfigurationStore &Store,
                         MembershipRunner &Membership, PeerTransport &Transport,
                         Metrics &Registry);
+  ~ConfigurationCommands();
 
   /// Checks a document as a whole. \returns InvalidArgument whose place names
   /// the offending field, for example "document.accounts[1].name".
@@ -49,6 +51,8 @@
       -> Result<ConfigurationOutcome>;
 
 private:
+  class Receiver;
+
   auto write(std::uint64_t ExpectedVersion,
              const v1::ConfigurationDocument &Document, TimePoint Deadline)
       -> Result<ConfigurationOutcome>;
@@ -59,6 +63,7 @@
   MembershipRunner &Membership;
   PeerTransport &Transport;
   Metrics &Registry;
+  std::unique_ptr<Receiver> Pushed;
 };
 
 } // namespace jayramp
--- a/Source/Membership/PeerHandler.h
+++ b/Source/Membership/PeerHandler.h
@@ -10,8 +10,8 @@
 
 /// Sends the answer to one request; may be called later and from any thread.
 /// Calls after the first have no effect; a request that is never answered times
-/// out at its sender. Sender, incarnation, view version and correlation id of
-/// the envelope are filled in by the transport.
+/// out at its sender. Sender, incarnation and correlation id of the envelope
+/// are filled in by the transport, and the announced view version if it is 0.
 using PeerReply = std::function<void(const peer::v1::Envelope &)>;
 
 /// Receives the requests of one message type.
--- a/Source/Membership/ServingDecision.h
+++ b/Source/Membership/ServingDecision.h
@@ -12,9 +12,10 @@
   NotMember,   ///< This incarnation is not in the view.
   StaleView,   ///< No recent confirmation, and no majority in an outage.
   Rebalancing, ///< An earlier view may still be served elsewhere.
+  Leaving,     ///< This host has begun to leave the view.
 };
 
-/// Name as in the `Reason` of the API: STALE_VIEW or REBALANCING.
+/// Name as in the `Reason` of the API: STALE_VIEW, REBALANCING or STOPPING.
 auto toString(ServingRefusal Refusal) -> std::string_view;
 
 /// The host may serve under this view.
