Add the headers of the job scheduler's interface

Cause: a runtime is built against JobScheduler at the same time. Change: commands, queries and typed decisions of the scheduler; no code yet. Measured: nothing yet. Conclusion: the interface can be reviewed before the logic lands.

--- /dev/null
+++ b/Source/Jobs/JobScheduler.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include "Base/Result.h"
+#include "Jobs/AcceleratorPool.h"
+#include "Jobs/AccountPolicy.h"
+#include "Jobs/Decision.h"
+#include "Jobs/GuaranteePlan.h"
+#include "Jobs/JobEvents.h"
+#include "Jobs/JobRecord.h"
+#include "Jobs/SchedulerPolicy.h"
+#include "Jobs/Topology.h"
+#include "Jobs/WorkerFaults.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace jayramp {
+
+enum class WorkerState { Live, Leaving, Lost, Quarantined };
+
+/// Accelerators by use.
+struct CapacityReport {
+  std::uint32_t Installed = 0;
+  std::uint32_t Usable = 0; ///< On live workers.
+  std::uint32_t Free = 0;   ///< Usable, not held and not reserved.
+  std::uint32_t HeldAsGuaranteed = 0;
+  std::uint32_t HeldAsSurplus = 0;
+  std::uint32_t Stopping = 0; ///< Held by gangs that are being stopped.
+
+  auto operator==(const CapacityReport &) const -> bool = default;
+};
+
+/// Guaranteed shapes of one size that the live workers cannot hold at present.
+struct DegradedGuarantee {
+  std::string Account;
+  std::uint32_t Accelerators = 0;
+  std::uint32_t Count = 0;
+
+  auto operator==(const DegradedGuarantee &) const -> bool = default;
+};
+
+/// Decides which gang runs where. Pure: no clock, threads or input and output;
+/// not safe for use from several threads at once.
+///
+/// Commands record what happened, decide() returns what is to be done. A
+/// returned decision counts as carried out; if it could not be (for example
+/// because a transaction lost a conflict), call gangStopped() for the attempt,
+/// and the job is placed again.
+class JobScheduler {
+public:
+  static auto make(Topology Installed, std::vector<AccountPolicy> Accounts,
+                   SchedulerPolicy Policy = {}) -> JobScheduler;
+
+  // Commands.
+
+  /// Adds a job; a known id has no effect. Errors as for checkSubmission().
+  auto submit(const JobSpecification &Job, TimePoint Now) -> Result<void>;
+  /// Adds a job from its row, at any age. Restore running jobs in the order of
+  /// their start, then pending ones in the order of submission. InvalidArgument
+  /// if the placement names an unknown worker or an accelerator that is held.
+  auto restore(const RestoredJob &Job) -> Result<void>;
+  /// Nothing happens if the job is unknown.
+  auto cancel(const std::string &Job) -> void;
+  /// Reports of other attempts than the current one are ignored.
+  auto taskEnded(const TaskEnd &End, TimePoint Now) -> void;
+  /// Nothing of this attempt runs any more (stopped, leases ended, or never
+  /// started). The job is final or waits again, without blame for a worker.
+  auto gangStopped(const std::string &Job, std::uint32_t Attempt) -> void;
+  auto workerLost(const std::string &Worker) -> void;
+  /// No new placements; running gangs go on.
+  auto workerLeaving(const std::string &Worker) -> void;
+  auto workerReturned(const std::string &Worker) -> void;
+  /// Unused guarantees are planned anew; gangs whose guarantee is gone become
+  /// reclaimable. Jobs of removed accounts are rejected.
+  auto changeAccounts(std::vector<AccountPolicy> Accounts) -> void;
+  /// Workers are matched by name. Gangs on workers that are gone are stopped.
+  auto changeTopology(Topology Installed) -> void;
+  /// False if the report is older than the placement and was ignored.
+  auto reportUsage(const UsageReport &Report) -> bool;
+
+  /// All that is to be done now. Call after commands and once a second.
+  auto decide(TimePoint Now) -> std::vector<Decision>;
+
+  // Queries.
+
+  /// InvalidArgument for a size outside 1 to 64, NotFound for an unknown
+  /// account, Rejected if no layout of the topology, the quota or the guarantee
+  /// can ever hold the job.
+  auto checkSubmission(const JobSpecification &Job) const -> Result<void>;
+  /// Why the job does not run; Reason is None if it runs; nothing if unknown.
+  auto waitReport(const std::string &Job) const -> std::optional<WaitReport>;
+  auto job(const std::string &Id) const -> const JobRecord *;
+  /// Ids of all jobs that are not final, in order of submission.
+  auto jobIds() const -> std::vector<std::string>;
+  /// Places of the job's gang, or reserved for it; empty if it has none.
+  auto placement(const std::string &Job) const -> std::vector<AcceleratorPlace>;
+  auto workerState(const std::string &Worker) const
+      -> std::optional<WorkerState>;
+  /// Largest adjacent gang, up to 64, that free accelerators could hold now.
+  auto largestPlaceableGang() const -> std::uint32_t;
+  auto capacity() const -> CapacityReport;
+  auto degradedGuarantees() const -> std::vector<DegradedGuarantee>;
+  auto topology() const -> const Topology & { return Installed; }
+  auto plan() const -> const GuaranteePlan & { return Plan; }
+
+private:
+  JobScheduler(Topology Installed, std::vector<AccountPolicy> Accounts,
+               SchedulerPolicy Policy);
+
+  using Records = std::map<JobKey, JobRecord>;
+
+  auto find(const std::string &Id) -> JobRecord *;
+  auto isUsable(std::uint32_t Worker, TimePoint Now) const -> bool;
+  auto refreshUsable() -> void;
+  auto endQuarantines(TimePoint Now) -> void;
+  auto beginStop(JobRecord &Job, WaitReason Reason, std::string Detail)
+      -> void;
+  auto endJob(JobRecord &Job, JobEnd End, WaitReport Report) -> void;
+  auto release(JobRecord &Job) -> void;
+  auto detachFromGuarantee(JobRecord &Job) -> void;
+  auto startReserved(TimePoint Now) -> void;
+  auto placeWaiting(TimePoint Now) -> void;
+  auto placeGuaranteed(JobRecord &Job, TimePoint Now) -> bool;
+  auto placeSurplus(JobRecord &Job, TimePoint Now, bool Head) -> bool;
+  auto claims(const JobRecord &Job) const -> std::vector<std::int64_t>;
+  auto reserve(JobRecord &Job, std::vector<std::uint32_t> Accelerators,
+               TimePoint Now) -> void;
+  auto holdings(const std::string &Account) const -> std::uint32_t;
+  auto explain(const JobRecord &Job) const -> WaitReport;
+  auto places(const JobRecord &Job) const -> std::vector<AcceleratorPlace>;
+  auto policyOf(const std::string &Account) const -> const AccountPolicy *;
+
+  Topology Installed;
+  std::vector<AccountPolicy> Accounts;
+  SchedulerPolicy Policy;
+  AcceleratorPool Pool;
+  GuaranteePlan Plan;
+  WorkerFaults Faults;
+  Records Jobs;
+  std::unordered_map<std::string, JobKey> Keys;
+  std::vector<bool> Lost;    ///< By worker index.
+  std::vector<bool> Leaving; ///< By worker index.
+  std::vector<Decision> Outbox;
+  JobKey NextKey = 1;
+  std::int64_t NextStart = 1;
+};
+
+} // namespace jayramp
--- /dev/null
+++ b/Source/Jobs/WorkerDescription.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace jayramp {
+
+/// A worker and its place, as the host list and the worker's status show it.
+struct WorkerDescription {
+  std::string Name;
+  std::string Region;
+  std::string AvailabilityZone;
+  std::string Rack;
+  std::uint32_t Accelerators = 0;
+
+  auto operator<=>(const WorkerDescription &) const = default;
+};
+
+} // namespace jayramp
