Add the job scheduler's placement and guarantee logic

Cause: gangs have to be placed so that every account can reclaim its shapes. Not tested yet. Measured: it compiles; nothing else yet. Conclusion: ready for the property tests.

--- /dev/null
+++ b/Source/Jobs/AcceleratorPool.cpp
@@ -0,0 +1,54 @@
+#include "Jobs/AcceleratorPool.h"
+
+#include <algorithm>
+
+namespace jayramp {
+
+auto AcceleratorPool::make(std::uint32_t Accelerators) -> AcceleratorPool {
+  AcceleratorPool Pool;
+  Pool.Holders.assign(Accelerators, None);
+  Pool.Reservations.assign(Accelerators, None);
+  Pool.Usable.assign(Accelerators, 1);
+  return Pool;
+}
+
+auto AcceleratorPool::freeCount() const -> std::uint32_t {
+  std::uint32_t Count = 0;
+  for (std::uint32_t Index = 0; Index < size(); ++Index)
+    Count += isFree(Index) ? 1 : 0;
+  return Count;
+}
+
+auto AcceleratorPool::noneHeld(
+    const std::vector<std::uint32_t> &Accelerators) const -> bool {
+  return std::all_of(Accelerators.begin(), Accelerators.end(),
+                     [this](auto Index) { return Holders[Index] == None; });
+}
+
+auto AcceleratorPool::hold(const std::vector<std::uint32_t> &Accelerators,
+                           JobKey Job) -> void {
+  for (auto Index : Accelerators)
+    Holders[Index] = Job;
+}
+
+auto AcceleratorPool::release(const std::vector<std::uint32_t> &Accelerators,
+                              JobKey Job) -> void {
+  for (auto Index : Accelerators)
+    if (Holders[Index] == Job)
+      Holders[Index] = None;
+}
+
+auto AcceleratorPool::reserve(const std::vector<std::uint32_t> &Accelerators,
+                              JobKey Job) -> void {
+  for (auto Index : Accelerators)
+    Reservations[Index] = Job;
+}
+
+auto AcceleratorPool::endReservation(
+    const std::vector<std::uint32_t> &Accelerators, JobKey Job) -> void {
+  for (auto Index : Accelerators)
+    if (Reservations[Index] == Job)
+      Reservations[Index] = None;
+}
+
+} // namespace jayramp
--- a/Source/Jobs/Decision.h
+++ b/Source/Jobs/Decision.h
@@ -34,9 +34,11 @@
 
 /// Run the reclaim sequence on the victims. \p Job keeps the placement reserved
 /// and is started by a later StartGang, once gangStopped() or taskEnded() has
-/// reported every victim ended.
+/// reported the end of every gang on it. Victims is empty if all gangs on the
+/// placement are already being stopped.
 struct ReclaimGangs {
   std::string Job;
+  std::uint32_t Attempt = 0; ///< That the later StartGang will have.
   std::vector<AcceleratorPlace> Placement;
   std::vector<GangAttempt> Victims;
   bool Guaranteed = false;
--- /dev/null
+++ b/Source/Jobs/GangPlacer.cpp
@@ -0,0 +1,310 @@
+#include "Jobs/GangPlacer.h"
+
+#include "Jobs/SchedulerState.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace jayramp {
+namespace {
+
+/// Places tried for an unused shape before it stays where it is. Each failed
+/// one costs a repacking of the shapes in the way.
+constexpr std::size_t ShapePlacesTried = 4;
+
+} // namespace
+
+GangPlacer::GangPlacer(SchedulerState &State, TimePoint Now)
+    : State(State), Now(Now),
+      Finder(Placement::make(State.Installed, State.Policy.Rule)) {}
+
+auto GangPlacer::startReserved() -> void {
+  for (auto &[Key, Job] : State.Jobs) {
+    if (Job.Phase != JobPhase::Reclaiming)
+      continue;
+    const bool Usable =
+        std::all_of(Job.Accelerators.begin(), Job.Accelerators.end(),
+                    [this](auto Index) { return State.Pool.isUsable(Index); });
+    if (!Usable)
+      State.endReservation(Job);
+    else if (State.Pool.noneHeld(Job.Accelerators))
+      State.start(Job, Now);
+  }
+}
+
+auto GangPlacer::placeWaiting() -> void {
+  std::vector<JobRecord *> Urgent;
+  std::vector<JobRecord *> Others;
+  for (auto &[Key, Job] : State.Jobs)
+    if (Job.Phase == JobPhase::Pending)
+      (Job.Specification.Priority == JobPriority::Urgent ? Urgent : Others)
+          .push_back(&Job);
+  for (auto *Job : Urgent)
+    placeGuaranteed(*Job);
+  for (auto *Job : Others)
+    if (Job->Specification.Priority == JobPriority::Guaranteed)
+      placeGuaranteed(*Job);
+  // A guaranteed start may have ended a reservation, so its job waits again but
+  // is not in these lists; the next decision places it.
+  for (auto *Job : Urgent)
+    placeSurplus(*Job);
+  for (auto *Job : Others)
+    placeSurplus(*Job);
+}
+
+auto GangPlacer::placeGuaranteed(JobRecord &Job) -> bool {
+  if (Job.Phase != JobPhase::Pending)
+    return false;
+  const auto Wanted = Job.Specification.Accelerators;
+  std::size_t Spare = 0;
+  for (const auto &[Id, Unit] : State.Plan.units())
+    if (Unit.Account == Job.Specification.Account && !Unit.Block.empty())
+      Spare += Unit.Block.size() - Unit.Held.size();
+  if (Spare < Wanted)
+    return false;
+  const auto Saved = State.Plan;
+  for (const bool Exclude : {true, false}) {
+    if (Exclude && Job.FailedWorkers.empty())
+      continue;
+    std::optional<Choice> Best;
+    auto BestPlan = Saved;
+    // Places that stopping gangs still hold cost time, so they are used only if
+    // that stops fewer gangs.
+    for (const bool WithStopping : {false, true}) {
+      auto Current = guaranteedClaims(WithStopping);
+      if (Exclude)
+        excludeFailedWorkers(Job, Current);
+      auto Chosen = chooseInShapes(Job, std::move(Current));
+      if (Chosen && (!Best || victims(*Chosen) < victims(*Best))) {
+        Best = std::move(Chosen);
+        BestPlan = State.Plan;
+      }
+      State.Plan = Saved;
+      if (Best && victims(*Best) == 0)
+        break;
+    }
+    if (Best) {
+      State.Plan = std::move(BestPlan);
+      State.assign(Job, std::move(Best->Accelerators), std::move(Best->Units),
+                   Now);
+      return true;
+    }
+  }
+  return false;
+}
+
+auto GangPlacer::chooseInShapes(const JobRecord &Job, Placement::Claims Current)
+    -> std::optional<Choice> {
+  const auto Wanted = Job.Specification.Accelerators;
+  struct Option {
+    std::int32_t Id;
+    std::uint32_t Spare;
+    bool Unused;
+  };
+  std::vector<Option> Options;
+  for (const auto &[Id, Unit] : State.Plan.units())
+    if (Unit.Account == Job.Specification.Account &&
+        Unit.Held.size() < Unit.Block.size())
+      Options.push_back(
+          {Id, static_cast<std::uint32_t>(Unit.Block.size() - Unit.Held.size()),
+           Unit.Held.empty()});
+  // An exact fit first, then shapes in use, so that unused ones stay movable.
+  std::sort(Options.begin(), Options.end(),
+            [&](const auto &Left, const auto &Right) {
+              return std::make_tuple(Left.Spare != Wanted, Left.Unused,
+                                     Left.Spare) <
+                     std::make_tuple(Right.Spare != Wanted, Right.Unused,
+                                     Right.Spare);
+            });
+  for (const auto &Next : Options) {
+    if (Next.Spare < Wanted)
+      continue;
+    auto Taken =
+        takeFromShape(Next.Id, Wanted, Job.Specification.Adjacent, Current);
+    if (!Taken)
+      continue;
+    State.Plan.hold(Next.Id, *Taken);
+    return Choice{std::move(*Taken),
+                  std::vector<std::int32_t>(Wanted, Next.Id)};
+  }
+  if (Job.Specification.Adjacent)
+    return std::nullopt;
+  // A gang that need not be adjacent may use several shapes, largest first.
+  std::stable_sort(Options.begin(), Options.end(),
+                   [](const auto &Left, const auto &Right) {
+                     return Left.Spare > Right.Spare;
+                   });
+  Choice Chosen;
+  for (const auto &Next : Options) {
+    const auto Missing =
+        Wanted - static_cast<std::uint32_t>(Chosen.Accelerators.size());
+    if (Missing == 0)
+      break;
+    auto Taken = takeFromShape(Next.Id, std::min(Missing, Next.Spare), false,
+                               Current);
+    if (!Taken)
+      continue;
+    State.Plan.hold(Next.Id, *Taken);
+    for (auto Index : *Taken) {
+      Current[Index] = Placement::Unavailable;
+      Chosen.Accelerators.push_back(Index);
+      Chosen.Units.push_back(Next.Id);
+    }
+  }
+  if (Chosen.Accelerators.size() < Wanted)
+    return std::nullopt; // The caller restores the plan.
+  return Chosen;
+}
+
+auto GangPlacer::takeFromShape(std::int32_t Unit, std::uint32_t Count,
+                               bool Adjacent, const Placement::Claims &Current)
+    -> std::optional<std::vector<std::uint32_t>> {
+  const auto Size = State.Plan.units().at(Unit).Size;
+  if (State.Plan.units().at(Unit).Held.empty()) {
+    auto Open = Current;
+    const auto Pinned = State.Plan.pinned(State.Pool.size(), Unit);
+    for (std::size_t Index = 0; Index < Open.size(); ++Index)
+      if (Pinned[Index] != 0)
+        Open[Index] = Placement::Unavailable;
+    for (const auto &Block :
+         Finder.candidates({Size, true, {}}, Open, ShapePlacesTried))
+      if (Block.Accelerators == State.Plan.units().at(Unit).Block ||
+          State.Plan.moveBlock(State.Installed, State.Pool.usable(), Unit,
+                               Block.Accelerators))
+        break;
+  }
+  Placement::Claims Inside(Current.size(), Placement::Unavailable);
+  for (auto Index : State.Plan.spare(Unit))
+    Inside[Index] = Current[Index];
+  // The whole block is adjacent by construction.
+  auto Found = Finder.best({Count, Adjacent && Count != Size, {}}, Inside);
+  if (!Found)
+    return std::nullopt;
+  return std::move(Found->Accelerators);
+}
+
+auto GangPlacer::guaranteedClaims(bool WithStopping) const
+    -> Placement::Claims {
+  Placement::Claims Current(State.Pool.size(), Placement::Free);
+  const JobRecord *Last = nullptr;
+  for (std::uint32_t Index = 0; Index < State.Pool.size(); ++Index) {
+    if (!State.Pool.isUsable(Index)) {
+      Current[Index] = Placement::Unavailable;
+      continue;
+    }
+    for (auto Key : {State.Pool.holder(Index), State.Pool.reservedFor(Index)}) {
+      if (Key == AcceleratorPool::None)
+        continue;
+      if (Last == nullptr || Last->Key != Key)
+        Last = &State.Jobs.at(Key);
+      if (Last->Phase == JobPhase::Stopping) {
+        if (!WithStopping)
+          Current[Index] = Placement::Unavailable;
+      } else if (Current[Index] != Placement::Unavailable) {
+        Current[Index] = Last->Guaranteed ? Placement::Unavailable
+                                          : Last->StartSequence;
+      }
+    }
+  }
+  return Current;
+}
+
+auto GangPlacer::placeSurplus(JobRecord &Job) -> bool {
+  if (Job.Phase != JobPhase::Pending)
+    return false;
+  const auto &Wanted = Job.Specification;
+  const auto *Account = State.policyOf(Wanted.Account);
+  if (Account != nullptr && Account->AcceleratorQuota != 0 &&
+      State.holdings(Wanted.Account) + Wanted.Accelerators >
+          Account->AcceleratorQuota) {
+    Job.Waits = WaitReason::OverQuota;
+    return false;
+  }
+  const bool Head = !HeadPassed;
+  const auto Kind = std::make_pair(Wanted.Accelerators, Wanted.Adjacent);
+  const bool Skip =
+      !Head && Job.FailedWorkers.empty() && Blocked.count(Kind) != 0;
+  std::optional<Placement::Block> Found;
+  if (!Skip) {
+    auto Current = surplusClaims(Job, Head);
+    if (!Job.FailedWorkers.empty()) {
+      auto Fewer = Current;
+      excludeFailedWorkers(Job, Fewer);
+      Found = Finder.best({Wanted.Accelerators, Wanted.Adjacent, {}}, Fewer);
+    }
+    if (!Found)
+      Found = Finder.best({Wanted.Accelerators, Wanted.Adjacent, {}}, Current);
+  }
+  if (Found) {
+    State.assign(Job, std::move(Found->Accelerators), {}, Now);
+    return true;
+  }
+  HeadPassed = true;
+  Blocked.insert(Kind);
+  if (!Job.BlockedSince)
+    Job.BlockedSince = Now;
+  const auto Free = State.Pool.freeCount();
+  if (Wanted.Adjacent && Free >= Wanted.Accelerators)
+    Job.Waits = WaitReason::WaitingForAdjacentCapacity;
+  else if (Wanted.Priority != JobPriority::Surplus)
+    Job.Waits = WaitReason::WouldBreakGuarantee;
+  else
+    Job.Waits = WaitReason::WaitingForCapacity;
+  return false;
+}
+
+auto GangPlacer::surplusClaims(const JobRecord &Job, bool Head) const
+    -> Placement::Claims {
+  Placement::Claims Current(State.Pool.size(), Placement::Unavailable);
+  const bool Urgent = Job.Specification.Priority == JobPriority::Urgent;
+  const bool MayReclaim =
+      Head && Job.BlockedSince &&
+      (Urgent || Now - *Job.BlockedSince >= State.Policy.PassingLimit);
+  const JobRecord *Last = nullptr;
+  for (std::uint32_t Index = 0; Index < State.Pool.size(); ++Index) {
+    if (State.Pool.isFree(Index)) {
+      Current[Index] = Placement::Free;
+      continue;
+    }
+    const auto Key = State.Pool.holder(Index);
+    if (!MayReclaim || Key == AcceleratorPool::None ||
+        !State.Pool.isUsable(Index) ||
+        State.Pool.reservedFor(Index) != AcceleratorPool::None)
+      continue;
+    if (Last == nullptr || Last->Key != Key)
+      Last = &State.Jobs.at(Key);
+    const bool OtherUrgent =
+        Last->Specification.Priority == JobPriority::Urgent;
+    const auto Since = Urgent ? *Job.BlockedSince
+                              : *Job.BlockedSince + State.Policy.PassingLimit;
+    if (Last->Phase == JobPhase::Running && !Last->Guaranteed &&
+        Last->StartedAt >= Since &&
+        (OtherUrgent == Urgent ? Last->Key > Job.Key : Urgent))
+      Current[Index] = Last->StartSequence;
+  }
+  return Current;
+}
+
+auto GangPlacer::excludeFailedWorkers(const JobRecord &Job,
+                                      Placement::Claims &Current) const
+    -> void {
+  for (const auto &Name : Job.FailedWorkers)
+    if (const auto Worker = State.Installed.findWorker(Name)) {
+      const auto &Range = State.Installed.workerRanges()[*Worker];
+      for (auto Index = Range.First; Index < Range.First + Range.Count; ++Index)
+        Current[Index] = Placement::Unavailable;
+    }
+}
+
+auto GangPlacer::victims(const Choice &Chosen) const -> std::size_t {
+  std::set<JobKey> Gangs;
+  for (auto Index : Chosen.Accelerators) {
+    const auto Key = State.Pool.holder(Index);
+    if (Key != AcceleratorPool::None &&
+        State.Jobs.at(Key).Phase == JobPhase::Running)
+      Gangs.insert(Key);
+  }
+  return Gangs.size();
+}
+
+} // namespace jayramp
--- a/Source/Jobs/JobScheduler.h
+++ b/Source/Jobs/JobScheduler.h
@@ -1,20 +1,12 @@
 #pragma once
 
 #include "Base/Result.h"
-#include "Jobs/AcceleratorPool.h"
-#include "Jobs/AccountPolicy.h"
-#include "Jobs/Decision.h"
-#include "Jobs/GuaranteePlan.h"
 #include "Jobs/JobEvents.h"
-#include "Jobs/JobRecord.h"
-#include "Jobs/SchedulerPolicy.h"
-#include "Jobs/Topology.h"
-#include "Jobs/WorkerFaults.h"
+#include "Jobs/SchedulerState.h"
 
-#include <map>
 #include <optional>
 #include <string>
-#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace jayramp {
@@ -103,49 +95,20 @@
   auto largestPlaceableGang() const -> std::uint32_t;
   auto capacity() const -> CapacityReport;
   auto degradedGuarantees() const -> std::vector<DegradedGuarantee>;
-  auto topology() const -> const Topology & { return Installed; }
-  auto plan() const -> const GuaranteePlan & { return Plan; }
+  auto topology() const -> const Topology & { return State.Installed; }
+  auto plan() const -> const GuaranteePlan & { return State.Plan; }
+  auto pool() const -> const AcceleratorPool & { return State.Pool; }
 
 private:
-  JobScheduler(Topology Installed, std::vector<AccountPolicy> Accounts,
-               SchedulerPolicy Policy);
+  explicit JobScheduler(SchedulerState State) : State(std::move(State)) {}
 
-  using Records = std::map<JobKey, JobRecord>;
-
-  auto find(const std::string &Id) -> JobRecord *;
-  auto isUsable(std::uint32_t Worker, TimePoint Now) const -> bool;
-  auto refreshUsable() -> void;
-  auto endQuarantines(TimePoint Now) -> void;
-  auto beginStop(JobRecord &Job, WaitReason Reason, std::string Detail)
+  auto rejectImpossible() -> void;
+  auto finishStop(JobRecord &Job) -> void;
+  auto recordFailure(JobRecord &Job, const std::string &Worker, TimePoint Now)
       -> void;
-  auto endJob(JobRecord &Job, JobEnd End, WaitReport Report) -> void;
-  auto release(JobRecord &Job) -> void;
-  auto detachFromGuarantee(JobRecord &Job) -> void;
-  auto startReserved(TimePoint Now) -> void;
-  auto placeWaiting(TimePoint Now) -> void;
-  auto placeGuaranteed(JobRecord &Job, TimePoint Now) -> bool;
-  auto placeSurplus(JobRecord &Job, TimePoint Now, bool Head) -> bool;
-  auto claims(const JobRecord &Job) const -> std::vector<std::int64_t>;
-  auto reserve(JobRecord &Job, std::vector<std::uint32_t> Accelerators,
-               TimePoint Now) -> void;
-  auto holdings(const std::string &Account) const -> std::uint32_t;
   auto explain(const JobRecord &Job) const -> WaitReport;
-  auto places(const JobRecord &Job) const -> std::vector<AcceleratorPlace>;
-  auto policyOf(const std::string &Account) const -> const AccountPolicy *;
-
-  Topology Installed;
-  std::vector<AccountPolicy> Accounts;
-  SchedulerPolicy Policy;
-  AcceleratorPool Pool;
-  GuaranteePlan Plan;
-  WorkerFaults Faults;
-  Records Jobs;
-  std::unordered_map<std::string, JobKey> Keys;
-  std::vector<bool> Lost;    ///< By worker index.
-  std::vector<bool> Leaving; ///< By worker index.
-  std::vector<Decision> Outbox;
-  JobKey NextKey = 1;
-  std::int64_t NextStart = 1;
+
+  SchedulerState State;
 };
 
 } // namespace jayramp
