--- /dev/null
+++ b/Source/Api/AccountCommands.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "Api/ApiResponse.h"
+
+#include <string>
+
+namespace jayramp {
+
+class ConfigurationCommands;
+class ConfigurationQueries;
+
+/// Commands of operators on the configuration and its accounts. The calls
+/// block; they must not run on a thread of the HTTP pool.
+class AccountCommands {
+public:
+  /// The references must outlive this object.
+  AccountCommands(ConfigurationCommands &Commands,
+                  const ConfigurationQueries &Queries);
+
+  /// PUT /v1/configuration: 200 accepted, 202 pending, 409 conflict.
+  auto change(const std::string &Body) -> ApiResponse;
+
+  /// PUT /v1/accounts/{name}.
+  auto set(const std::string &Name, const std::string &Body) -> ApiResponse;
+
+  /// DELETE /v1/accounts/{name}.
+  auto remove(const std::string &Name) -> ApiResponse;
+
+private:
+  ConfigurationCommands &Commands;
+  const ConfigurationQueries &Queries;
+};
+
+} // namespace jayramp
--- a/Source/Api/HttpServer.cpp
+++ b/Source/Api/HttpServer.cpp
@@ -16,19 +16,18 @@
 namespace {
 
 auto tooLarge(std::size_t Limit) -> ApiResponse {
-  auto Response = ApiResponse::failure(Error::make(
-      ErrorKind::InvalidArgument, "body",
-      "the body is larger than " + std::to_string(Limit) + " bytes",
-      "send a smaller body or raise api.maximum_body_kib"));
+  auto Response = ApiResponse::failure(
+      Error::make(ErrorKind::InvalidArgument, "body",
+                  "the body is larger than " + std::to_string(Limit) + " bytes",
+                  "send a smaller body or raise api.maximum_body_kib"));
   Response.Status = 413;
   return Response;
 }
 
 auto unreadable() -> ApiResponse {
-  return ApiResponse::failure(
-      Error::make(ErrorKind::InvalidArgument, "body",
-                  "the body ended before its declared length",
-                  "send the whole body"));
+  return ApiResponse::failure(Error::make(
+      ErrorKind::InvalidArgument, "body",
+      "the body ended before its declared length", "send the whole body"));
 }
 
 auto overloaded() -> ApiResponse {
@@ -40,8 +39,7 @@
 auto toApiRequest(const http::http_request &Source) -> ApiRequest {
   ApiRequest Target;
   Target.Method = Source.method();
-  for (const auto &Segment :
-       web::uri::split_path(Source.relative_uri().path()))
+  for (const auto &Segment : web::uri::split_path(Source.relative_uri().path()))
     Target.Path.push_back(web::uri::decode(Segment));
   for (const auto &[Name, Value] :
        web::uri::split_query(Source.relative_uri().query()))
@@ -98,8 +96,7 @@
     }
     if (Unread.fetch_add(Declared) + Declared > Settings.MaximumUnreadBytes) {
       Unread -= Declared;
-      Registry.count("jayramp_http_refused_total",
-                     "reason=\"UNREAD_BODIES\"");
+      Registry.count("jayramp_http_refused_total", "reason=\"UNREAD_BODIES\"");
       return send(Request, overloaded());
     }
     auto Self = shared_from_this();
--- /dev/null
+++ b/Source/Api/RequestCommands.cpp
@@ -0,0 +1,48 @@
+#include "Api/RequestCommands.h"
+
+#include "Api/FieldChecks.h"
+#include "Requests/RequestRouter.h"
+#include "Schema/JsonMapping.h"
+
+#include "jayramp/v1/jayramp.pb.h"
+
+#include <utility>
+
+namespace jayramp {
+
+namespace {
+
+constexpr std::uint32_t LongestDeadlineMs = 600'000;
+
+} // namespace
+
+RequestCommands::RequestCommands(RequestRouter &Router,
+                                 const ConfigurationQueries &Settings)
+    : Router(Router), Settings(Settings) {}
+
+auto RequestCommands::check(const v1::SubmitRequest &Request) const
+    -> Result<void> {
+  BOOST_OUTCOME_TRYV(checkName("account", Request.account()));
+  BOOST_OUTCOME_TRYV(checkName("key", Request.key()));
+  BOOST_OUTCOME_TRYV(
+      checkRange("deadline_ms", Request.deadline_ms(), 1, LongestDeadlineMs));
+  if (!v1::WorkClass_IsValid(Request.work_class()))
+    return Error::make(ErrorKind::InvalidArgument, "work_class",
+                       "is not a known class", "send SHORT or LONG");
+  return checkAccount(Settings, Request.account());
+}
+
+auto RequestCommands::submit(const std::string &Body, Respond Done) -> void {
+  v1::SubmitRequest Request;
+  auto Parsed = parseJson(Body, Request);
+  if (!Parsed)
+    return Done(ApiResponse::failure(Parsed.error()));
+  auto Checked = check(Request);
+  if (!Checked)
+    return Done(ApiResponse::failure(Checked.error()));
+  Router.submit(Request, [Done](const v1::RequestOutcome &Outcome) {
+    Done(ApiResponse::json(200, Outcome));
+  });
+}
+
+} // namespace jayramp
--- /dev/null
+++ b/Source/Api/StatusQueries.cpp
@@ -0,0 +1,114 @@
+#include "Api/StatusQueries.h"
+
+#include "Api/FieldChecks.h"
+#include "Base/Metrics.h"
+#include "Configuration/ConfigurationQueries.h"
+#include "Membership/MembershipRunner.h"
+#include "Requests/RequestRouter.h"
+#include "Requests/SlotBroker.h"
+#include "Requests/WorkerDirectory.h"
+
+#include "jayramp/v1/jayramp.pb.h"
+
+#include <utility>
+#include <variant>
+
+namespace jayramp {
+
+StatusQueries::StatusQueries(
+    std::string HostName, const ConfigurationQueries &Settings,
+    const MembershipRunner &Membership, const WorkerDirectory &Workers,
+    const SlotBroker &Slots, const RequestRouter &Router,
+    const Metrics &Counters, std::function<bool()> Stopping)
+    : HostName(std::move(HostName)), Settings(Settings), Membership(Membership),
+      Workers(Workers), Slots(Slots), Router(Router), Counters(Counters),
+      Stopping(std::move(Stopping)) {}
+
+auto StatusQueries::notReadyReason() const -> std::string {
+  if (Stopping())
+    return "STOPPING";
+  auto Serving = Membership.serving();
+  if (const auto *Refused = std::get_if<ServingRefused>(&Serving))
+    return std::string(toString(Refused->Refusal));
+  return {};
+}
+
+auto StatusQueries::configuration() const -> ApiResponse {
+  auto Current = Settings.current();
+  v1::ConfigurationReport Report;
+  Report.set_version(Current->version());
+  *Report.mutable_document() = Current->document();
+  auto Waiting = Settings.waitingFor(Current->version());
+  Report.set_accepted(Waiting.empty());
+  for (const auto &Host : Waiting)
+    Report.add_waiting_for(Host);
+  return ApiResponse::json(200, Report);
+}
+
+auto StatusQueries::accounts() const -> ApiResponse {
+  v1::ConfigurationDocument Listed;
+  auto Current = Settings.current();
+  *Listed.mutable_accounts() = Current->document().accounts();
+  return ApiResponse::json(200, Listed);
+}
+
+auto StatusQueries::account(const std::string &Name) const -> ApiResponse {
+  auto Known = checkAccount(Settings, Name);
+  if (!Known)
+    return ApiResponse::failure(Known.error());
+  auto Current = Settings.current();
+  for (const auto &Entry : Current->document().accounts())
+    if (Entry.name() == Name)
+      return ApiResponse::json(200, Entry);
+  return ApiResponse::text(404, "");
+}
+
+auto StatusQueries::status() const -> ApiResponse {
+  v1::StatusReport Report;
+  Report.set_entry_host(HostName);
+  Report.set_incarnation(Membership.incarnation());
+  Report.set_not_ready_reason(notReadyReason());
+  Report.set_ready(Report.not_ready_reason().empty());
+  auto View = Membership.view();
+  Report.set_view_version(View->version());
+  Report.set_configuration_version(Settings.current()->version());
+  Report.set_requests_in_progress(
+      static_cast<std::uint32_t>(Router.inProgress()));
+  for (const auto &Member : View->members()) {
+    auto *Written = Report.add_members();
+    Written->set_name(Member.Name);
+    Written->set_incarnation(Member.Incarnation);
+    Written->set_availability_zone(Member.AvailabilityZone);
+  }
+  for (const auto &Worker : Workers.workers()) {
+    auto *Written = Report.add_workers();
+    Written->set_name(Worker.Listed.Name);
+    Written->set_availability_zone(Worker.Listed.AvailabilityZone);
+    Written->set_rack(Worker.Listed.Rack);
+    Written->set_owner(Worker.Owner);
+    Written->set_slots(Worker.Status.Slots);
+    Written->set_accelerators(Worker.Status.Accelerators);
+    bool Own = Worker.Owner == HostName;
+    if (Own)
+      Written->set_slots_used(Slots.usedSlots(Worker.Listed.Name));
+    if (Worker.Listed.Leaving || Worker.Status.Leaving)
+      Written->set_state("LEAVING");
+    else if (Own && !Worker.Reachable)
+      Written->set_state("UNREACHABLE");
+    else
+      Written->set_state(Own ? Slots.stateOf(Worker.Listed.Name) : "LIVE");
+  }
+  return ApiResponse::json(200, Report);
+}
+
+auto StatusQueries::ready() const -> ApiResponse {
+  std::string Reason = notReadyReason();
+  return Reason.empty() ? ApiResponse::text(200, "ready\n")
+                        : ApiResponse::text(503, Reason + "\n");
+}
+
+auto StatusQueries::metrics() const -> ApiResponse {
+  return ApiResponse::text(200, Counters.renderText());
+}
+
+} // namespace jayramp
--- a/Source/Jobs/GangPlacer.cpp
+++ b/Source/Jobs/GangPlacer.cpp
@@ -109,13 +109,12 @@
           {Id, static_cast<std::uint32_t>(Unit.Block.size() - Unit.Held.size()),
            Unit.Held.empty()});
   // An exact fit first, then shapes in use, so that unused ones stay movable.
-  std::sort(Options.begin(), Options.end(),
-            [&](const auto &Left, const auto &Right) {
-              return std::make_tuple(Left.Spare != Wanted, Left.Unused,
-                                     Left.Spare) <
-                     std::make_tuple(Right.Spare != Wanted, Right.Unused,
-                                     Right.Spare);
-            });
+  std::sort(
+      Options.begin(), Options.end(), [&](const auto &Left, const auto &Right) {
+        return std::make_tuple(Left.Spare != Wanted, Left.Unused, Left.Spare) <
+               std::make_tuple(Right.Spare != Wanted, Right.Unused,
+                               Right.Spare);
+      });
   for (const auto &Next : Options) {
     if (Next.Spare < Wanted)
       continue;
@@ -140,8 +139,8 @@
         Wanted - static_cast<std::uint32_t>(Chosen.Accelerators.size());
     if (Missing == 0)
       break;
-    auto Taken = takeFromShape(Next.Id, std::min(Missing, Next.Spare), false,
-                               Current);
+    auto Taken =
+        takeFromShape(Next.Id, std::min(Missing, Next.Spare), false, Current);
     if (!Taken)
       continue;
     State.Plan.hold(Next.Id, *Taken);
@@ -201,8 +200,8 @@
         if (!WithStopping)
           Current[Index] = Placement::Unavailable;
       } else if (Current[Index] != Placement::Unavailable) {
-        Current[Index] = Last->Guaranteed ? Placement::Unavailable
-                                          : Last->StartSequence;
+        Current[Index] =
+            Last->Guaranteed ? Placement::Unavailable : Last->StartSequence;
       }
     }
   }
--- a/Source/Jobs/GuaranteeCheck.cpp
+++ b/Source/Jobs/GuaranteeCheck.cpp
@@ -88,8 +88,8 @@
       return {std::move(Whole)};
     }
     mark(Wanted.Include, Placement::Free);
-    auto Blocks = Finder.candidates(
-        {Wanted.Accelerators, true, Wanted.Include}, Current, Limit);
+    auto Blocks = Finder.candidates({Wanted.Accelerators, true, Wanted.Include},
+                                    Current, Limit);
     mark(Wanted.Include, Placement::Unavailable);
     std::vector<std::vector<std::uint32_t>> Places;
     for (auto &Next : Blocks)
--- a/Source/Jobs/GuaranteePlan.cpp
+++ b/Source/Jobs/GuaranteePlan.cpp
@@ -18,8 +18,7 @@
           const auto &Old = Entry->second;
           if (Old.Account != Account.Name || Old.Size != Guarantee.Accelerators)
             continue;
-          if (Kept == All.end() ||
-              Old.Held.size() > Kept->second.Held.size())
+          if (Kept == All.end() || Old.Held.size() > Kept->second.Held.size())
             Kept = Entry;
         }
         if (Kept != All.end()) {
@@ -27,10 +26,9 @@
           Moved.mapped().Ordinal = Ordinal++;
           Next.insert(std::move(Moved));
         } else {
-          Next.emplace(NextId++, Unit{Account.Name, Ordinal++,
-                                      Guarantee.Accelerators,
-                                      {},
-                                      {}});
+          Next.emplace(
+              NextId++,
+              Unit{Account.Name, Ordinal++, Guarantee.Accelerators, {}, {}});
         }
       }
   }
--- a/Source/Jobs/JobScheduler.cpp
+++ b/Source/Jobs/JobScheduler.cpp
@@ -53,8 +53,8 @@
   bool MemberGone = false;
   for (const auto &Place : Row.Placement) {
     const auto Worker = State.Installed.findWorker(Place.Worker);
-    if (!Worker || Place.Accelerator >=
-                       State.Installed.workerRanges()[*Worker].Count) {
+    if (!Worker ||
+        Place.Accelerator >= State.Installed.workerRanges()[*Worker].Count) {
       MemberGone = true;
       continue;
     }
@@ -160,8 +160,7 @@
     State.Faults.forgetJob(Id);
     return;
   }
-  const auto Caused =
-      State.Faults.recordFailure(Worker, Id, Now, State.Policy);
+  const auto Caused = State.Faults.recordFailure(Worker, Id, Now, State.Policy);
   if (!Caused)
     return;
   // The worker is at fault, not the jobs.
@@ -237,14 +236,14 @@
   State.refreshUsable();
 }
 
-auto JobScheduler::changeAccounts(std::vector<AccountPolicy> Accounts)
-    -> void {
+auto JobScheduler::changeAccounts(std::vector<AccountPolicy> Accounts) -> void {
   State.Accounts = std::move(Accounts);
   State.Plan.setAccounts(State.Accounts);
   for (auto &[Key, Job] : State.Jobs) {
-    const bool Kept = std::all_of(
-        Job.Units.begin(), Job.Units.end(),
-        [this](auto Unit) { return State.Plan.units().count(Unit) != 0; });
+    const bool Kept =
+        std::all_of(Job.Units.begin(), Job.Units.end(), [this](auto Unit) {
+          return State.Plan.units().count(Unit) != 0;
+        });
     if (Kept)
       continue;
     if (Job.Phase == JobPhase::Reclaiming)
@@ -380,9 +379,8 @@
                            std::to_string(State.Installed.acceleratorCount()) +
                            " are installed, " + Size + " were asked for",
                        "ask for fewer");
-  const auto Guaranteed = Job.Priority == JobPriority::Surplus
-                              ? 0
-                              : Account->guaranteedTotal();
+  const auto Guaranteed =
+      Job.Priority == JobPriority::Surplus ? 0 : Account->guaranteedTotal();
   if (Account->AcceleratorQuota != 0 &&
       Job.Accelerators > std::max(Account->AcceleratorQuota, Guaranteed))
     return Error::make(ErrorKind::Rejected, "accelerators",
@@ -414,8 +412,7 @@
 auto JobScheduler::placement(const std::string &Id) const
     -> std::vector<AcceleratorPlace> {
   const auto *Job = State.find(Id);
-  return Job == nullptr ? std::vector<AcceleratorPlace>{}
-                        : State.places(*Job);
+  return Job == nullptr ? std::vector<AcceleratorPlace>{} : State.places(*Job);
 }
 
 auto JobScheduler::workerState(const std::string &Name) const
@@ -464,11 +461,11 @@
   for (const auto &[Id, Unit] : State.Plan.units()) {
     if (!Unit.Block.empty())
       continue;
-    const auto Known = std::find_if(
-        Degraded.begin(), Degraded.end(), [&Unit = Unit](const auto &Entry) {
-          return Entry.Account == Unit.Account &&
-                 Entry.Accelerators == Unit.Size;
-        });
+    const auto Known = std::find_if(Degraded.begin(), Degraded.end(),
+                                    [&Unit = Unit](const auto &Entry) {
+                                      return Entry.Account == Unit.Account &&
+                                             Entry.Accelerators == Unit.Size;
+                                    });
     if (Known != Degraded.end())
       ++Known->Count;
     else
--- a/Source/Jobs/Placement.cpp
+++ b/Source/Jobs/Placement.cpp
@@ -52,9 +52,8 @@
   std::vector<std::int64_t> Victims;
   while (Needed > 0 && !Gangs.empty()) {
     auto Chosen =
-        std::find_if(Gangs.begin(), Gangs.end(), [&](const auto &Gang) {
-          return Gang.second >= Needed;
-        });
+        std::find_if(Gangs.begin(), Gangs.end(),
+                     [&](const auto &Gang) { return Gang.second >= Needed; });
     if (Chosen == Gangs.end())
       Chosen = std::max_element(Gangs.begin(), Gangs.end(),
                                 [](const auto &Left, const auto &Right) {
--- a/Source/Jobs/SchedulerState.cpp
+++ b/Source/Jobs/SchedulerState.cpp
@@ -72,9 +72,8 @@
 auto SchedulerState::refreshUsable() -> void {
   for (std::uint32_t Worker = 0; Worker < Installed.workers().size();
        ++Worker) {
-    const bool Usable =
-        !Lost[Worker] && !Leaving[Worker] &&
-        !Faults.isQuarantined(Installed.workers()[Worker].Name);
+    const bool Usable = !Lost[Worker] && !Leaving[Worker] &&
+                        !Faults.isQuarantined(Installed.workers()[Worker].Name);
     const auto &Range = Installed.workerRanges()[Worker];
     for (auto Index = Range.First; Index < Range.First + Range.Count; ++Index)
       Pool.setUsable(Index, Usable);
@@ -122,8 +121,8 @@
     start(Job, Now);
     return;
   }
-  ReclaimGangs Reclaim{Job.Specification.Id, Job.Attempt, places(Job), {},
-                       Job.Guaranteed};
+  ReclaimGangs Reclaim{
+      Job.Specification.Id, Job.Attempt, places(Job), {}, Job.Guaranteed};
   for (const auto *Victim : Victims)
     Reclaim.Victims.push_back({Victim->Specification.Id, Victim->Attempt});
   Outbox.emplace_back(std::move(Reclaim));
@@ -153,11 +152,11 @@
   Job.Waits = Reason;
 }
 
-auto SchedulerState::stop(JobRecord &Job, WaitReason Reason,
-                          std::string Detail) -> void {
+auto SchedulerState::stop(JobRecord &Job, WaitReason Reason, std::string Detail)
+    -> void {
   beginStop(Job, Reason);
-  Outbox.emplace_back(StopGang{Job.Specification.Id, Job.Attempt, Reason,
-                               std::move(Detail)});
+  Outbox.emplace_back(
+      StopGang{Job.Specification.Id, Job.Attempt, Reason, std::move(Detail)});
 }
 
 auto SchedulerState::release(JobRecord &Job) -> void {
--- /dev/null
+++ b/Source/Requests/KeyCoordinator.cpp
@@ -0,0 +1,545 @@
+#include "Requests/KeyCoordinator.h"
+
+#include "Base/EventLog.h"
+#include "Base/Metrics.h"
+#include "Membership/FunctionPeerHandler.h"
+#include "Membership/MembershipRunner.h"
+#include "Membership/PeerTransport.h"
+#include "Membership/View.h"
+#include "Platform/TimerThread.h"
+#include "Requests/ClaimAnswer.h"
+#include "Requests/KeyRecordMapping.h"
+
+#include "jayramp/peer/v1/peer.pb.h"
+
+#include <atomic>
+#include <map>
+#include <utility>
+
+namespace jayramp {
+
+namespace {
+
+using peer::v1::Envelope;
+
+constexpr Milliseconds ClaimTimeout{400};
+constexpr Milliseconds ReplicationTimeout{200};
+constexpr Milliseconds ReportTimeout{400};
+constexpr Milliseconds TransferTimeout{1000};
+// A report or transfer that was not acknowledged is repeated after this time.
+constexpr Milliseconds RepeatDelay{200};
+// Keeps a transfer message well below the transport's message limit.
+constexpr std::size_t TransferBytes = 256U << 10U;
+
+auto acknowledge(bool Ok, const std::string &Reason = {}) -> Envelope {
+  Envelope Reply;
+  Reply.mutable_acknowledged()->set_ok(Ok);
+  Reply.mutable_acknowledged()->set_reason(Reason);
+  return Reply;
+}
+
+template <typename... Cases> struct Overloaded : Cases... {
+  using Cases::operator()...;
+};
+template <typename... Cases> Overloaded(Cases...) -> Overloaded<Cases...>;
+
+auto answerOf(const ClaimDecision &Decision) -> ClaimAnswer {
+  return std::visit(
+      Overloaded{
+          [](const ReplicationNeeded &) {
+            return ClaimAnswer{peer::v1::CLAIM_NO_REPLICA, {}};
+          },
+          [](const ClaimGranted &Value) {
+            return ClaimAnswer{peer::v1::CLAIM_GRANTED, Value.Record};
+          },
+          [](const ClaimInProgress &Value) {
+            return ClaimAnswer{peer::v1::CLAIM_IN_PROGRESS, Value.Record};
+          },
+          [](const ClaimDone &Value) {
+            return ClaimAnswer{peer::v1::CLAIM_DONE, Value.Record};
+          },
+          [](const ClaimEnded &) {
+            return ClaimAnswer{peer::v1::CLAIM_ENDED, {}};
+          },
+          [](const ClaimRebalancing &) {
+            return ClaimAnswer{peer::v1::CLAIM_REBALANCING, {}};
+          },
+          [](const ClaimHistoryLost &) {
+            return ClaimAnswer{peer::v1::CLAIM_HISTORY_LOST, {}};
+          },
+          [](const ClaimWrongView &) {
+            return ClaimAnswer{peer::v1::CLAIM_WRONG_VIEW, {}};
+          },
+          [](const ClaimNotHome &) {
+            return ClaimAnswer{peer::v1::CLAIM_WRONG_VIEW, {}};
+          },
+          [](const ClaimRegistryFull &) {
+            return ClaimAnswer{peer::v1::CLAIM_REGISTRY_FULL, {}};
+          }},
+      Decision);
+}
+
+} // namespace
+
+class KeyCoordinator::Implementation
+    : public std::enable_shared_from_this<Implementation> {
+public:
+  Implementation(std::string HostName, KeyRegistry &Registry,
+                 MembershipRunner &Membership, PeerTransport &Transport,
+                 TimerThread &Timer, Metrics &Counters)
+      : HostName(std::move(HostName)), Registry(Registry),
+        Membership(Membership), Transport(Transport), Timer(Timer),
+        Counters(Counters) {}
+
+  auto registerHandlers() -> void;
+  auto claim(const std::string &Account, const std::string &Key,
+             const std::string &ClaimId, Answered Done) -> void;
+  auto report(std::shared_ptr<const OutcomeReport> Report) -> void;
+  auto query(const std::string &Account, const std::string &Key, Answered Done)
+      -> void;
+  auto adoptView(const std::shared_ptr<const View> &Current) -> void;
+  auto evict() -> void;
+  auto outstandingReports() const -> std::size_t { return Reports.load(); }
+
+private:
+  using Acknowledged = std::function<void(bool)>;
+
+  auto map() const -> std::shared_ptr<const ShardMap> {
+    std::lock_guard Lock(MapMutex);
+    return Map;
+  }
+  auto decideClaim(const KeyClaim &Claim, const Answered &Done) -> void;
+  auto replicate(const KeyRecord &Record, const Acknowledged &Done) -> void;
+  auto finishGrant(const KeyRecord &Record, bool Stored, const Answered &Done)
+      -> void;
+  auto decideReport(const OutcomeReport &Report, const Acknowledged &Done)
+      -> void;
+  auto sendReport(const std::shared_ptr<const OutcomeReport> &Report) -> void;
+  auto repeatReport(const std::shared_ptr<const OutcomeReport> &Report) -> void;
+  auto decideQuery(std::uint64_t ViewVersion, const std::string &Account,
+                   const std::string &Key) const -> ClaimAnswer;
+  auto sendShard(std::uint32_t Shard, const std::string &Target) -> void;
+  auto sendParts(std::shared_ptr<std::vector<Envelope>> Parts, std::size_t Next,
+                 const std::string &Target) -> void;
+  auto handleReplicate(const Envelope &Request) -> Envelope;
+  auto handleTransfer(const Envelope &Request) -> Envelope;
+
+  std::string HostName;
+  KeyRegistry &Registry;
+  MembershipRunner &Membership;
+  PeerTransport &Transport;
+  TimerThread &Timer;
+  Metrics &Counters;
+  mutable std::mutex MapMutex; ///< Guards Map.
+  std::shared_ptr<const ShardMap> Map = std::make_shared<const ShardMap>();
+  std::atomic<std::size_t> Reports{0};
+  std::vector<std::unique_ptr<PeerHandler>> Handlers;
+};
+
+auto KeyCoordinator::Implementation::registerHandlers() -> void {
+  std::weak_ptr<Implementation> Weak = weak_from_this();
+  auto Add = [this](PeerMessageType Type,
+                    FunctionPeerHandler::Function Function) {
+    Handlers.push_back(
+        std::make_unique<FunctionPeerHandler>(std::move(Function)));
+    Transport.handle(Type, *Handlers.back());
+  };
+  Add(PeerMessageType::ClaimKey,
+      [Weak](const Envelope &Request, const PeerReply &Reply) {
+        auto Self = Weak.lock();
+        if (!Self)
+          return;
+        const auto &Source = Request.claim_key();
+        KeyClaim Claim{.ViewVersion = Request.view_version(),
+                       .Shard = Source.shard(),
+                       .Account = Source.account(),
+                       .Key = Source.key(),
+                       .ClaimId = Source.claim_id(),
+                       .HolderHost = Request.sender(),
+                       .HolderIncarnation = Request.incarnation()};
+        Self->decideClaim(Claim, [Reply](const ClaimAnswer &Answer) {
+          Envelope Message;
+          Message.mutable_claim_key_reply()->set_decision(Answer.Decision);
+          writeRecord(Answer.Record,
+                      *Message.mutable_claim_key_reply()->mutable_record());
+          Reply(Message);
+        });
+      });
+  Add(PeerMessageType::ReplicateKey,
+      [Weak](const Envelope &Request, const PeerReply &Reply) {
+        if (auto Self = Weak.lock())
+          Reply(Self->handleReplicate(Request));
+      });
+  Add(PeerMessageType::ReportOutcome, [Weak](const Envelope &Request,
+                                             const PeerReply &Reply) {
+    auto Self = Weak.lock();
+    if (!Self)
+      return;
+    const auto &Source = Request.report_outcome();
+    OutcomeReport Report{.ViewVersion = Request.view_version(),
+                         .Shard = Source.shard(),
+                         .Account = Source.account(),
+                         .Key = Source.key(),
+                         .ClaimId = Source.claim_id(),
+                         .Released = Source.released(),
+                         .Outcome = Source.outcome()};
+    Self->decideReport(Report, [Reply](bool Ok) { Reply(acknowledge(Ok)); });
+  });
+  Add(PeerMessageType::QueryKey,
+      [Weak](const Envelope &Request, const PeerReply &Reply) {
+        auto Self = Weak.lock();
+        if (!Self)
+          return;
+        ClaimAnswer Answer = Self->decideQuery(Request.view_version(),
+                                               Request.query_key().account(),
+                                               Request.query_key().key());
+        Envelope Message;
+        Message.mutable_query_key_reply()->set_decision(Answer.Decision);
+        writeRecord(Answer.Record,
+                    *Message.mutable_query_key_reply()->mutable_record());
+        Reply(Message);
+      });
+  Add(PeerMessageType::TransferShard,
+      [Weak](const Envelope &Request, const PeerReply &Reply) {
+        if (auto Self = Weak.lock())
+          Reply(Self->handleTransfer(Request));
+      });
+}
+
+auto KeyCoordinator::Implementation::claim(const std::string &Account,
+                                           const std::string &Key,
+                                           const std::string &ClaimId,
+                                           Answered Done) -> void {
+  auto Current = map();
+  std::uint32_t Shard = KeyRegistry::shardOf(Account, Key);
+  const std::string &Home = Current->home(Shard);
+  if (Home == HostName) {
+    KeyClaim Claim{.ViewVersion = Current->version(),
+                   .Shard = Shard,
+                   .Account = Account,
+                   .Key = Key,
+                   .ClaimId = ClaimId,
+                   .HolderHost = HostName,
+                   .HolderIncarnation = Membership.incarnation()};
+    return decideClaim(Claim, Done);
+  }
+  Envelope Message;
+  Message.set_view_version(Current->version());
+  auto *Target = Message.mutable_claim_key();
+  Target->set_shard(Shard);
+  Target->set_account(Account);
+  Target->set_key(Key);
+  Target->set_claim_id(ClaimId);
+  Transport.call(Home, Message, ClaimTimeout,
+                 [Done](const PeerTransport::Answer &Answer) {
+                   if (!Answer || !Answer.value()->has_claim_key_reply())
+                     return Done(ClaimAnswer{});
+                   const auto &Reply = Answer.value()->claim_key_reply();
+                   Done({Reply.decision(), readRecord(Reply.record())});
+                 });
+}
+
+auto KeyCoordinator::Implementation::decideClaim(const KeyClaim &Claim,
+                                                 const Answered &Done) -> void {
+  // A minority could grant a key that the majority grants in an older view.
+  if (!Membership.hasMajority())
+    return Done({peer::v1::CLAIM_NO_REPLICA, {}});
+  ClaimDecision Decision = Registry.claim(Claim, Clock::now());
+  const auto *Needed = std::get_if<ReplicationNeeded>(&Decision);
+  if (!Needed)
+    return Done(answerOf(Decision));
+  KeyRecord Record = Needed->Record;
+  auto Self = shared_from_this();
+  replicate(Record, [Self, Record, Done](bool Stored) {
+    Self->finishGrant(Record, Stored, Done);
+  });
+}
+
+auto KeyCoordinator::Implementation::finishGrant(const KeyRecord &Record,
+                                                 bool Stored,
+                                                 const Answered &Done) -> void {
+  if (!Stored) {
+    Registry.replicationFailed(Record.Version.View, Record);
+    Counters.count("jayramp_key_replication_failed_total");
+    return Done({peer::v1::CLAIM_NO_REPLICA, {}});
+  }
+  auto Decision = Registry.replicationAcknowledged(Record.Version.View, Record,
+                                                   Clock::now());
+  const auto *Granted = std::get_if<ReplicationGranted>(&Decision);
+  if (!Granted || !Membership.hasMajority())
+    return Done({peer::v1::CLAIM_NO_REPLICA, {}});
+  Done({peer::v1::CLAIM_GRANTED, Granted->Record});
+}
+
+auto KeyCoordinator::Implementation::replicate(const KeyRecord &Record,
+                                               const Acknowledged &Done)
+    -> void {
+  auto Current = map();
+  const std::string &Backup = Current->backup(Record.Shard);
+  if (Backup.empty()) // The view has one serving member: there is no backup.
+    return Done(true);
+  Envelope Message;
+  Message.set_view_version(Record.Version.View);
+  writeRecord(Record, *Message.mutable_replicate_key()->mutable_record());
+  Transport.call(Backup, Message, ReplicationTimeout,
+                 [Done](const PeerTransport::Answer &Answer) {
+                   Done(Answer && Answer.value()->acknowledged().ok());
+                 });
+}
+
+auto KeyCoordinator::Implementation::handleReplicate(const Envelope &Request)
+    -> Envelope {
+  ReplicaAnswer Answer = Registry.replicate(
+      Request.view_version(), readRecord(Request.replicate_key().record()),
+      Clock::now());
+  return acknowledge(Answer == ReplicaAnswer::Stored);
+}
+
+auto KeyCoordinator::Implementation::report(
+    std::shared_ptr<const OutcomeReport> Report) -> void {
+  ++Reports;
+  sendReport(Report);
+}
+
+auto KeyCoordinator::Implementation::sendReport(
+    const std::shared_ptr<const OutcomeReport> &Report) -> void {
+  auto Current = map();
+  auto Self = shared_from_this();
+  const std::string &Home = Current->home(Report->Shard);
+  if (Home == HostName) {
+    OutcomeReport Local = *Report;
+    Local.ViewVersion = Current->version();
+    return decideReport(Local, [Self, Report](bool Ok) {
+      Ok ? static_cast<void>(--Self->Reports) : Self->repeatReport(Report);
+    });
+  }
+  Envelope Message;
+  Message.set_view_version(Current->version());
+  auto *Target = Message.mutable_report_outcome();
+  Target->set_shard(Report->Shard);
+  Target->set_account(Report->Account);
+  Target->set_key(Report->Key);
+  Target->set_claim_id(Report->ClaimId);
+  Target->set_released(Report->Released);
+  Target->set_outcome(Report->Outcome);
+  Transport.call(Home, Message, ReportTimeout,
+                 [Self, Report](const PeerTransport::Answer &Answer) {
+                   if (Answer && Answer.value()->acknowledged().ok())
+                     --Self->Reports;
+                   else
+                     Self->repeatReport(Report);
+                 });
+}
+
+auto KeyCoordinator::Implementation::repeatReport(
+    const std::shared_ptr<const OutcomeReport> &Report) -> void {
+  Counters.count("jayramp_retries_total", "reason=\"OUTCOME_REPORT\"");
+  std::weak_ptr<Implementation> Weak = weak_from_this();
+  Timer.schedule(Clock::now() + RepeatDelay, [Weak, Report] {
+    if (auto Self = Weak.lock())
+      Self->sendReport(Report);
+  });
+}
+
+auto KeyCoordinator::Implementation::decideReport(const OutcomeReport &Report,
+                                                  const Acknowledged &Done)
+    -> void {
+  ReportDecision Decision = Registry.reportOutcome(Report, Clock::now());
+  if (const auto *Recorded = std::get_if<ReportRecorded>(&Decision)) {
+    KeyRecord Record = Recorded->Record;
+    auto Self = shared_from_this();
+    return replicate(Record, [Self, Record, Done](bool Stored) {
+      if (Stored)
+        Self->Registry.replicationAcknowledged(Record.Version.View, Record,
+                                               Clock::now());
+      Done(Stored);
+    });
+  }
+  bool Repeat = std::holds_alternative<ReportNotReady>(Decision) ||
+                std::holds_alternative<ReportWrongView>(Decision);
+  if (std::holds_alternative<ReportLate>(Decision))
+    Counters.count("jayramp_late_reports_total");
+  Done(!Repeat);
+}
+
+auto KeyCoordinator::Implementation::decideQuery(std::uint64_t ViewVersion,
+                                                 const std::string &Account,
+                                                 const std::string &Key) const
+    -> ClaimAnswer {
+  auto Decision = Registry.query(ViewVersion, Account, Key, Clock::now());
+  if (!Decision)
+    return {peer::v1::CLAIM_ABSENT, {}};
+  return answerOf(*Decision);
+}
+
+auto KeyCoordinator::Implementation::query(const std::string &Account,
+                                           const std::string &Key,
+                                           Answered Done) -> void {
+  auto Current = map();
+  const std::string &Home = Current->home(KeyRegistry::shardOf(Account, Key));
+  if (Home == HostName)
+    return Done(decideQuery(Current->version(), Account, Key));
+  Envelope Message;
+  Message.set_view_version(Current->version());
+  Message.mutable_query_key()->set_account(Account);
+  Message.mutable_query_key()->set_key(Key);
+  Transport.call(Home, Message, ClaimTimeout,
+                 [Done](const PeerTransport::Answer &Answer) {
+                   if (!Answer || !Answer.value()->has_query_key_reply())
+                     return Done(ClaimAnswer{});
+                   const auto &Reply = Answer.value()->query_key_reply();
+                   Done({Reply.decision(), readRecord(Reply.record())});
+                 });
+}
+
+auto KeyCoordinator::Implementation::adoptView(
+    const std::shared_ptr<const View> &Current) -> void {
+  auto Next = std::make_shared<const ShardMap>(*Current);
+  ShardRoles Roles;
+  Roles.ViewVersion = Current->version();
+  Roles.OwnIncarnation = Membership.incarnation();
+  Roles.FirstOfDeployment = Current->version() == 1;
+  for (const Member &Entry : Current->members())
+    Roles.Members.insert(Entry.Incarnation);
+  for (std::uint32_t Shard = 0; Shard < KeyShardCount; ++Shard) {
+    if (Next->home(Shard) == HostName)
+      Roles.Roles[Shard] = ShardRole::Home;
+    else if (Next->backup(Shard) == HostName)
+      Roles.Roles[Shard] = ShardRole::Backup;
+  }
+  if (!Registry.adoptView(Roles, Clock::now()))
+    return;
+  {
+    std::lock_guard Lock(MapMutex);
+    Map = Next;
+  }
+  for (const KeyRecord &Record :
+       Registry.holderLost(Roles.Members, Clock::now()))
+    replicate(Record, [](bool) {});
+  for (std::uint32_t Shard = 0; Shard < KeyShardCount; ++Shard)
+    for (const std::string &Target : {Next->home(Shard), Next->backup(Shard)})
+      if (!Target.empty() && Target != HostName)
+        sendShard(Shard, Target);
+}
+
+auto KeyCoordinator::Implementation::sendShard(std::uint32_t Shard,
+                                               const std::string &Target)
+    -> void {
+  ShardExport Export = Registry.exportShard(Shard, Clock::now());
+  auto Parts = std::make_shared<std::vector<Envelope>>(1);
+  std::size_t Bytes = 0;
+  for (const KeyRecord &Record : Export.Records) {
+    if (Bytes > TransferBytes) {
+      Parts->emplace_back();
+      Bytes = 0;
+    }
+    auto *Written = Parts->back().mutable_transfer_shard()->add_records();
+    writeRecord(Record, *Written);
+    Bytes += Written->ByteSizeLong();
+  }
+  for (Envelope &Part : *Parts) {
+    Part.set_view_version(Export.ViewVersion);
+    Part.mutable_transfer_shard()->set_shard(Shard);
+  }
+  Parts->back().mutable_transfer_shard()->set_complete(Export.Complete);
+  Parts->back().mutable_transfer_shard()->set_incomplete(Export.Incomplete);
+  sendParts(Parts, 0, Target);
+}
+
+// Sends one part after the other: only the last carries the mark, and it must
+// not arrive before the others.
+auto KeyCoordinator::Implementation::sendParts(
+    std::shared_ptr<std::vector<Envelope>> Parts, std::size_t Next,
+    const std::string &Target) -> void {
+  if (Next >= Parts->size() ||
+      (*Parts)[Next].view_version() != Registry.viewVersion())
+    return;
+  std::weak_ptr<Implementation> Weak = weak_from_this();
+  Transport.call(
+      Target, (*Parts)[Next], TransferTimeout,
+      [Weak, Parts, Next, Target](const PeerTransport::Answer &Answer) {
+        auto Self = Weak.lock();
+        if (!Self)
+          return;
+        if (Answer && Answer.value()->acknowledged().ok())
+          return Self->sendParts(Parts, Next + 1, Target);
+        Self->Timer.schedule(Clock::now() + RepeatDelay,
+                             [Weak, Parts, Next, Target] {
+                               if (auto Again = Weak.lock())
+                                 Again->sendParts(Parts, Next, Target);
+                             });
+      });
+}
+
+auto KeyCoordinator::Implementation::handleTransfer(const Envelope &Request)
+    -> Envelope {
+  const auto &Source = Request.transfer_shard();
+  ShardExport Transfer{.ViewVersion = Request.view_version(),
+                       .Shard = Source.shard(),
+                       .SenderIncarnation = Request.incarnation(),
+                       .Records = {},
+                       .Complete = Source.complete(),
+                       .Incomplete = Source.incomplete()};
+  for (const auto &Record : Source.records())
+    Transfer.Records.push_back(readRecord(Record));
+  return acknowledge(Registry.importShard(Transfer, Clock::now()));
+}
+
+auto KeyCoordinator::Implementation::evict() -> void {
+  auto Current = map();
+  for (std::uint32_t Shard : Registry.evict(Clock::now())) {
+    const std::string &Backup = Current->backup(Shard);
+    if (!Backup.empty() && Backup != HostName)
+      sendShard(Shard, Backup);
+  }
+  Counters.gauge("jayramp_key_records", "",
+                 static_cast<double>(Registry.recordCount()));
+}
+
+KeyCoordinator::KeyCoordinator(std::string HostName, KeyRegistry &Registry,
+                               MembershipRunner &Membership,
+                               PeerTransport &Transport, TimerThread &Timer,
+                               Metrics &Counters)
+    : Body(std::make_shared<Implementation>(std::move(HostName), Registry,
+                                            Membership, Transport, Timer,
+                                            Counters)) {
+  Body->registerHandlers();
+}
+
+KeyCoordinator::~KeyCoordinator() = default;
+
+auto KeyCoordinator::claim(const std::string &Account, const std::string &Key,
+                           const std::string &ClaimId, Answered Done) -> void {
+  Body->claim(Account, Key, ClaimId, std::move(Done));
+}
+
+auto KeyCoordinator::report(const std::string &Account, const std::string &Key,
+                            const std::string &ClaimId, bool Released,
+                            std::string Outcome) -> void {
+  Body->report(std::make_shared<const OutcomeReport>(
+      OutcomeReport{.ViewVersion = 0,
+                    .Shard = KeyRegistry::shardOf(Account, Key),
+                    .Account = Account,
+                    .Key = Key,
+                    .ClaimId = ClaimId,
+                    .Released = Released,
+                    .Outcome = std::move(Outcome)}));
+}
+
+auto KeyCoordinator::query(const std::string &Account, const std::string &Key,
+                           Answered Done) -> void {
+  Body->query(Account, Key, std::move(Done));
+}
+
+auto KeyCoordinator::adoptView(const std::shared_ptr<const View> &Current)
+    -> void {
+  Body->adoptView(Current);
+}
+
+auto KeyCoordinator::evict() -> void { Body->evict(); }
+
+auto KeyCoordinator::outstandingReports() const -> std::size_t {
+  return Body->outstandingReports();
+}
+
+} // namespace jayramp
--- /dev/null
+++ b/Source/Requests/PendingRequest.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "jayramp/v1/jayramp.pb.h"
+
+#include "Base/Clock.h"
+#include "Requests/OutcomeTracker.h"
+#include "Requests/WorkClass.h"
+
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <string>
+
+namespace jayramp {
+
+/// A caller's request between its acceptance and its outcome.
+struct PendingRequest {
+  using Done = std::function<void(const v1::RequestOutcome &)>;
+
+  PendingRequest(std::uint64_t Id, v1::SubmitRequest Source, Done Respond,
+                 TimePoint Now)
+      : Id(Id), Request(std::move(Source)), Respond(std::move(Respond)),
+        AcceptedAt(Now), Deadline(Now + Milliseconds(Request.deadline_ms())),
+        Tracker(Request.idempotent()) {}
+
+  const std::uint64_t Id;
+  const v1::SubmitRequest Request;
+  const Done Respond;
+  const TimePoint AcceptedAt;
+  const TimePoint Deadline;
+
+  std::mutex Mutex; ///< Guards all below.
+  OutcomeTracker Tracker;
+  std::string ClaimId;
+  bool Finished = false;
+  bool Granted = false;        ///< This host holds the claim of the key.
+  bool SeenInProgress = false; ///< Another claim holds the key.
+  std::uint32_t ClaimTries = 0;
+  v1::Reason WaitReason = v1::DEADLINE_EXCEEDED; ///< Given at the deadline.
+  WorkClass Class = WorkClass::Short;
+  TimePoint QueuedAt;
+  std::string Worker; ///< Of the newest attempt.
+};
+
+} // namespace jayramp
--- /dev/null
+++ b/Source/Requests/RequestRouter.cpp
@@ -0,0 +1,595 @@
+#include "Requests/RequestRouter.h"
+
+#include "Base/EventLog.h"
+#include "Base/Identifier.h"
+#include "Base/Metrics.h"
+#include "Configuration/Configuration.h"
+#include "Membership/MembershipRunner.h"
+#include "Platform/RequestAttempt.h"
+#include "Platform/TimerThread.h"
+#include "Platform/WorkerClient.h"
+#include "Requests/ClaimAnswer.h"
+#include "Requests/FairQueue.h"
+#include "Requests/KeyCoordinator.h"
+#include "Requests/OutcomeMapping.h"
+#include "Requests/PendingRequest.h"
+#include "Requests/RetryBudget.h"
+#include "Requests/SlotBroker.h"
+#include "Requests/WorkClassPolicy.h"
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <random>
+#include <unordered_map>
+#include <utility>
+
+namespace jayramp {
+
+namespace {
+
+using Pending = std::shared_ptr<PendingRequest>;
+
+constexpr std::size_t PendingShards = 16;
+constexpr Milliseconds FirstClaimDelay{20};
+constexpr Milliseconds LongestClaimDelay{200};
+// Delay before a peer that reported free slots is asked again.
+constexpr Milliseconds PeerAskDelay{20};
+constexpr std::uint32_t RetryAfterRefusalMs = 1000;
+constexpr std::uint32_t RetryAfterRebalancingMs = 500;
+
+auto retryReason(const AttemptOutcome &Result) -> v1::Reason {
+  if (const auto *Refused = std::get_if<AttemptRefused>(&Result)) {
+    if (Refused->Reason == "leaving")
+      return v1::WORKER_LEAVING;
+    return Refused->Reason == "fenced" ? v1::FENCED : v1::WORKER_BUSY;
+  }
+  if (std::holds_alternative<AttemptNotSent>(Result))
+    return v1::WORKER_UNREACHABLE;
+  if (const auto *Broken = std::get_if<AttemptBroken>(&Result))
+    return Broken->AnswerCut ? v1::ANSWER_INCOMPLETE : v1::CONNECTION_LOST;
+  return v1::WORKER_FAILED;
+}
+
+auto reasonLabel(v1::Reason Reason) -> std::string {
+  return "reason=\"" + v1::Reason_Name(Reason) + "\"";
+}
+
+auto declaredClass(const v1::SubmitRequest &Request)
+    -> std::optional<WorkClass> {
+  if (Request.work_class() == v1::SHORT)
+    return WorkClass::Short;
+  if (Request.work_class() == v1::LONG)
+    return WorkClass::Long;
+  return std::nullopt;
+}
+
+} // namespace
+
+class RequestRouter::Implementation
+    : public std::enable_shared_from_this<Implementation> {
+public:
+  Implementation(Options Settings, MembershipRunner &Membership,
+                 KeyCoordinator &Keys, SlotBroker &Slots, WorkerClient &Workers,
+                 TimerThread &Timer, Metrics &Counters)
+      : Settings(Settings), Membership(Membership), Keys(Keys), Slots(Slots),
+        Workers(Workers), Timer(Timer), Counters(Counters),
+        Queue(FairQueue::make({.MaxEntries = Settings.MaximumQueue}).value()),
+        Classes(WorkClassPolicy::make(Milliseconds(250)).value()),
+        Retries(RetryBudget::make({.Seed = std::random_device{}()}).value()) {}
+
+  auto submit(const v1::SubmitRequest &Request, Done Respond) -> void;
+  auto apply(const Configuration &Newer) -> void;
+  auto pump() -> void;
+
+  std::atomic<bool> Refusing{false};
+  std::atomic<std::size_t> Count{0};
+
+private:
+  struct PendingShard {
+    std::mutex Mutex;
+    std::unordered_map<std::uint64_t, Pending> Map;
+  };
+
+  auto shardOf(std::uint64_t Id) -> PendingShard & {
+    return Shards[Id % PendingShards];
+  }
+  auto find(std::uint64_t Id) -> Pending;
+  auto claim(const Pending &Entry) -> void;
+  auto onClaim(const Pending &Entry, const ClaimAnswer &Answer) -> void;
+  auto claimAgain(const Pending &Entry, v1::Reason Reason, bool NewId) -> void;
+  auto finishRecorded(const Pending &Entry, const KeyRecord &Record) -> void;
+  auto enqueue(const Pending &Entry) -> void;
+  auto askPeers(std::size_t Waiting) -> void;
+  auto useGrant(const SlotGrant &Grant) -> void;
+  auto dispatch(const Pending &Entry, const SlotGrant &Grant) -> void;
+  auto onAttempt(const Pending &Entry, std::uint32_t Number,
+                 const SlotGrant &Grant, TimePoint StartedAt,
+                 const AttemptOutcome &Result) -> void;
+  auto afterAttempt(const Pending &Entry, const AttemptDecision &Decision,
+                    v1::Reason Reason) -> void;
+  auto retryOrClose(const Pending &Entry, const std::string &Detail,
+                    v1::Reason Reason) -> void;
+  auto onDeadline(const Pending &Entry) -> void;
+  auto finish(const Pending &Entry, v1::RequestOutcome Outcome) -> void;
+  auto later(Milliseconds Delay, std::function<void(Implementation &)> Function)
+      -> void;
+
+  Options Settings;
+  MembershipRunner &Membership;
+  KeyCoordinator &Keys;
+  SlotBroker &Slots;
+  WorkerClient &Workers;
+  TimerThread &Timer;
+  Metrics &Counters;
+  std::atomic<std::uint64_t> NextId{1};
+  std::array<PendingShard, PendingShards> Shards;
+  std::mutex QueueMutex; ///< Guards Queue, Classes and Retries.
+  FairQueue Queue;
+  WorkClassPolicy Classes;
+  RetryBudget Retries;
+  std::atomic<bool> AskScheduled{false};
+};
+
+auto RequestRouter::Implementation::later(
+    Milliseconds Delay, std::function<void(Implementation &)> Function)
+    -> void {
+  std::weak_ptr<Implementation> Weak = weak_from_this();
+  Timer.schedule(Clock::now() + Delay, [Weak, Function] {
+    if (auto Self = Weak.lock())
+      Function(*Self);
+  });
+}
+
+auto RequestRouter::Implementation::find(std::uint64_t Id) -> Pending {
+  PendingShard &Shard = shardOf(Id);
+  std::lock_guard Lock(Shard.Mutex);
+  auto Found = Shard.Map.find(Id);
+  return Found == Shard.Map.end() ? nullptr : Found->second;
+}
+
+auto RequestRouter::Implementation::submit(const v1::SubmitRequest &Request,
+                                           Done Respond) -> void {
+  auto Entry = std::make_shared<PendingRequest>(
+      NextId.fetch_add(1), Request, std::move(Respond), Clock::now());
+  Entry->ClaimId = makeIdentifier();
+  ++Count;
+  {
+    PendingShard &Shard = shardOf(Entry->Id);
+    std::lock_guard Lock(Shard.Mutex);
+    Shard.Map.emplace(Entry->Id, Entry);
+  }
+  if (Refusing.load())
+    return finish(Entry, makeOutcome(v1::NOT_RUN, v1::STOPPING,
+                                     "this entry host is stopping",
+                                     RetryAfterRebalancingMs));
+  auto Serving = Membership.serving();
+  if (const auto *Refused = std::get_if<ServingRefused>(&Serving)) {
+    v1::Reason Reason = v1::STALE_VIEW;
+    v1::Reason_Parse(std::string(toString(Refused->Refusal)), &Reason);
+    return finish(Entry, makeOutcome(v1::NOT_RUN, Reason, Refused->Detail,
+                                     RetryAfterRebalancingMs));
+  }
+  later(Milliseconds(Request.deadline_ms()),
+        [Entry](Implementation &Self) { Self.onDeadline(Entry); });
+  Request.idempotent() ? enqueue(Entry) : claim(Entry);
+}
+
+auto RequestRouter::Implementation::claim(const Pending &Entry) -> void {
+  std::string ClaimId;
+  {
+    std::lock_guard Lock(Entry->Mutex);
+    if (Entry->Finished)
+      return;
+    ClaimId = Entry->ClaimId;
+  }
+  auto Self = shared_from_this();
+  Keys.claim(Entry->Request.account(), Entry->Request.key(), ClaimId,
+             [Self, Entry](const ClaimAnswer &Answer) {
+               Self->onClaim(Entry, Answer);
+             });
+}
+
+auto RequestRouter::Implementation::onClaim(const Pending &Entry,
+                                            const ClaimAnswer &Answer) -> void {
+  switch (Answer.Decision) {
+  case peer::v1::CLAIM_GRANTED: {
+    bool Abandoned = false;
+    {
+      std::lock_guard Lock(Entry->Mutex);
+      Abandoned = Entry->Finished;
+      Entry->Granted = !Abandoned;
+    }
+    // The deadline passed while the claim was under way, so it never ran.
+    if (Abandoned)
+      return Keys.report(Entry->Request.account(), Entry->Request.key(),
+                         Answer.Record.ClaimId, true, {});
+    return enqueue(Entry);
+  }
+  case peer::v1::CLAIM_DONE:
+    return finishRecorded(Entry, Answer.Record);
+  case peer::v1::CLAIM_IN_PROGRESS:
+    return claimAgain(Entry, v1::KEY_IN_PROGRESS, false);
+  case peer::v1::CLAIM_ENDED:
+    return claimAgain(Entry, v1::REBALANCING, true);
+  case peer::v1::CLAIM_REBALANCING:
+  case peer::v1::CLAIM_WRONG_VIEW:
+    return claimAgain(Entry, v1::REBALANCING, false);
+  case peer::v1::CLAIM_HISTORY_LOST:
+    return finish(Entry,
+                  makeOutcome(v1::UNKNOWN, v1::HISTORY_LOST,
+                              "the record of this key was lost with its entry "
+                              "hosts; it may have run before",
+                              0));
+  case peer::v1::CLAIM_REGISTRY_FULL:
+    return finish(Entry,
+                  makeOutcome(v1::NOT_RUN, v1::OUT_OF_MEMORY,
+                              "the key registry is full", RetryAfterRefusalMs));
+  default:
+    return claimAgain(Entry, v1::NO_REPLICA, false);
+  }
+}
+
+auto RequestRouter::Implementation::claimAgain(const Pending &Entry,
+                                               v1::Reason Reason, bool NewId)
+    -> void {
+  Milliseconds Delay;
+  {
+    std::lock_guard Lock(Entry->Mutex);
+    if (Entry->Finished)
+      return;
+    Entry->WaitReason = Reason;
+    Entry->SeenInProgress = Reason == v1::KEY_IN_PROGRESS;
+    if (NewId)
+      Entry->ClaimId = makeIdentifier();
+    Delay = std::min(FirstClaimDelay * (1 << std::min(Entry->ClaimTries, 4U)),
+                     LongestClaimDelay);
+    ++Entry->ClaimTries;
+  }
+  Counters.count("jayramp_retries_total", reasonLabel(Reason));
+  later(Delay, [Entry](Implementation &Self) { Self.claim(Entry); });
+}
+
+auto RequestRouter::Implementation::finishRecorded(const Pending &Entry,
+                                                   const KeyRecord &Record)
+    -> void {
+  v1::RequestOutcome Outcome;
+  if (Record.Unknown || !Outcome.ParseFromString(Record.Outcome) ||
+      Outcome.outcome() == v1::OUTCOME_UNSPECIFIED)
+    Outcome = makeOutcome(v1::UNKNOWN, v1::ENTRY_HOST_LOST,
+                          "the entry host that held the request was lost", 0);
+  Counters.count("jayramp_recorded_outcomes_total");
+  finish(Entry, std::move(Outcome));
+}
+
+auto RequestRouter::Implementation::enqueue(const Pending &Entry) -> void {
+  PushDecision Decision;
+  TimePoint Now = Clock::now();
+  {
+    std::scoped_lock Lock(Entry->Mutex, QueueMutex);
+    if (Entry->Finished)
+      return;
+    auto Declared = declaredClass(Entry->Request);
+    Entry->Class = Classes.classify(Entry->Request.account(), Declared);
+    Entry->QueuedAt = Now;
+    Entry->WaitReason = v1::DEADLINE_EXCEEDED;
+    Decision = Queue.push(
+        {.Id = Entry->Id,
+         .Account = Entry->Request.account(),
+         .Class = Entry->Class,
+         .Deadline = Entry->Deadline,
+         .Cost = Classes.expectedCost(Entry->Request.account(), Declared)},
+        Now);
+  }
+  if (std::holds_alternative<PushQueued>(Decision))
+    return pump();
+  auto RetryAfter = RetryAfterRefusalMs;
+  v1::Reason Reason = v1::QUEUE_FULL;
+  std::string Detail = "the account's queue on this entry host is full";
+  if (const auto *Short = std::get_if<PushDeadlineTooShort>(&Decision)) {
+    Reason = v1::DEADLINE_TOO_SHORT;
+    Detail = "the estimated wait of " +
+             std::to_string(Short->EstimatedWait.count()) +
+             " ms exceeds the deadline";
+    RetryAfter = static_cast<std::uint32_t>(Short->EstimatedWait.count());
+  } else if (const auto *Full = std::get_if<PushAccountFull>(&Decision)) {
+    RetryAfter = std::max<std::uint32_t>(1, Full->RetryAfter.count());
+  }
+  // Only first attempts can be refused here: a queued retry keeps its place in
+  // the tracker, which tells whether an earlier attempt may have run.
+  RequestOutcome Closed;
+  {
+    std::lock_guard Lock(Entry->Mutex);
+    Closed = Entry->Tracker.close(Detail);
+  }
+  auto Outcome = toMessage(Closed, Reason);
+  Outcome.set_retry_after_ms(RetryAfter);
+  finish(Entry, std::move(Outcome));
+}
+
+auto RequestRouter::Implementation::pump() -> void {
+  while (true) {
+    QueueEntry Next;
+    SlotDecision Decision;
+    std::size_t Waiting = 0;
+    {
+      std::lock_guard Lock(QueueMutex);
+      Waiting = Queue.size();
+      if (Waiting == 0)
+        return;
+      auto Popped = Queue.pop(true, Clock::now());
+      if (!Popped)
+        return;
+      Next = *Popped;
+      Decision = Slots.acquire(Next.Class, {});
+      if (!std::holds_alternative<SlotGrant>(Decision)) {
+        Queue.pushFront(Next);
+        // Long work that waits for its share must not hide short work, which
+        // pop() always takes first.
+        break;
+      }
+    }
+    const SlotGrant &Grant = std::get<SlotGrant>(Decision);
+    if (auto Entry = find(Next.Id))
+      dispatch(Entry, Grant);
+    else
+      Slots.release(Grant, {});
+  }
+  std::size_t Waiting = 0;
+  {
+    std::lock_guard Lock(QueueMutex);
+    Waiting = Queue.size();
+  }
+  if (Waiting > 0)
+    askPeers(Waiting);
+}
+
+auto RequestRouter::Implementation::askPeers(std::size_t Waiting) -> void {
+  bool ShortWaits = false;
+  {
+    std::lock_guard Lock(QueueMutex);
+    ShortWaits = Queue.size(WorkClass::Short) > 0;
+  }
+  auto Self = shared_from_this();
+  Slots.acquireFromPeer(Waiting,
+                        ShortWaits ? WorkClass::Short : WorkClass::Long,
+                        [Self](std::vector<SlotGrant> Grants) {
+                          for (const SlotGrant &Grant : Grants)
+                            Self->useGrant(Grant);
+                        });
+  // Slots of own workers call pump() when they become free; free slots of
+  // peers are only seen by asking again.
+  if (!AskScheduled.exchange(true))
+    later(PeerAskDelay, [](Implementation &Router) {
+      Router.AskScheduled.store(false);
+      Router.pump();
+    });
+}
+
+auto RequestRouter::Implementation::useGrant(const SlotGrant &Grant) -> void {
+  std::optional<QueueEntry> Next;
+  {
+    std::lock_guard Lock(QueueMutex);
+    Next = Queue.pop(Grant.Class == WorkClass::Long, Clock::now());
+  }
+  Pending Entry = Next ? find(Next->Id) : nullptr;
+  if (Entry)
+    dispatch(Entry, Grant);
+  else
+    Slots.release(Grant, {});
+}
+
+auto RequestRouter::Implementation::dispatch(const Pending &Entry,
+                                             const SlotGrant &Grant) -> void {
+  TimePoint Now = Clock::now();
+  std::optional<std::uint32_t> Number;
+  {
+    std::lock_guard Lock(Entry->Mutex);
+    if (!Entry->Finished && Now < Entry->Deadline)
+      Number = Entry->Tracker.startAttempt();
+    if (Number)
+      Entry->Worker = Grant.Worker;
+  }
+  if (!Number)
+    return Slots.release(Grant, {});
+  if (*Number == 1) {
+    std::lock_guard Lock(QueueMutex);
+    Retries.recordFirstAttempt();
+  }
+  Counters.observe("jayramp_queue_seconds",
+                   "class=\"" + std::string(toString(Entry->Class)) + "\"",
+                   Now - Entry->QueuedAt);
+  auto Left = std::chrono::duration_cast<Milliseconds>(Entry->Deadline - Now) +
+              Milliseconds(1);
+  RequestAttempt Attempt{.WorkerAddress = Grant.WorkerAddress,
+                         .Account = Entry->Request.account(),
+                         .Key = Entry->Request.key(),
+                         .Number = *Number,
+                         .Epoch = Grant.Epoch,
+                         .Timeout = std::min(Settings.AttemptTimeout, Left),
+                         .Idempotent = Entry->Request.idempotent(),
+                         .Payload = Entry->Request.payload()};
+  auto Self = shared_from_this();
+  std::uint32_t Given = *Number;
+  Workers.execute(std::move(Attempt), [Self, Entry, Given, Grant,
+                                       Now](const AttemptOutcome &Result) {
+    Self->onAttempt(Entry, Given, Grant, Now, Result);
+  });
+}
+
+auto RequestRouter::Implementation::onAttempt(
+    const Pending &Entry, std::uint32_t Number, const SlotGrant &Grant,
+    TimePoint StartedAt, const AttemptOutcome &Result) -> void {
+  auto Latency =
+      std::chrono::duration_cast<Milliseconds>(Clock::now() - StartedAt);
+  bool Answered = std::holds_alternative<AttemptAnswered>(Result);
+  bool Failed = std::holds_alternative<AttemptFailed>(Result);
+  bool Refused = std::holds_alternative<AttemptRefused>(Result);
+  SlotUse Use{.Latency = std::nullopt,
+              .Failed = !Answered && !Refused,
+              .Refused = Refused};
+  if (Answered)
+    Use.Latency = Latency;
+  if (Answered || Failed) {
+    std::lock_guard Lock(QueueMutex);
+    Classes.observe(Entry->Request.account(), declaredClass(Entry->Request),
+                    Latency);
+  }
+  const auto *Refusal = std::get_if<AttemptRefused>(&Result);
+  if (Refusal && Refusal->Reason == "leaving")
+    Slots.markLeaving(Grant.Worker);
+  AttemptDecision Decision;
+  {
+    std::lock_guard Lock(Entry->Mutex);
+    Decision = Entry->Tracker.attemptEnded(Number, Result);
+  }
+  Slots.release(Grant, Use);
+  afterAttempt(Entry, Decision, retryReason(Result));
+}
+
+auto RequestRouter::Implementation::afterAttempt(
+    const Pending &Entry, const AttemptDecision &Decision, v1::Reason Reason)
+    -> void {
+  if (const auto *Settled = std::get_if<AttemptSettles>(&Decision))
+    return finish(Entry, toMessage(Settled->Outcome, Reason));
+  if (const auto *Retry = std::get_if<AttemptMayRetry>(&Decision))
+    return retryOrClose(Entry, Retry->Detail, Reason);
+  if (std::holds_alternative<AttemptLate>(Decision))
+    Counters.count("jayramp_late_answers_total");
+  else if (std::holds_alternative<AttemptDuplicate>(Decision))
+    Counters.count("jayramp_duplicate_answers_total");
+}
+
+auto RequestRouter::Implementation::retryOrClose(const Pending &Entry,
+                                                 const std::string &Detail,
+                                                 v1::Reason Reason) -> void {
+  bool Allowed = Clock::now() < Entry->Deadline;
+  Milliseconds Delay{0};
+  if (Allowed) {
+    std::lock_guard Lock(QueueMutex);
+    Allowed = Retries.takeRetry();
+    Delay = Retries.backoff(1);
+  }
+  if (Allowed) {
+    Counters.count("jayramp_retries_total", reasonLabel(Reason));
+    return later(Delay, [Entry](Implementation &Self) { Self.enqueue(Entry); });
+  }
+  RequestOutcome Closed;
+  {
+    std::lock_guard Lock(Entry->Mutex);
+    Closed = Entry->Tracker.close(Detail);
+  }
+  finish(Entry, toMessage(Closed, Reason));
+}
+
+auto RequestRouter::Implementation::onDeadline(const Pending &Entry) -> void {
+  {
+    std::lock_guard Lock(QueueMutex);
+    Queue.cancel(Entry->Id);
+    Queue.expire(Clock::now());
+  }
+  RequestOutcome Closed;
+  v1::Reason Reason = v1::DEADLINE_EXCEEDED;
+  bool InProgress = false;
+  {
+    std::lock_guard Lock(Entry->Mutex);
+    if (Entry->Finished)
+      return;
+    Reason = Entry->WaitReason;
+    InProgress = Entry->SeenInProgress && !Entry->Granted;
+    Closed = Entry->Tracker.close("the deadline passed");
+  }
+  if (InProgress)
+    return finish(Entry, makeOutcome(v1::UNKNOWN, v1::KEY_IN_PROGRESS,
+                                     "another request with this key had no "
+                                     "outcome at the deadline",
+                                     0));
+  finish(Entry, toMessage(Closed, Reason));
+}
+
+auto RequestRouter::Implementation::finish(const Pending &Entry,
+                                           v1::RequestOutcome Outcome) -> void {
+  bool Report = false;
+  std::string ClaimId;
+  {
+    std::lock_guard Lock(Entry->Mutex);
+    if (std::exchange(Entry->Finished, true))
+      return;
+    Report = Entry->Granted;
+    ClaimId = Entry->ClaimId;
+    if (Outcome.attempts() == 0)
+      Outcome.set_attempts(Entry->Tracker.sentAttempts());
+    if (Outcome.worker().empty())
+      Outcome.set_worker(Entry->Worker);
+  }
+  Outcome.set_account(Entry->Request.account());
+  Outcome.set_key(Entry->Request.key());
+  Outcome.set_request_id(Settings.HostName + "-" + std::to_string(Entry->Id));
+  Outcome.set_entry_host(Settings.HostName);
+  bool Released = Outcome.outcome() == v1::NOT_RUN;
+  if (Report)
+    Keys.report(Entry->Request.account(), Entry->Request.key(), ClaimId,
+                Released, Released ? std::string() : retainedBytes(Outcome));
+  {
+    PendingShard &Shard = shardOf(Entry->Id);
+    std::lock_guard Lock(Shard.Mutex);
+    Shard.Map.erase(Entry->Id);
+  }
+  Counters.count("jayramp_requests_total",
+                 "outcome=\"" + v1::Outcome_Name(Outcome.outcome()) + "\"");
+  if (Released)
+    Counters.count("jayramp_refusals_total", reasonLabel(Outcome.reason()));
+  Counters.observe("jayramp_request_seconds",
+                   "class=\"" + std::string(toString(Entry->Class)) + "\"",
+                   Clock::now() - Entry->AcceptedAt);
+  logEvent(Outcome.outcome() == v1::ANSWERED ? LogLevel::Debug : LogLevel::Info,
+           "request_done",
+           {{"request", Outcome.request_id()},
+            {"account", Outcome.account()},
+            {"key", Outcome.key()},
+            {"outcome", v1::Outcome_Name(Outcome.outcome())},
+            {"reason", v1::Reason_Name(Outcome.reason())},
+            {"worker", Outcome.worker()},
+            {"attempts", std::to_string(Outcome.attempts())}});
+  Entry->Respond(Outcome);
+  --Count;
+}
+
+auto RequestRouter::Implementation::apply(const Configuration &Newer) -> void {
+  std::lock_guard Lock(QueueMutex);
+  for (const auto &Account : Newer.document().accounts())
+    Queue.setShare(Account.name(), std::max(1U, Account.request_share()));
+}
+
+RequestRouter::RequestRouter(Options Settings, MembershipRunner &Membership,
+                             KeyCoordinator &Keys, SlotBroker &Slots,
+                             WorkerClient &Workers, TimerThread &Timer,
+                             Metrics &Counters)
+    : Body(std::make_shared<Implementation>(std::move(Settings), Membership,
+                                            Keys, Slots, Workers, Timer,
+                                            Counters)) {
+  std::weak_ptr<Implementation> Weak = Body;
+  Slots.onFreed([Weak] {
+    if (auto Self = Weak.lock())
+      Self->pump();
+  });
+}
+
+RequestRouter::~RequestRouter() = default;
+
+auto RequestRouter::submit(const v1::SubmitRequest &Request, Done Respond)
+    -> void {
+  Body->submit(Request, std::move(Respond));
+}
+
+auto RequestRouter::apply(const Configuration &Newer) -> void {
+  Body->apply(Newer);
+}
+
+auto RequestRouter::refuseNew() -> void { Body->Refusing.store(true); }
+
+auto RequestRouter::inProgress() const -> std::size_t {
+  return Body->Count.load();
+}
+
+} // namespace jayramp
--- /dev/null
+++ b/Source/Requests/RequestRouter.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "Base/Clock.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace jayramp::v1 {
+class RequestOutcome;
+class SubmitRequest;
+} // namespace jayramp::v1
+
+namespace jayramp {
+
+class Configuration;
+class KeyCoordinator;
+class MembershipRunner;
+class Metrics;
+class SlotBroker;
+class TimerThread;
+class WorkerClient;
+
+/// Carries callers' requests to workers: claim of the key, queue, slot,
+/// attempt, outcome. All members are safe to call from any thread and never
+/// block.
+class RequestRouter {
+public:
+  using Done = std::function<void(const v1::RequestOutcome &)>;
+
+  struct Options {
+    std::string HostName;
+    Milliseconds AttemptTimeout{30000};
+    std::size_t MaximumQueue = 4096;
+  };
+
+  /// The references must outlive the router.
+  RequestRouter(Options Settings, MembershipRunner &Membership,
+                KeyCoordinator &Keys, SlotBroker &Slots, WorkerClient &Workers,
+                TimerThread &Timer, Metrics &Counters);
+  ~RequestRouter();
+  RequestRouter(const RequestRouter &) = delete;
+  auto operator=(const RequestRouter &) -> RequestRouter & = delete;
+
+  /// Takes a validated request. \p Respond is called exactly once, at the
+  /// latest shortly after the request's deadline, on any thread.
+  auto submit(const v1::SubmitRequest &Request, Done Respond) -> void;
+
+  /// Takes over shares and limits of a configuration.
+  auto apply(const Configuration &Newer) -> void;
+
+  /// From now on new requests are refused with reason STOPPING.
+  auto refuseNew() -> void;
+
+  /// Requests without an outcome yet.
+  auto inProgress() const -> std::size_t;
+
+private:
+  class Implementation;
+
+  std::shared_ptr<Implementation> Body;
+};
+
+} // namespace jayramp
--- /dev/null
+++ b/Source/Requests/SlotBroker.cpp
@@ -0,0 +1,265 @@
+#include "Requests/SlotBroker.h"
+
+#include "Base/Identifier.h"
+#include "Base/Metrics.h"
+#include "Membership/FunctionPeerHandler.h"
+#include "Membership/MembershipRunner.h"
+#include "Membership/PeerTransport.h"
+
+#include "jayramp/peer/v1/peer.pb.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jayramp {
+
+namespace {
+
+using peer::v1::Envelope;
+
+constexpr Milliseconds SlotRequestTimeout{300};
+// Most slots in one grant message, so that one host cannot take a peer's all.
+constexpr std::size_t MaximumAsk = 8;
+
+} // namespace
+
+SlotBroker::SlotBroker(std::string HostName, SlotLedger Ledger,
+                       WorkerHealth Health, MembershipRunner &Membership,
+                       PeerTransport &Transport, Metrics &Counters)
+    : HostName(std::move(HostName)), Membership(Membership),
+      Transport(Transport), Counters(Counters), Ledger(std::move(Ledger)),
+      Health(std::move(Health)) {
+  registerHandlers();
+}
+
+SlotBroker::~SlotBroker() = default;
+
+auto SlotBroker::registerHandlers() -> void {
+  Handlers.push_back(std::make_unique<FunctionPeerHandler>(
+      [this](const Envelope &Request, const PeerReply &Reply) {
+        Envelope Answer;
+        auto *Grants = Answer.mutable_slot_request_reply();
+        WorkClass Class = Request.slot_request().long_work() ? WorkClass::Long
+                                                             : WorkClass::Short;
+        std::lock_guard Lock(Mutex);
+        for (const auto &GrantId : Request.slot_request().grant_ids()) {
+          auto Decision = grantLocked(
+              {GrantId, Request.sender(), Request.incarnation(), Class}, {});
+          const auto *Grant = std::get_if<SlotGrant>(&Decision);
+          if (!Grant)
+            break;
+          auto *Written = Grants->add_grants();
+          Written->set_grant_id(Grant->GrantId);
+          Written->set_worker(Grant->Worker);
+          Written->set_worker_address(Grant->WorkerAddress);
+          Written->set_epoch(Grant->Epoch);
+        }
+        Reply(Answer);
+      }));
+  Transport.handle(PeerMessageType::SlotRequest, *Handlers.back());
+  Handlers.push_back(std::make_unique<FunctionPeerHandler>(
+      [this](const Envelope &Request, const PeerReply &Reply) {
+        const auto &Source = Request.slot_release();
+        SlotUse Use{.Latency = std::nullopt,
+                    .Failed = Source.failed(),
+                    .Refused = false};
+        if (Source.latency_ms() > 0)
+          Use.Latency = Milliseconds(Source.latency_ms());
+        endUse(Source.grant_id(), Source.worker(), Use);
+        Envelope Answer;
+        Answer.mutable_acknowledged()->set_ok(true);
+        Reply(Answer);
+      }));
+  Transport.handle(PeerMessageType::SlotRelease, *Handlers.back());
+}
+
+auto SlotBroker::onFreed(Freed Function) -> void {
+  std::lock_guard Lock(FreedMutex);
+  FreedFunction = std::move(Function);
+}
+
+auto SlotBroker::grantLocked(const SlotAsk &Ask, const std::string &Excluded)
+    -> SlotDecision {
+  TimePoint Now = Clock::now();
+  auto Decision = Ledger.grant(
+      Ask,
+      [this, Now](std::string_view Worker) {
+        return Health.share(Worker, Now);
+      },
+      Excluded, Now);
+  if (const auto *Grant = std::get_if<SlotGrant>(&Decision))
+    Health.attemptStarted(Grant->Worker, Now);
+  return Decision;
+}
+
+auto SlotBroker::acquire(WorkClass Class, const std::string &Excluded)
+    -> SlotDecision {
+  SlotAsk Ask{.GrantId = makeIdentifier(),
+              .HolderHost = HostName,
+              .HolderIncarnation = Membership.incarnation(),
+              .Class = Class};
+  std::lock_guard Lock(Mutex);
+  return grantLocked(Ask, Excluded);
+}
+
+auto SlotBroker::acquireFromPeer(std::size_t Count, WorkClass Class,
+                                 Granted Done) -> bool {
+  auto Peers = Membership.contacts();
+  std::string Chosen;
+  {
+    std::lock_guard Lock(PeerMutex);
+    std::uint32_t Most = 0;
+    for (const PeerObservation &Peer : Peers) {
+      if (Peer.FreeSlots <= Most || AskedPeers.count(Peer.Name) != 0)
+        continue;
+      Most = Peer.FreeSlots;
+      Chosen = Peer.Name;
+    }
+    if (Chosen.empty())
+      return false;
+    AskedPeers.insert(Chosen);
+  }
+  Envelope Message;
+  Message.mutable_slot_request()->set_long_work(Class == WorkClass::Long);
+  for (std::size_t Index = 0; Index < std::min(Count, MaximumAsk); ++Index)
+    Message.mutable_slot_request()->add_grant_ids(makeIdentifier());
+  std::string Incarnation = Membership.incarnation();
+  Transport.call(
+      Chosen, Message, SlotRequestTimeout,
+      [this, Chosen, Class, Incarnation,
+       Done](const PeerTransport::Answer &Answer) {
+        {
+          std::lock_guard Lock(PeerMutex);
+          AskedPeers.erase(Chosen);
+        }
+        std::vector<SlotGrant> Grants;
+        if (Answer)
+          for (const auto &Source :
+               Answer.value()->slot_request_reply().grants())
+            Grants.push_back({.GrantId = Source.grant_id(),
+                              .Worker = Source.worker(),
+                              .WorkerAddress = Source.worker_address(),
+                              .Epoch = Source.epoch(),
+                              // The host to which the slot is released.
+                              .HolderHost = Chosen,
+                              .HolderIncarnation = Incarnation,
+                              .Class = Class,
+                              .Since = Clock::now()});
+        Counters.count("jayramp_peer_slots_granted_total", "", Grants.size());
+        Done(std::move(Grants));
+      });
+  return true;
+}
+
+auto SlotBroker::release(const SlotGrant &Grant, const SlotUse &Use) -> void {
+  if (Grant.HolderHost == HostName)
+    return endUse(Grant.GrantId, Grant.Worker, Use);
+  Envelope Message;
+  auto *Target = Message.mutable_slot_release();
+  Target->set_grant_id(Grant.GrantId);
+  Target->set_worker(Grant.Worker);
+  Target->set_failed(Use.Failed);
+  if (Use.Latency)
+    Target->set_latency_ms(static_cast<std::uint32_t>(
+        std::max<Milliseconds::rep>(1, Use.Latency->count())));
+  std::string Owner = Grant.HolderHost;
+  // A lost release would keep the slot until this host's incarnation ends, so
+  // it is repeated once.
+  Transport.call(Owner, Message, SlotRequestTimeout,
+                 [this, Owner, Message](const PeerTransport::Answer &Answer) {
+                   if (!Answer)
+                     Transport.notify(Owner, Message);
+                 });
+}
+
+auto SlotBroker::endUse(const std::string &GrantId, const std::string &Worker,
+                        const SlotUse &Use) -> void {
+  {
+    std::lock_guard Lock(Mutex);
+    auto Ended = Ledger.release(GrantId, Use.Latency);
+    if (!Ended)
+      return;
+    TimePoint Now = Clock::now();
+    if (Use.Failed)
+      Health.failed(Worker, Now);
+    else if (Use.Latency)
+      Health.succeeded(Worker, *Use.Latency, Now);
+    else
+      Health.abandoned(Worker);
+  }
+  Freed Function;
+  {
+    std::lock_guard Lock(FreedMutex);
+    Function = FreedFunction;
+  }
+  if (Function)
+    Function();
+}
+
+auto SlotBroker::addWorker(const std::string &Worker,
+                           const std::string &Address) -> void {
+  std::lock_guard Lock(Mutex);
+  Ledger.addWorker(Worker, Address);
+}
+
+auto SlotBroker::removeWorker(const std::string &Worker) -> void {
+  std::lock_guard Lock(Mutex);
+  Ledger.removeWorker(Worker);
+  Health.forget(Worker);
+}
+
+auto SlotBroker::markLeaving(const std::string &Worker) -> void {
+  std::lock_guard Lock(Mutex);
+  Ledger.markLeaving(Worker);
+}
+
+auto SlotBroker::applyStatus(const std::string &Worker,
+                             const WorkerStatus &Status, TimePoint RequestedAt)
+    -> void {
+  std::lock_guard Lock(Mutex);
+  Ledger.applyStatus({.Worker = Worker,
+                      .Slots = Status.Slots,
+                      .SlotsUsed = Status.SlotsUsed,
+                      .Leaving = Status.Leaving,
+                      .RequestedAt = RequestedAt},
+                     Clock::now());
+}
+
+auto SlotBroker::statusFailed(const std::string &Worker) -> void {
+  std::lock_guard Lock(Mutex);
+  Health.failed(Worker, Clock::now());
+}
+
+auto SlotBroker::adoptView(std::uint64_t Version,
+                           const std::set<std::string> &Live) -> void {
+  std::lock_guard Lock(Mutex);
+  Ledger.setEpoch(Version);
+  Ledger.releaseLostHolders(Live, Clock::now());
+}
+
+auto SlotBroker::maintain() -> void {
+  std::lock_guard Lock(Mutex);
+  TimePoint Now = Clock::now();
+  auto Long = Ledger.reclassify(Now);
+  Counters.count("jayramp_reclassified_total", "", Long.size());
+  Health.ejectOutliers(Now);
+}
+
+auto SlotBroker::freeSlots() const -> std::uint32_t {
+  std::lock_guard Lock(Mutex);
+  return Ledger.freeSlots();
+}
+
+auto SlotBroker::usedSlots(const std::string &Worker) const -> std::uint32_t {
+  std::lock_guard Lock(Mutex);
+  return Ledger.usedSlots(Worker);
+}
+
+auto SlotBroker::stateOf(const std::string &Worker) const -> std::string {
+  std::lock_guard Lock(Mutex);
+  return Health.circuit(Worker, Clock::now()) == WorkerHealth::Circuit::Open
+             ? "QUARANTINED"
+             : "LIVE";
+}
+
+} // namespace jayramp
--- a/Tests/Benchmark/PlacementSimulation.cpp
+++ b/Tests/Benchmark/PlacementSimulation.cpp
@@ -10,9 +10,9 @@
 namespace jayramp {
 namespace {
 
-constexpr double ReclaimSeconds = 2.5;  // checkpoint 1.0, throttle 0.5, stop 1
-constexpr double LeaseSeconds = 10;     // a lost member's gang stops after it
-constexpr double ProbeBound = 5.2;      // urgent work starts within this
+constexpr double ReclaimSeconds = 2.5; // checkpoint 1.0, throttle 0.5, stop 1
+constexpr double LeaseSeconds = 10;    // a lost member's gang stops after it
+constexpr double ProbeBound = 5.2;     // urgent work starts within this
 constexpr double ProbeRuns = 120;
 constexpr double RestartCost = 30; // work lost by a checkpoint and restart
 constexpr double HostFailuresPerDay = 13;
@@ -190,9 +190,9 @@
       const auto Id = "probe-" + std::to_string(Number) + "-" +
                       std::to_string(Shape.Accelerators) + "-" +
                       std::to_string(Index);
-      if (!Scheduler.submit({Id, Account.Name, Shape.Accelerators,
-                             JobPriority::Urgent, true},
-                            time()))
+      if (!Scheduler.submit(
+              {Id, Account.Name, Shape.Accelerators, JobPriority::Urgent, true},
+              time()))
         continue;
       Work[Id] = {Now, ProbeRuns, 0, true};
       push(Now + ProbeBound, EventKind::ProbeCheck, Id);
--- a/Tests/Benchmark/PlacementSimulation.h
+++ b/Tests/Benchmark/PlacementSimulation.h
@@ -55,8 +55,16 @@
   auto run() -> SimulationReport;
 
 private:
-  enum class EventKind { Arrival, Finish, Stopped, Probe, ProbeCheck, Sample,
-                         Lost, Returned };
+  enum class EventKind {
+    Arrival,
+    Finish,
+    Stopped,
+    Probe,
+    ProbeCheck,
+    Sample,
+    Lost,
+    Returned
+  };
   struct Event {
     double At = 0;
     std::uint64_t Order = 0;
--- a/Tests/Unit/JobSchedulerTest.cpp
+++ b/Tests/Unit/JobSchedulerTest.cpp
@@ -137,8 +137,8 @@
       break;
     case 6:
       if (const auto *Gang = pick(Left))
-        endGang(*Gang, Right % 2 == 0 ? TaskResult::Failed
-                                      : TaskResult::Finished);
+        endGang(*Gang,
+                Right % 2 == 0 ? TaskResult::Failed : TaskResult::Finished);
       break;
     case 7:
       if (!Running.empty() && Left % 2 == 0)
@@ -356,11 +356,10 @@
 // too much or too little, and a guarantee that cannot be reclaimed or is
 // reported as degraded although it fits.
 RC_GTEST_PROP(JobSchedulerTest, keepsGuaranteesInAnySequence, ()) {
-  const auto Installed = smallTopology(
-      *rc::gen::inRange(1U, 3U), *rc::gen::inRange(1U, 3U),
-      *rc::gen::inRange(1U, 4U), *rc::gen::inRange(1U, 5U));
-  Model Checked(Installed,
-                accountsFor(*rc::gen::inRange(0U, 72U), Installed));
+  const auto Installed =
+      smallTopology(*rc::gen::inRange(1U, 3U), *rc::gen::inRange(1U, 3U),
+                    *rc::gen::inRange(1U, 4U), *rc::gen::inRange(1U, 5U));
+  Model Checked(Installed, accountsFor(*rc::gen::inRange(0U, 72U), Installed));
   const auto Steps = *rc::gen::container<
       std::vector<std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>>>(
       rc::gen::tuple(rc::gen::inRange(0U, 10U), rc::gen::inRange(0U, 1000U),
@@ -393,9 +392,10 @@
     // Account a is guaranteed one shape of 4, account b four of 1.
     std::vector<std::uint8_t> Open(8, 1);
     std::vector<std::uint32_t> Gangs;
-    const auto Steps = *rc::gen::container<
-        std::vector<std::pair<bool, std::uint32_t>>>(rc::gen::pair(
-        rc::gen::arbitrary<bool>(), rc::gen::inRange(0U, 8U)));
+    const auto Steps =
+        *rc::gen::container<std::vector<std::pair<bool, std::uint32_t>>>(
+            rc::gen::pair(rc::gen::arbitrary<bool>(),
+                          rc::gen::inRange(0U, 8U)));
     for (const auto &[Start, At] : Steps) {
       if (Start && Gangs.size() < 4 && Open[At] != 0) {
         // As a sum this is always right: 8 - used >= 4 + (4 - used).
@@ -486,10 +486,9 @@
   ASSERT_TRUE(Scheduler.submit({"small", "a", 1}, Now));
   Scheduler.decide(Now);
   EXPECT_EQ(Scheduler.job("small")->Phase, JobPhase::Running);
-  Scheduler.taskEnded(
-      {"old", 1, Scheduler.placement("old").front().Worker,
-       TaskResult::Finished},
-      Now);
+  Scheduler.taskEnded({"old", 1, Scheduler.placement("old").front().Worker,
+                       TaskResult::Finished},
+                      Now);
   Scheduler.decide(Now);
   EXPECT_EQ(Scheduler.job("large")->Phase, JobPhase::Reclaiming);
   EXPECT_EQ(Scheduler.job("small")->Phase, JobPhase::Stopping);
@@ -504,8 +503,7 @@
   const std::vector<AccountPolicy> Accounts{{"a", {{4, 2}}, 0}, {"b", {}, 0}};
   auto Before = JobScheduler::make(Installed, Accounts);
   const TimePoint Now{};
-  ASSERT_TRUE(
-      Before.submit({"g", "a", 4, JobPriority::Guaranteed, true}, Now));
+  ASSERT_TRUE(Before.submit({"g", "a", 4, JobPriority::Guaranteed, true}, Now));
   ASSERT_TRUE(Before.submit({"s", "b", 3}, Now));
   Before.decide(Now);
   auto After = JobScheduler::make(Installed, Accounts);
