--- a/Tests/EndToEnd/StandInClient.cpp
+++ b/Tests/EndToEnd/StandInClient.cpp
@@ -13,7 +13,7 @@
 constexpr std::chrono::seconds CallTimeout{10};
 
 /// Uses a new connection each time, as open ones may have been silenced.
-auto exchange(const std::string &Address, const web::http::http_request &Request)
+auto callStandIn(const std::string &Address, const web::http::http_request &Request)
     -> std::string {
   initializeHttpThreads();
   web::http::client::http_client_config Config;
@@ -36,13 +36,13 @@
   web::http::http_request Request(web::http::methods::POST);
   Request.set_request_uri("/control");
   Request.set_body(Json, "application/json");
-  exchange(Address, Request);
+  callStandIn(Address, Request);
 }
 
 auto standInRecord(const std::string &Address) -> web::json::value {
   web::http::http_request Request(web::http::methods::GET);
   Request.set_request_uri("/record");
-  return web::json::value::parse(exchange(Address, Request));
+  return web::json::value::parse(callStandIn(Address, Request));
 }
 
 auto offsetAddress(const std::string &Address, int Offset) -> std::string {
--- /dev/null
+++ b/Tests/Unit/HttpHostListTest.cpp
@@ -0,0 +1,59 @@
+#include "Platform/HttpHostList.h"
+
+#include "Base/Metrics.h"
+#include "EndToEnd/StandIn.h"
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+namespace jayramp {
+namespace {
+
+constexpr Milliseconds Timeout{500};
+
+// Guards against a leaving host that is read as live, and against a list whose
+// lag the stand-in does not show.
+TEST(HttpHostListTest, showsHostsAfterTheLag) {
+  Metrics Registry;
+  StandIn Platform = StandIn::platform();
+  auto Hosts =
+      HttpHostList::create(Platform.address(), Timeout, Registry).value();
+  EXPECT_TRUE(Hosts->hosts().value().empty());
+  Platform.control(R"({"host_list_lag_ms":200})");
+  Platform.control(
+      R"({"hosts":[{"name":"w1","address":"127.0.0.1:1","state":"leaving",)"
+      R"("zone":"z1","rack":"r1"}]})");
+  EXPECT_TRUE(Hosts->hosts().value().empty());
+  std::this_thread::sleep_for(Milliseconds(250));
+  std::vector<ListedHost> Expected{{"w1", "127.0.0.1:1", true, "z1", "r1"}};
+  EXPECT_EQ(Hosts->hosts().value(), Expected);
+}
+
+// Guards against a malformed list that is taken for an empty one.
+TEST(HttpHostListTest, reportsAnUnknownState) {
+  Metrics Registry;
+  StandIn Platform = StandIn::platform();
+  auto Hosts =
+      HttpHostList::create(Platform.address(), Timeout, Registry).value();
+  Platform.control(
+      R"({"hosts":[{"name":"w1","address":"127.0.0.1:1","state":"gone"}]})");
+  auto Listed = Hosts->hosts();
+  ASSERT_FALSE(Listed.has_value());
+  EXPECT_EQ(Listed.error().kind(), ErrorKind::Unavailable);
+  EXPECT_NE(Listed.error().detail().find("gone"), std::string::npos);
+}
+
+// Guards against an address that fails only at the first call.
+TEST(HttpHostListTest, refusesAMalformedAddress) {
+  Metrics Registry;
+  for (const char *Address : {"", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0",
+                              "127.0.0.1:99999", "host:80"}) {
+    auto Created = HttpHostList::create(Address, Timeout, Registry);
+    ASSERT_FALSE(Created.has_value()) << Address;
+    EXPECT_EQ(Created.error().kind(), ErrorKind::InvalidArgument);
+  }
+}
+
+} // namespace
+} // namespace jayramp
--- /dev/null
+++ b/Tests/Unit/HttpWorkerClientTest.cpp
@@ -0,0 +1,259 @@
+#include "Platform/HttpWorkerClient.h"
+
+#include "Base/Metrics.h"
+#include "EndToEnd/StandIn.h"
+#include "Platform/RequestAttempt.h"
+#include "Platform/TaskCall.h"
+
+#include <cpprest/json.h>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace jayramp {
+namespace {
+
+class HttpWorkerClientTest : public testing::Test {
+protected:
+  auto attempt(const std::string &Payload, bool Idempotent = false) const
+      -> RequestAttempt {
+    return {.WorkerAddress = Worker.address(),
+            .Account = "account",
+            .Key = "key",
+            .Number = 3,
+            .Epoch = 5,
+            .Timeout = Milliseconds(1000),
+            .Idempotent = Idempotent,
+            .Payload = Payload};
+  }
+
+  auto execute(RequestAttempt Attempt) -> AttemptOutcome {
+    auto Shared = std::make_shared<std::promise<AttemptOutcome>>();
+    auto Outcome = Shared->get_future();
+    Client->execute(std::move(Attempt), [Shared](AttemptOutcome Given) {
+      Shared->set_value(std::move(Given));
+    });
+    return Outcome.get();
+  }
+
+  auto refusal(RequestAttempt Attempt) -> std::string {
+    auto Outcome = execute(std::move(Attempt));
+    const auto *Refused = std::get_if<AttemptRefused>(&Outcome);
+    return Refused ? Refused->Reason : "not refused";
+  }
+
+  Metrics Registry;
+  StandIn Worker = StandIn::worker();
+  std::unique_ptr<HttpWorkerClient> Client =
+      HttpWorkerClient::create(Registry).value();
+};
+
+// Guards against headers that do not reach the worker, and against answers
+// whose bytes are changed.
+TEST_F(HttpWorkerClientTest, answersOneMegabyteByteForByte) {
+  std::string Payload;
+  for (int Index = 0; Index < 1 << 20; ++Index)
+    Payload += static_cast<char>(Index * 31 + Index / 255);
+  for (bool Idempotent : {false, true}) {
+    auto Outcome = execute(attempt(Payload, Idempotent));
+    const auto *Answered = std::get_if<AttemptAnswered>(&Outcome);
+    ASSERT_TRUE(Answered);
+    EXPECT_TRUE(Answered->Body == Payload);
+  }
+  auto Execution = Worker.record().at("executions").at(0);
+  EXPECT_EQ(Execution.at("account").as_string(), "account");
+  EXPECT_EQ(Execution.at("key").as_string(), "key");
+  EXPECT_EQ(Execution.at("attempt").as_integer(), 3);
+}
+
+// Guards against a non-idempotent request that runs twice because its answer
+// was lost.
+TEST_F(HttpWorkerClientTest, nonIdempotentAttemptRunsOnce) {
+  Worker.control(R"({"lose_answers":0.5})");
+  constexpr int Calls = 40;
+  int Broken = 0;
+  for (int Index = 0; Index < Calls; ++Index) {
+    auto Outcome = execute(attempt("payload"));
+    if (const auto *Break = std::get_if<AttemptBroken>(&Outcome)) {
+      ++Broken;
+      EXPECT_FALSE(Break->AnswerCut);
+    }
+  }
+  EXPECT_EQ(Worker.record().at("executions").size(), Calls);
+  EXPECT_GT(Broken, 0);
+  EXPECT_LT(Broken, Calls);
+}
+
+// Guards against a truncated answer that is passed on as a whole one.
+TEST_F(HttpWorkerClientTest, cutAnswerIsNeverWhole) {
+  for (const char *Chunked : {"false", "true"}) {
+    Worker.control(std::string(R"({"cut_answers":1,"chunked_answers":)") +
+                   Chunked + "}");
+    for (int Size : {2, 1000, 70'000, 1'000'000}) {
+      auto Outcome = execute(attempt(R"({"run_ms":1,"answer_bytes":)" +
+                                     std::to_string(Size) + "}"));
+      const auto *Broken = std::get_if<AttemptBroken>(&Outcome);
+      ASSERT_TRUE(Broken) << Size << " chunked " << Chunked;
+      EXPECT_TRUE(Broken->AnswerCut) << Size << " chunked " << Chunked;
+    }
+  }
+}
+
+// Guards against an attempt without end on a silent connection, and against a
+// callback that runs twice.
+TEST_F(HttpWorkerClientTest, silentConnectionEndsAtTheTimeoutOnce) {
+  // A pooled connection must be open before it goes silent.
+  ASSERT_TRUE(std::holds_alternative<AttemptAnswered>(
+      execute(attempt("payload", true))));
+  Worker.control(R"({"silent":true})");
+  for (bool Idempotent : {true, false}) {
+    auto Calls = std::make_shared<std::atomic<int>>(0);
+    auto Ended = std::make_shared<std::promise<AttemptOutcome>>();
+    TimePoint Start = Clock::now();
+    Client->execute(attempt("payload", Idempotent),
+                    [Calls, Ended](AttemptOutcome Outcome) {
+                      if (++*Calls == 1)
+                        Ended->set_value(std::move(Outcome));
+                    });
+    auto Outcome = Ended->get_future().get();
+    auto Took = Clock::now() - Start;
+    EXPECT_TRUE(std::holds_alternative<AttemptBroken>(Outcome));
+    EXPECT_GE(Took, Milliseconds(1000));
+    EXPECT_LT(Took, Milliseconds(1200));
+    // The connection itself is closed a second after the timeout.
+    std::this_thread::sleep_for(Milliseconds(1300));
+    EXPECT_EQ(*Calls, 1);
+  }
+  Worker.control(R"({"silent":false})");
+  EXPECT_TRUE(std::holds_alternative<AttemptAnswered>(
+      execute(attempt("payload", true))));
+}
+
+// Guards against a refused or failed connect that is reported as unknown.
+TEST_F(HttpWorkerClientTest, failedConnectIsNotSent) {
+  Worker.process().kill();
+  EXPECT_TRUE(
+      std::holds_alternative<AttemptNotSent>(execute(attempt("payload"))));
+}
+
+// Guards against header injection through a key.
+TEST_F(HttpWorkerClientTest, refusesControlCharactersInTheKey) {
+  auto Attempt = attempt("payload");
+  Attempt.Key = "a\r\nJayramp-Epoch: 9";
+  EXPECT_TRUE(std::holds_alternative<AttemptNotSent>(execute(Attempt)));
+}
+
+// Guards against refusals before start that are mixed up with failures.
+TEST_F(HttpWorkerClientTest, tellsRefusalsApart) {
+  std::vector<std::future<void>> Running;
+  for (int Index = 0; Index < 8; ++Index) {
+    auto Ended = std::make_shared<std::promise<void>>();
+    Running.push_back(Ended->get_future());
+    Client->execute(attempt(R"({"run_ms":600})"),
+                    [Ended](const AttemptOutcome &) { Ended->set_value(); });
+  }
+  std::this_thread::sleep_for(Milliseconds(200));
+  EXPECT_EQ(refusal(attempt("payload")), "busy");
+  for (auto &Each : Running)
+    Each.get();
+  auto Outdated = attempt("payload");
+  Outdated.Epoch = 4;
+  EXPECT_EQ(refusal(Outdated), "fenced");
+  Worker.control(R"({"leaving":true})");
+  EXPECT_EQ(refusal(attempt("payload")), "leaving");
+  auto Record = Worker.record();
+  EXPECT_EQ(Record.at("executions").size(), 8U);
+  EXPECT_EQ(Record.at("most_slots_used").as_integer(), 8);
+  EXPECT_EQ(Record.at("refused").at("busy").as_integer(), 1);
+  EXPECT_EQ(Record.at("refused").at("fenced").as_integer(), 1);
+  EXPECT_EQ(Record.at("refused").at("leaving").as_integer(), 1);
+}
+
+// Guards against a failure on the worker that is passed on as an answer.
+TEST_F(HttpWorkerClientTest, reportsAFailedRequest) {
+  EXPECT_TRUE(std::holds_alternative<AttemptFailed>(
+      execute(attempt(R"({"run_ms":1,"fail":true})"))));
+}
+
+// Guards against an old owner whose calls still take effect.
+TEST_F(HttpWorkerClientTest, fencesStatusAndControl) {
+  std::string Address = Worker.address();
+  Milliseconds Timeout(1000);
+  WorkerStatus Status = Client->status(Address, 6, Timeout).value();
+  EXPECT_EQ(Status.Name, "worker-0");
+  EXPECT_EQ(Status.Epoch, 6U);
+  EXPECT_EQ(Status.Slots, 8U);
+  EXPECT_EQ(Status.Accelerators, 8U);
+  EXPECT_EQ(Client->status(Address, 5, Timeout).error().kind(),
+            ErrorKind::Fenced);
+  TaskCall Call{TaskVerb::Prepare, 5, {{"t", "j", {0}, Milliseconds(1000)}}};
+  EXPECT_EQ(Client->control(Address, Call, Timeout).error().kind(),
+            ErrorKind::Fenced);
+  Call.Epoch = 6;
+  auto Tasks = Client->control(Address, Call, Timeout).value();
+  ASSERT_EQ(Tasks.size(), 1U);
+  EXPECT_EQ(Tasks[0].State, "prepared");
+}
+
+// Guards against attempts that are left without an outcome when the client
+// ends.
+TEST_F(HttpWorkerClientTest, endsOpenAttemptsWhenDestroyed) {
+  std::promise<AttemptOutcome> Ended;
+  Client->execute(attempt(R"({"run_ms":800})"), [&](AttemptOutcome Outcome) {
+    Ended.set_value(std::move(Outcome));
+  });
+  Client.reset();
+  auto Outcome = Ended.get_future();
+  ASSERT_EQ(Outcome.wait_for(std::chrono::seconds(0)),
+            std::future_status::ready);
+  EXPECT_TRUE(std::holds_alternative<AttemptBroken>(Outcome.get()));
+}
+
+// Guards against latency that the client adds, for example 40 ms of a delayed
+// acknowledgement. 500 requests a second for 4 s, half of them on connections
+// of their own. Twice the slowest acceptable value, as the machine is shared.
+TEST_F(HttpWorkerClientTest, addsLittleLatency) {
+  constexpr int Calls = 2000;
+  std::mutex Mutex;
+  std::vector<double> Taken[2];
+  std::atomic<int> Remaining = Calls;
+  std::promise<void> AllEnded;
+  TimePoint Start = Clock::now();
+  for (int Index = 0; Index < Calls; ++Index) {
+    std::this_thread::sleep_until(Start + Index * Milliseconds(2));
+    bool Idempotent = Index % 2 == 1;
+    TimePoint Sent = Clock::now();
+    Client->execute(attempt(std::string(1000, 'x'), Idempotent),
+                    [&, Sent, Idempotent](const AttemptOutcome &Outcome) {
+                      std::chrono::duration<double, std::milli> Took =
+                          Clock::now() - Sent;
+                      bool Whole =
+                          std::holds_alternative<AttemptAnswered>(Outcome);
+                      std::lock_guard Lock(Mutex);
+                      Taken[Idempotent].push_back(Whole ? Took.count() : 1e9);
+                      if (--Remaining == 0)
+                        AllEnded.set_value();
+                    });
+  }
+  AllEnded.get_future().get();
+  for (bool Idempotent : {false, true}) {
+    auto &Values = Taken[Idempotent];
+    std::sort(Values.begin(), Values.end());
+    double Median = Values[Values.size() / 2];
+    double High = Values[Values.size() * 99 / 100];
+    std::printf("idempotent=%d p50=%.3f ms p99=%.3f ms max=%.3f ms\n",
+                Idempotent, Median, High, Values.back());
+    EXPECT_LT(Median, 1.0);
+    EXPECT_LT(High, 2.0);
+  }
+}
+
+} // namespace
+} // namespace jayramp
--- /dev/null
+++ b/Tests/Unit/TimerThreadTest.cpp
@@ -0,0 +1,44 @@
+#include "Platform/TimerThread.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <future>
+
+namespace jayramp {
+namespace {
+
+// Guards against a later callback that delays an earlier one scheduled after
+// it.
+TEST(TimerThreadTest, runsInOrderOfTime) {
+  TimerThread Timers;
+  std::promise<int> First;
+  std::atomic<bool> Reported = false;
+  auto Report = [&](int Number) {
+    if (!Reported.exchange(true))
+      First.set_value(Number);
+  };
+  TimePoint Now = Clock::now();
+  Timers.schedule(Now + Milliseconds(200), [&] { Report(2); });
+  Timers.schedule(Now + Milliseconds(20), [&] { Report(1); });
+  EXPECT_EQ(First.get_future().get(), 1);
+  EXPECT_LT(Clock::now() - Now, Milliseconds(150));
+  Timers.stop();
+}
+
+// Guards against a timeout that fires for a call that has ended.
+TEST(TimerThreadTest, dropsACancelledCallback) {
+  TimerThread Timers;
+  std::atomic<bool> Ran = false;
+  auto Scheduled = Timers.schedule(Clock::now() + Milliseconds(20),
+                                   [&] { Ran = true; });
+  Timers.cancel(Scheduled);
+  std::promise<void> Later;
+  Timers.schedule(Clock::now() + Milliseconds(60), [&] { Later.set_value(); });
+  Later.get_future().get();
+  EXPECT_FALSE(Ran);
+  Timers.stop();
+}
+
+} // namespace
+} // namespace jayramp
