Fix the stand-ins' control calls and wake the timer thread less often

Cause: applyControl iterated over a destroyed temporary, so each control call ended the stand-in; the backlog test blocked in a connect; every call woke the timer thread. Change: keep the parsed object, connect without blocking, wake the timer thread only for a callback due before its next wake-up.

--- a/Source/Platform/HttpChannel.cpp
+++ b/Source/Platform/HttpChannel.cpp
@@ -262,8 +262,8 @@
     Response = Arrived.get();
     Started->AnswerStarted = true;
     Response.extract_vector().then(
-        [Self = shared_from_this(), Started, Response](
-            const pplx::task<std::vector<unsigned char>> &Read) mutable {
+        [Self = shared_from_this(), Started,
+         Response](const pplx::task<std::vector<unsigned char>> &Read) mutable {
           std::vector<unsigned char> Bytes;
           try {
             Bytes = Read.get();
--- a/Source/Platform/HttpObjectStore.cpp
+++ b/Source/Platform/HttpObjectStore.cpp
@@ -27,8 +27,7 @@
                              Metrics &Registry)
     -> Result<std::unique_ptr<HttpObjectStore>> {
   BOOST_OUTCOME_TRY(checkHttpAddress("object store address", Address));
-  BOOST_OUTCOME_TRY(Channel,
-                    HttpChannel::create("object_store", Registry));
+  BOOST_OUTCOME_TRY(Channel, HttpChannel::create("object_store", Registry));
   return std::unique_ptr<HttpObjectStore>(
       new HttpObjectStore(Address, Timeout, std::move(Channel)));
 }
--- a/Source/Platform/HttpTableService.cpp
+++ b/Source/Platform/HttpTableService.cpp
@@ -112,8 +112,7 @@
                               Metrics &Registry)
     -> Result<std::unique_ptr<HttpTableService>> {
   BOOST_OUTCOME_TRY(checkHttpAddress("table service address", Address));
-  BOOST_OUTCOME_TRY(Channel,
-                    HttpChannel::create("table_service", Registry));
+  BOOST_OUTCOME_TRY(Channel, HttpChannel::create("table_service", Registry));
   return std::unique_ptr<HttpTableService>(
       new HttpTableService(Address, Timeout, Registry, std::move(Channel)));
 }
@@ -148,12 +147,11 @@
 
 auto HttpTableService::changes(const std::string &Table, std::uint64_t Since)
     -> Result<TableChanges> {
-  HttpOutcome Outcome =
-      Channel->call({.Address = Address,
-                     .Method = "GET",
-                     .Path = "/v1/rows/" + encode(Table) +
-                             "?since=" + std::to_string(Since),
-                     .Timeout = Timeout});
+  HttpOutcome Outcome = Channel->call(
+      {.Address = Address,
+       .Method = "GET",
+       .Path = "/v1/rows/" + encode(Table) + "?since=" + std::to_string(Since),
+       .Timeout = Timeout});
   std::string Operation = "changes of table " + Table + " at " + Address;
   const auto *Answer = std::get_if<HttpAnswer>(&Outcome);
   if (!Answer || Answer->Status != Ok)
@@ -191,8 +189,8 @@
     return First;
   Registry.count("table_commit_repeats_total");
   std::this_thread::sleep_for(jitter(Timeout));
-  auto Second = Try(
-      std::chrono::duration_cast<Milliseconds>(Deadline - Clock::now()));
+  auto Second =
+      Try(std::chrono::duration_cast<Milliseconds>(Deadline - Clock::now()));
   if (Second.has_value())
     return Second;
   // The first try may have taken effect, whatever became of the second.
--- a/Source/Platform/HttpWorkerClient.cpp
+++ b/Source/Platform/HttpWorkerClient.cpp
@@ -152,24 +152,22 @@
   if (auto Checked = checkHttpAddress("worker address", Attempt.WorkerAddress);
       !Checked)
     return Done(AttemptNotSent{Checked.error().message()});
-  HttpCall Call{
-      .Address = std::move(Attempt.WorkerAddress),
-      .Method = "POST",
-      .Path = "/v1/requests",
-      .Headers = {{"Content-Type", "application/octet-stream"},
-                  {"Jayramp-Account", std::move(Attempt.Account)},
-                  {"Jayramp-Key", std::move(Attempt.Key)},
-                  {"Jayramp-Attempt", std::to_string(Attempt.Number)},
-                  {"Jayramp-Epoch", std::to_string(Attempt.Epoch)},
-                  {"Jayramp-Deadline-Ms",
-                   std::to_string(Attempt.Timeout.count())}},
-      .Body = std::move(Attempt.Payload),
-      .Timeout = Attempt.Timeout,
-      .FreshConnection = !Attempt.Idempotent};
-  Channel->send(std::move(Call),
-                [Done = std::move(Done)](HttpOutcome Outcome) {
-                  Done(std::visit(OutcomeVisitor(), Outcome));
-                });
+  HttpCall Call{.Address = std::move(Attempt.WorkerAddress),
+                .Method = "POST",
+                .Path = "/v1/requests",
+                .Headers = {{"Content-Type", "application/octet-stream"},
+                            {"Jayramp-Account", std::move(Attempt.Account)},
+                            {"Jayramp-Key", std::move(Attempt.Key)},
+                            {"Jayramp-Attempt", std::to_string(Attempt.Number)},
+                            {"Jayramp-Epoch", std::to_string(Attempt.Epoch)},
+                            {"Jayramp-Deadline-Ms",
+                             std::to_string(Attempt.Timeout.count())}},
+                .Body = std::move(Attempt.Payload),
+                .Timeout = Attempt.Timeout,
+                .FreshConnection = !Attempt.Idempotent};
+  Channel->send(std::move(Call), [Done = std::move(Done)](HttpOutcome Outcome) {
+    Done(std::visit(OutcomeVisitor(), Outcome));
+  });
 }
 
 auto HttpWorkerClient::status(const std::string &WorkerAddress,
--- a/Source/Platform/TimerThread.cpp
+++ b/Source/Platform/TimerThread.cpp
@@ -10,8 +10,8 @@
     -> Handle {
   std::lock_guard Lock(Mutex);
   Handle Scheduled{Due, NextNumber++};
-  auto Inserted = Callbacks.emplace(Scheduled, std::move(Callback)).first;
-  if (Inserted == Callbacks.begin())
+  Callbacks.emplace(Scheduled, std::move(Callback));
+  if (Due < Wake)
     Changed.notify_one();
   return Scheduled;
 }
@@ -43,15 +43,19 @@
   std::unique_lock Lock(Mutex);
   while (!Stopping) {
     if (Callbacks.empty()) {
+      Wake = TimePoint::max();
       Changed.wait(Lock);
       continue;
     }
     auto First = Callbacks.begin();
     TimePoint Due = First->first.first;
     if (Clock::now() < Due) {
+      Wake = Due;
       Changed.wait_until(Lock, Due);
       continue;
     }
+    // The thread looks again before it sleeps, so nobody needs to wake it.
+    Wake = TimePoint::min();
     auto Callback = std::move(First->second);
     Callbacks.erase(First);
     Lock.unlock();
--- a/Source/Platform/TimerThread.h
+++ b/Source/Platform/TimerThread.h
@@ -42,6 +42,9 @@
   std::condition_variable Changed;
   std::map<Handle, std::function<void()>> Callbacks;
   std::uint64_t NextNumber = 0;
+  /// Until when the thread sleeps. Most callbacks are cancelled and later ones
+  /// are due later, so it rarely has to be woken.
+  TimePoint Wake = TimePoint::min();
   bool Stopping = false;
   std::thread Thread;
 };
--- a/Tests/EndToEnd/ChildProcess.cpp
+++ b/Tests/EndToEnd/ChildProcess.cpp
@@ -34,8 +34,8 @@
     if (::waitpid(Process, &Status, Block ? 0 : WNOHANG) != Process)
       return false;
     constexpr int SignalBase = 128;
-    ExitStatus = WIFEXITED(Status) ? WEXITSTATUS(Status)
-                                   : SignalBase + WTERMSIG(Status);
+    ExitStatus =
+        WIFEXITED(Status) ? WEXITSTATUS(Status) : SignalBase + WTERMSIG(Status);
     return true;
   }
 
--- a/Tests/EndToEnd/ChildProcess.h
+++ b/Tests/EndToEnd/ChildProcess.h
@@ -26,8 +26,7 @@
   };
 
   /// Runs \p Command; its first element is the path of the program.
-  static auto start(std::vector<std::string> Command)
-      -> Result<ChildProcess>;
+  static auto start(std::vector<std::string> Command) -> Result<ChildProcess>;
   static auto start(std::vector<std::string> Command, const Options &Settings)
       -> Result<ChildProcess>;
 
--- a/Tests/EndToEnd/StandInClient.cpp
+++ b/Tests/EndToEnd/StandInClient.cpp
@@ -13,8 +13,8 @@
 constexpr std::chrono::seconds CallTimeout{10};
 
 /// Uses a new connection each time, as open ones may have been silenced.
-auto callStandIn(const std::string &Address, const web::http::http_request &Request)
-    -> std::string {
+auto callStandIn(const std::string &Address,
+                 const web::http::http_request &Request) -> std::string {
   initializeHttpThreads();
   web::http::client::http_client_config Config;
   Config.set_timeout(CallTimeout);
--- a/Tests/StandIns/FaultyHttpServer.cpp
+++ b/Tests/StandIns/FaultyHttpServer.cpp
@@ -165,12 +165,11 @@
     }
     std::int64_t Delay = Server.DelayMs;
     Server.after(Delay / 2, [Self = shared_from_this(), Delay] {
-      Self->Server.Service(
-          Self->Request, [Self, Delay](StandInAnswer Answer) {
-            Self->Server.after(Delay - Delay / 2, [Self, Answer] {
-              Self->Server.whenThawed([Self, Answer] { Self->answer(Answer); });
-            });
-          });
+      Self->Server.Service(Self->Request, [Self, Delay](StandInAnswer Answer) {
+        Self->Server.after(Delay - Delay / 2, [Self, Answer] {
+          Self->Server.whenThawed([Self, Answer] { Self->answer(Answer); });
+        });
+      });
     });
   }
 
@@ -201,8 +200,8 @@
       Text += "Connection: close\r\n";
     if (Chunked)
       return Text + "Transfer-Encoding: chunked\r\n\r\n" + chunked(Answer.Body);
-    Text += "Content-Length: " + std::to_string(Answer.Body.size()) +
-            "\r\n\r\n";
+    Text +=
+        "Content-Length: " + std::to_string(Answer.Body.size()) + "\r\n\r\n";
     return Text + Answer.Body;
   }
 
--- a/Tests/StandIns/PlatformMain.cpp
+++ b/Tests/StandIns/PlatformMain.cpp
@@ -15,8 +15,8 @@
         cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
         "seed", "seed of random faults",
         cxxopts::value<std::uint32_t>()->default_value("1"))(
-        "exit-with-parent", "end when the parent process ends")(
-        "help", "print this text");
+        "exit-with-parent",
+        "end when the parent process ends")("help", "print this text");
     auto Given = Options.parse(ArgumentCount, Arguments);
     if (Given.count("help")) {
       std::cout << Options.help();
--- a/Tests/StandIns/PlatformStandIn.cpp
+++ b/Tests/StandIns/PlatformStandIn.cpp
@@ -193,8 +193,8 @@
 }
 
 auto PlatformStandIn::objects(const StandInRequest &Request) -> StandInAnswer {
-  std::string Key = web::uri::decode(
-      Request.Path.substr(std::string("/v1/objects/").size()));
+  std::string Key =
+      web::uri::decode(Request.Path.substr(std::string("/v1/objects/").size()));
   if (Request.Method == "PUT") {
     ++Writes["object"];
     Objects[Key] = Request.Body;
--- a/Tests/StandIns/StandInProcess.cpp
+++ b/Tests/StandIns/StandInProcess.cpp
@@ -40,12 +40,13 @@
   return {Status, Body.serialize(), {{"Content-Type", "application/json"}}};
 }
 
-auto applyControl(
-    const std::string &Body,
-    const std::function<bool(const std::string &, const web::json::value &)>
-        &Set) -> StandInAnswer {
+auto applyControl(const std::string &Body,
+                  const std::function<bool(const std::string &,
+                                           const web::json::value &)> &Set)
+    -> StandInAnswer {
   try {
-    for (const auto &[Name, Value] : web::json::value::parse(Body).as_object())
+    auto Json = web::json::value::parse(Body);
+    for (const auto &[Name, Value] : Json.as_object())
       if (!Set(Name, Value))
         return {400, "unknown field " + Name, {}};
   } catch (const std::exception &Failure) {
--- a/Tests/StandIns/StandInProcess.h
+++ b/Tests/StandIns/StandInProcess.h
@@ -24,10 +24,10 @@
 
 /// Hands each field of the control object \p Body to \p Set, which returns
 /// false for an unknown field; that and malformed values answer 400.
-auto applyControl(
-    const std::string &Body,
-    const std::function<bool(const std::string &, const web::json::value &)>
-        &Set) -> StandInAnswer;
+auto applyControl(const std::string &Body,
+                  const std::function<bool(const std::string &,
+                                           const web::json::value &)> &Set)
+    -> StandInAnswer;
 
 /// The endpoint that \p Text ("IP:port") names. Throws std::runtime_error.
 auto parseEndpoint(const std::string &Text) -> boost::asio::ip::tcp::endpoint;
--- a/Tests/StandIns/WorkerMain.cpp
+++ b/Tests/StandIns/WorkerMain.cpp
@@ -16,22 +16,20 @@
 auto startWorkers(boost::asio::io_context &Context,
                   const cxxopts::ParseResult &Given) -> Workers {
   Workers Started;
-  auto Endpoint =
-      jayramp::parseEndpoint(Given["listen"].as<std::string>());
+  auto Endpoint = jayramp::parseEndpoint(Given["listen"].as<std::string>());
   auto Count = Given["workers"].as<unsigned>();
   for (unsigned Index = 0; Index < Count; ++Index) {
     if (Index > 0)
       Endpoint.port(Started.front()->endpoint().port() + Index);
     Started.push_back(std::make_unique<jayramp::WorkerStandIn>(
-        Context,
-        jayramp::WorkerStandIn::Settings{
-            .Endpoint = Endpoint,
-            .Name =
-                Given["name-prefix"].as<std::string>() + std::to_string(Index),
-            .Slots = Given["slots"].as<std::uint32_t>(),
-            .Connections = Given["connections"].as<std::size_t>(),
-            .Accelerators = Given["accelerators"].as<std::uint32_t>(),
-            .Seed = Given["seed"].as<std::uint32_t>() + Index}));
+        Context, jayramp::WorkerStandIn::Settings{
+                     .Endpoint = Endpoint,
+                     .Name = Given["name-prefix"].as<std::string>() +
+                             std::to_string(Index),
+                     .Slots = Given["slots"].as<std::uint32_t>(),
+                     .Connections = Given["connections"].as<std::size_t>(),
+                     .Accelerators = Given["accelerators"].as<std::uint32_t>(),
+                     .Seed = Given["seed"].as<std::uint32_t>() + Index}));
   }
   return Started;
 }
@@ -68,8 +66,8 @@
       cxxopts::value<std::string>()->default_value("worker-"))(
       "seed", "seed of random faults",
       cxxopts::value<std::uint32_t>()->default_value("1"))(
-      "exit-with-parent", "end when the parent process ends")(
-      "help", "print this text");
+      "exit-with-parent",
+      "end when the parent process ends")("help", "print this text");
   return Options;
 }
 
--- a/Tests/StandIns/WorkerStandIn.cpp
+++ b/Tests/StandIns/WorkerStandIn.cpp
@@ -99,8 +99,7 @@
 
 } // namespace
 
-WorkerStandIn::WorkerStandIn(boost::asio::io_context &Context,
-                             Settings Options)
+WorkerStandIn::WorkerStandIn(boost::asio::io_context &Context, Settings Options)
     : Context(Context), Options(std::move(Options)), Refused(zeroedRefusals()),
       Server(
           Context,
--- a/Tests/Unit/HttpChannelTest.cpp
+++ b/Tests/Unit/HttpChannelTest.cpp
@@ -61,8 +61,8 @@
   ASSERT_TRUE(Broken);
   EXPECT_TRUE(Broken->TimedOut);
   std::this_thread::sleep_for(Milliseconds(500));
-  EXPECT_EQ(
-      Registry.counter("http_late_answers_total", "channel=\"test\""), 1U);
+  EXPECT_EQ(Registry.counter("http_late_answers_total", "channel=\"test\""),
+            1U);
   EXPECT_EQ(Registry.counter("http_timeouts_total", "channel=\"test\""), 1U);
 }
 
@@ -93,9 +93,9 @@
   std::vector<asio::ip::tcp::socket> Fillers;
   for (int Index = 0; Index < 3; ++Index) {
     Fillers.emplace_back(Context, asio::ip::tcp::v4());
-    Fillers.back().non_blocking(true);
-    boost::system::error_code Ignored;
-    Fillers.back().connect(Acceptor.local_endpoint(), Ignored);
+    Fillers.back().native_non_blocking(true);
+    auto Endpoint = Acceptor.local_endpoint();
+    ::connect(Fillers.back().native_handle(), Endpoint.data(), Endpoint.size());
   }
   std::this_thread::sleep_for(Milliseconds(50));
   std::string Address =
--- a/Tests/Unit/HttpTableServiceTest.cpp
+++ b/Tests/Unit/HttpTableServiceTest.cpp
@@ -21,11 +21,7 @@
   }
 
   auto writeCount(const char *Operation) -> std::uint64_t {
-    return Platform.record()
-        .at("writes")
-        .at(Operation)
-        .as_number()
-        .to_uint64();
+    return Platform.record().at("writes").at(Operation).as_number().to_uint64();
   }
 
   Metrics Registry;
@@ -67,12 +63,12 @@
 // Guards against a transaction that applies a part of its writes.
 TEST_F(HttpTableServiceTest, appliesAllOrNothing) {
   ASSERT_TRUE(writeRow("w1", 0, "1").has_value());
-  CommitResult Refused = Table
-                             ->commit({"w2",
-                                       {{"view", "v", 7}},
-                                       {{"jobs", "a/b c%", 1, "2"},
-                                        {"jobs", "other", 0, "2"}}})
-                             .value();
+  CommitResult Refused =
+      Table
+          ->commit({"w2",
+                    {{"view", "v", 7}},
+                    {{"jobs", "a/b c%", 1, "2"}, {"jobs", "other", 0, "2"}}})
+          .value();
   EXPECT_TRUE(std::holds_alternative<Conflicted>(Refused));
   EXPECT_EQ(Table->read("jobs", "a/b c%").value()->Value, "1");
   EXPECT_EQ(Table->read("jobs", "other").value(), std::nullopt);
--- a/Tests/Unit/TimerThreadTest.cpp
+++ b/Tests/Unit/TimerThreadTest.cpp
@@ -30,8 +30,8 @@
 TEST(TimerThreadTest, dropsACancelledCallback) {
   TimerThread Timers;
   std::atomic<bool> Ran = false;
-  auto Scheduled = Timers.schedule(Clock::now() + Milliseconds(20),
-                                   [&] { Ran = true; });
+  auto Scheduled =
+      Timers.schedule(Clock::now() + Milliseconds(20), [&] { Ran = true; });
   Timers.cancel(Scheduled);
   std::promise<void> Later;
   Timers.schedule(Clock::now() + Milliseconds(60), [&] { Later.set_value(); });
--- a/Tests/Unit/WorkerStandInTest.cpp
+++ b/Tests/Unit/WorkerStandInTest.cpp
@@ -15,11 +15,9 @@
 class WorkerStandInTest : public testing::Test {
 protected:
   auto step(TaskVerb Verb, const std::string &Task, const std::string &Job,
-            std::vector<std::uint32_t> Accelerators, int Lease)
-      -> std::string {
-    TaskCall Call{Verb,
-                  1,
-                  {{Task, Job, std::move(Accelerators), Milliseconds(Lease)}}};
+            std::vector<std::uint32_t> Accelerators, int Lease) -> std::string {
+    TaskCall Call{
+        Verb, 1, {{Task, Job, std::move(Accelerators), Milliseconds(Lease)}}};
     return Client->control(Worker.address(1), Call, Milliseconds(1000))
         .value()[0]
         .State;
