--- a/Tests/StandIns/StandInProcess.cpp
+++ b/Tests/StandIns/StandInProcess.cpp
@@ -45,7 +45,8 @@
                                            const web::json::value &)> &Set)
     -> StandInAnswer {
   try {
-    for (const auto &[Name, Value] : web::json::value::parse(Body).as_object())
+    auto Json = web::json::value::parse(Body);
+    for (const auto &[Name, Value] : Json.as_object())
       if (!Set(Name, Value))
         return {400, "unknown field " + Name, {}};
   } catch (const std::exception &Failure) {
