--- a/Source/Membership/MembershipDecision.cpp
+++ b/Source/Membership/MembershipDecision.cpp
@@ -17,13 +17,17 @@
     if (Entry.Name == Facts.Self.Name)
       continue;
     // A member that answers its peers is alive: it is cut off from the store.
+    // One late answer must not cost it its place, which it could not regain
+    // without the store. Waiting longer than the contact window delays no
+    // takeover, because the next view settles only after the confirmation
+    // window without contact.
     auto Peer = std::find_if(Facts.Peers.begin(), Facts.Peers.end(),
                              [&Entry](const PeerObservation &Seen) {
                                return Seen.Name == Entry.Name &&
                                       Seen.Incarnation == Entry.Incarnation;
                              });
     if (Peer != Facts.Peers.end() &&
-        Now - Peer->ContactAt <= Timing.ContactWindow)
+        Now - Peer->ContactAt <= Timing.ConfirmationWindow)
       continue;
     auto Row = Facts.Heartbeats.find(Entry.Name);
     if (Row == Facts.Heartbeats.end() ||
--- a/Source/Membership/MembershipTiming.h
+++ b/Source/Membership/MembershipTiming.h
@@ -16,8 +16,9 @@
   Milliseconds ContactWindow{1000};
   /// A confirmation permits serving for this time.
   Milliseconds ConfirmationWindow{2000};
-  /// A member whose heartbeat row has not changed for this time, and which is
-  /// not in contact, is removed. Must exceed ConfirmationWindow.
+  /// A member whose heartbeat row has not changed for this time, and which has
+  /// not answered for the confirmation window, is removed. Must exceed
+  /// ConfirmationWindow.
   Milliseconds SilenceLimit{2500};
 
   auto operator==(const MembershipTiming &) const -> bool = default;
