--- a/Source/Membership/MembershipEngine.cpp
+++ b/Source/Membership/MembershipEngine.cpp
@@ -94,6 +94,7 @@
       if (!Done->Versions.empty())
         OwnRowVersion = std::max(OwnRowVersion, Done->Versions.front());
       State.confirm(ViewVersion, SentAt);
+      Changed.notify_all();
       return success();
     }
     for (const auto &Entry : std::get<Conflicted>(Outcome.value()).Conflicts)
--- a/Source/Membership/MembershipRunner.cpp
+++ b/Source/Membership/MembershipRunner.cpp
@@ -7,6 +7,7 @@
 #include "Membership/WakeSignal.h"
 
 #include <algorithm>
+#include <limits>
 #include <mutex>
 #include <thread>
 #include <utility>
@@ -109,6 +110,7 @@
   TimePoint NextRead = Clock::now();
   TimePoint NextTry = NextRead;
   std::uint64_t LastVersion = 0;
+  bool Failing = false;
   while (!ViewWake.ended()) {
     TimePoint Begin = Clock::now();
     bool ReadRows = Begin >= NextRead;
@@ -117,8 +119,10 @@
     if (Begin >= NextTry) {
       if (auto Maintained = Engine.maintainView(ReadRows)) {
         Backoff.succeed();
+        Failing = false;
       } else {
-        logStoreFailure("view", Maintained.error());
+        if (!std::exchange(Failing, true))
+          logStoreFailure("view", Maintained.error());
         NextTry = Clock::now() + Backoff.fail();
         NextRead = std::max(NextRead, NextTry);
       }
@@ -225,8 +229,14 @@
   Body->Engine.requestLeaving();
   bool Done = Body->Engine.waitFor(
       [](const MembershipState &State) {
-        const Member *Found = State.view()->find(State.self().Name);
-        return !State.isMember() || Found->State == MemberState::Leaving;
+        if (!State.isMember())
+          return true;
+        // The configuration plays no part here, so any version is accepted.
+        auto Decision = State.serving(std::numeric_limits<std::uint64_t>::max(),
+                                      Clock::now());
+        return State.view()->find(State.self().Name)->State ==
+                   MemberState::Leaving &&
+               std::holds_alternative<ServingPermitted>(Decision);
       },
       Clock::now() + Timeout);
   if (Done)
--- a/Source/Membership/MembershipRunner.h
+++ b/Source/Membership/MembershipRunner.h
@@ -67,8 +67,8 @@
   auto reportFreeSlots(std::uint32_t FreeSlots) -> void;
 
   /// Hands racks and key shards over, by a view in which this host is Leaving;
-  /// its requests in progress keep their key records. Blocks until that view is
-  /// confirmed. \returns Timeout if the time is up first.
+  /// its requests in progress keep their key records. Blocks until this host
+  /// serves under that view. \returns Timeout if the time is up first.
   auto prepareToLeave(Milliseconds Timeout) -> Result<void>;
   /// Leaves the view. Blocks until a view without this host is confirmed.
   /// serving() refuses from the start of the call. \returns Timeout if the time
--- a/Source/Membership/PeerTransport.cpp
+++ b/Source/Membership/PeerTransport.cpp
@@ -103,9 +103,21 @@
   auto finish(std::uint64_t CorrelationId, const Answer &Result) -> void;
   auto finishExpired() -> void;
   auto runCallback(Callback Done, Answer Result) -> void;
-  auto countBytes(std::string_view Direction, std::size_t Bytes) -> void;
+  auto flushCounts() -> void;
+
+  struct Traffic {
+    std::uint64_t Messages = 0;
+    std::uint64_t Bytes = 0;
+
+    auto add(std::size_t Size) -> void {
+      ++Messages;
+      Bytes += Size;
+    }
+  };
 
   Metrics &Registry;
+  Traffic Sent;
+  Traffic Received;
   zmq::context_t Context;
   zmq::socket_t Router;
   std::map<std::string, Peer, std::less<>> Peers;
@@ -187,6 +199,7 @@
         std::visit([this](auto &&Item) { send(std::move(Item)); },
                    std::move(Entry));
     finishExpired();
+    flushCounts();
   }
   for (auto &Entry : Outbox->drain())
     if (auto *Call = std::get_if<OutgoingCall>(&Entry); Call && Call->Done)
@@ -217,16 +230,16 @@
                   unavailable(Call.Peer, "is not a known peer"));
     return;
   }
-  auto Sent = Found->second.Socket.send(zmq::buffer(Call.Bytes),
-                                        zmq::send_flags::dontwait);
-  if (!Sent) {
+  auto Accepted = Found->second.Socket.send(zmq::buffer(Call.Bytes),
+                                            zmq::send_flags::dontwait);
+  if (!Accepted) {
     Registry.count("jayramp_peer_refused_total", "reason=\"SEND_BLOCKED\"");
     if (Call.Done)
       runCallback(std::move(Call.Done),
                   unavailable(Call.Peer, "does not take messages"));
     return;
   }
-  countBytes("sent", Call.Bytes.size());
+  Sent.add(Call.Bytes.size());
   if (!Call.Done)
     return;
   Deadlines.emplace(Call.Deadline, Call.CorrelationId);
@@ -240,7 +253,7 @@
   std::array<zmq::const_buffer, 2> Parts{zmq::buffer(Reply.RoutingId),
                                          zmq::buffer(Reply.Bytes)};
   if (zmq::send_multipart(Router, Parts, zmq::send_flags::dontwait))
-    countBytes("sent", Reply.Bytes.size());
+    Sent.add(Reply.Bytes.size());
   else
     Registry.count("jayramp_peer_refused_total", "reason=\"SEND_BLOCKED\"");
 }
@@ -294,7 +307,7 @@
       Registry.count("jayramp_peer_refused_total", "reason=\"MALFORMED\"");
       continue;
     }
-    countBytes("received", Parts[1].size());
+    Received.add(Parts[1].size());
     dispatch(Parts[0].to_string(), std::move(Request));
   }
 }
@@ -309,7 +322,7 @@
       Registry.count("jayramp_peer_refused_total", "reason=\"MALFORMED\"");
       continue;
     }
-    countBytes("received", Part.size());
+    Received.add(Part.size());
     std::uint64_t CorrelationId = Reply->correlation_id();
     finish(CorrelationId, Answer(std::move(Reply)));
   }
@@ -379,12 +392,17 @@
       static_cast<std::size_t>(-1));
 }
 
-auto PeerTransport::Implementation::countBytes(std::string_view Direction,
-                                               std::size_t Bytes) -> void {
-  std::string_view Labels =
-      Direction == "sent" ? "direction=\"sent\"" : "direction=\"received\"";
-  Registry.count("jayramp_peer_messages_total", Labels);
-  Registry.count("jayramp_peer_bytes_total", Labels, Bytes);
+// Counted once for each round of the loop, after its messages are on their way.
+auto PeerTransport::Implementation::flushCounts() -> void {
+  auto Flush = [this](Traffic &Total, std::string_view Labels) {
+    if (Total.Messages == 0)
+      return;
+    Registry.count("jayramp_peer_messages_total", Labels, Total.Messages);
+    Registry.count("jayramp_peer_bytes_total", Labels, Total.Bytes);
+    Total = {};
+  };
+  Flush(Sent, "direction=\"sent\"");
+  Flush(Received, "direction=\"received\"");
 }
 
 PeerTransport::PeerTransport(std::unique_ptr<Implementation> Body)
--- a/Tests/Unit/MembershipSimulation.h
+++ b/Tests/Unit/MembershipSimulation.h
@@ -24,6 +24,8 @@
     std::size_t RequiredContacts = 0; ///< As in MembershipFacts.
     Milliseconds Length{30000};
     std::size_t Faults = 6;
+    /// Whether 2% of the messages and calls are later than every window.
+    bool LateMessages = true;
   };
 
   MembershipSimulation(unsigned Seed, Limits Bounds)
@@ -145,7 +147,7 @@
   Milliseconds delay() {
     // Mostly short; now and then longer than every window.
     int Kind = pick(0, 99);
-    if (Kind < 90)
+    if (Kind < 90 || !Bounds.LateMessages)
       return Milliseconds(pick(1, 20));
     return Milliseconds(Kind < 98 ? pick(20, 400) : pick(400, 3500));
   }
@@ -159,27 +161,26 @@
     });
   }
   bool storeReachable(std::size_t Index) const {
-    return std::none_of(
-        StoreCuts.begin(), StoreCuts.end(), [&](const Cut &Entry) {
-          return Entry.Group.contains(Index) && Entry.From <= Now &&
-                 Now < Entry.Until;
-        });
+    return std::none_of(StoreCuts.begin(), StoreCuts.end(),
+                        [&](const Cut &Entry) {
+                          return Entry.Group.contains(Index) &&
+                                 Entry.From <= Now && Now < Entry.Until;
+                        });
   }
 
   void addFault() {
     Milliseconds From(pick(2000, static_cast<int>(Bounds.Length.count())));
     Milliseconds For(pick(100, 9000));
-    auto Index = static_cast<std::size_t>(
-        pick(0, static_cast<int>(Bounds.Hosts) - 1));
+    auto Index =
+        static_cast<std::size_t>(pick(0, static_cast<int>(Bounds.Hosts) - 1));
     std::set<std::size_t> Group;
     for (std::size_t Each = 0; Each < Bounds.Hosts; ++Each)
       if (pick(0, 1) == 1)
         Group.insert(Each);
     switch (pick(0, 7)) {
     case 0:
-      push(at(From), [this, Index, For] {
-        Hosts[Index]->PausedUntil = Now + For;
-      });
+      push(at(From),
+           [this, Index, For] { Hosts[Index]->PausedUntil = Now + For; });
       break;
     case 1:
       push(at(From), [this, Index, For] {
@@ -213,8 +214,8 @@
 
   void boot(std::size_t Index, TimePoint When) {
     Host &Target = *Hosts[Index];
-    Target.State.emplace(
-        Member{.Name = nameOf(Index)}, MembershipTiming(), When);
+    Target.State.emplace(Member{.Name = nameOf(Index)}, MembershipTiming(),
+                         When);
     Target.OwnRow = 0;
     unsigned Life = ++Target.Life;
     repeat(Index, Life, When, Milliseconds(1000),
@@ -380,12 +381,11 @@
     }
     if (Serving.size() < 2)
       return {};
-    std::string Text =
-        "at " +
-        std::to_string(
-            std::chrono::duration_cast<Milliseconds>(Now - at(Milliseconds(0)))
-                .count()) +
-        " ms";
+    std::string Text = "at " +
+                       std::to_string(std::chrono::duration_cast<Milliseconds>(
+                                          Now - at(Milliseconds(0)))
+                                          .count()) +
+                       " ms";
     for (const auto &[Version, Names] : Serving)
       Text += "; view " + std::to_string(Version) + ":" + Names;
     return Text;
