--- /dev/null
+++ b/Source/Settings/DaemonSettings.cpp
@@ -0,0 +1,49 @@
+#include "Settings/DaemonSettings.h"
+
+#include "Settings/SettingsLoader.h"
+
+#include <fstream>
+#include <utility>
+
+namespace jayramp {
+
+namespace {
+
+auto unreadable(const std::string &Path, std::string Detail, std::string Remedy)
+    -> std::vector<SettingFault> {
+  return {{Path, 0, "", std::move(Detail), std::move(Remedy)}};
+}
+
+} // namespace
+
+DaemonSettings::DaemonSettings(Sections Values) : Values(std::move(Values)) {}
+
+auto DaemonSettings::load(const std::string &Path) -> LoadedSettings {
+  std::ifstream File(Path, std::ios::binary);
+  if (!File)
+    return unreadable(Path, "the file cannot be opened",
+                      "give the path of a readable settings file");
+  // A valid file has well under 100 lines; more than this is another file.
+  constexpr std::size_t Longest = 1024 * 1024;
+  std::string Yaml(Longest + 1, '\0');
+  File.read(Yaml.data(), static_cast<std::streamsize>(Yaml.size()));
+  if (File.bad())
+    return unreadable(Path, "the file cannot be read",
+                      "give the path of a readable settings file");
+  Yaml.resize(static_cast<std::size_t>(File.gcount()));
+  if (Yaml.size() > Longest)
+    return unreadable(Path, "the file is larger than 1 MiB",
+                      "give the path of a settings file");
+  return parse(Yaml, Path);
+}
+
+auto DaemonSettings::parse(const std::string &Yaml, const std::string &FileName)
+    -> LoadedSettings {
+  SettingsLoader Loader(FileName);
+  Loader.read(Yaml);
+  if (auto Faults = Loader.faults(); !Faults.empty())
+    return Faults;
+  return DaemonSettings(Loader.values());
+}
+
+} // namespace jayramp
--- /dev/null
+++ b/Source/Settings/PrintSettingsReference.cpp
@@ -0,0 +1,8 @@
+#include "Settings/SettingsReference.h"
+
+#include <iostream>
+
+auto main() -> int {
+  std::cout << jayramp::renderSettingsReference();
+  return std::cout.flush() ? 0 : 1;
+}
--- /dev/null
+++ b/Source/Settings/SettingRelation.cpp
@@ -0,0 +1,196 @@
+#include "Settings/SettingRelation.h"
+
+namespace jayramp {
+
+namespace {
+
+using Sections = DaemonSettings::Sections;
+
+auto isRemote(const SocketAddress &Address, const Sections &Values) -> bool {
+  return !Address.isWildcard() && Address != Values.Api.Address &&
+         Address != Values.Peer.Address && Address != Values.Api.Advertise &&
+         Address != Values.Peer.Advertise;
+}
+
+auto makeRelations() -> std::vector<SettingRelation> {
+  return {
+      {.Keys = {"api.address", "peer.address"},
+       .Holds =
+           [](const Sections &Values) {
+             return !Values.Api.Address.overlaps(Values.Peer.Address);
+           },
+       .Rule = "api.address and peer.address must differ, because one port "
+               "serves either callers or peers",
+       .Remedy = "give peer.address another port"},
+      {.Keys = {"api.advertise", "peer.advertise"},
+       .Holds =
+           [](const Sections &Values) {
+             // Addresses that collide are reported by the rule above.
+             return Values.Api.Advertise != Values.Peer.Advertise ||
+                    Values.Api.Address.overlaps(Values.Peer.Address);
+           },
+       .Rule = "api.advertise and peer.advertise must differ, because peers "
+               "would reach the listener of callers",
+       .Remedy = "give each its own port"},
+      {.Keys = {"api.advertise", "api.address"},
+       .Holds =
+           [](const Sections &Values) {
+             return !Values.Api.Advertise.isWildcard();
+           },
+       .Rule = "api.advertise must not be 0.0.0.0 or ::, because nobody can "
+               "connect to it",
+       .Remedy = "set api.advertise to the IP address of this host"},
+      {.Keys = {"peer.advertise", "peer.address"},
+       .Holds =
+           [](const Sections &Values) {
+             return !Values.Peer.Advertise.isWildcard();
+           },
+       .Rule = "peer.advertise must not be 0.0.0.0 or ::, because nobody can "
+               "connect to it",
+       .Remedy = "set peer.advertise to the IP address of this host"},
+      {.Keys = {"platform.table_address", "api.address", "peer.address"},
+       .Holds =
+           [](const Sections &Values) {
+             return isRemote(Values.Platform.TableAddress, Values);
+           },
+       .Rule = "platform.table_address must name another listener than "
+               "api.address and peer.address and must not be 0.0.0.0 or ::",
+       .Remedy = "set platform.table_address to the address of the platform's "
+                 "service"},
+      {.Keys = {"platform.object_address", "api.address", "peer.address"},
+       .Holds =
+           [](const Sections &Values) {
+             return isRemote(Values.Platform.ObjectAddress, Values);
+           },
+       .Rule = "platform.object_address must name another listener than "
+               "api.address and peer.address and must not be 0.0.0.0 or ::",
+       .Remedy = "set platform.object_address to the address of the platform's "
+                 "service"},
+      {.Keys = {"platform.host_list_address", "api.address", "peer.address"},
+       .Holds =
+           [](const Sections &Values) {
+             return isRemote(Values.Platform.HostListAddress, Values);
+           },
+       .Rule = "platform.host_list_address must name another listener than "
+               "api.address and peer.address and must not be 0.0.0.0 or ::",
+       .Remedy = "set platform.host_list_address to the address of the "
+                 "platform's service"},
+      {.Keys = {"api.maximum_unread_kib", "api.maximum_body_kib"},
+       .Holds =
+           [](const Sections &Values) {
+             return Values.Api.MaximumUnreadBytes >=
+                    Values.Api.MaximumBodyBytes;
+           },
+       .Rule = "api.maximum_unread_kib must be at least api.maximum_body_kib, "
+               "or the largest body could never be received",
+       .Remedy = "raise api.maximum_unread_kib or lower api.maximum_body_kib"},
+      {.Keys = {"platform.timeout_ms", "membership.heartbeat_ms"},
+       .Holds =
+           [](const Sections &Values) {
+             return Values.Platform.Timeout <= Values.Membership.Heartbeat;
+           },
+       .Rule = "platform.timeout_ms must be at most membership.heartbeat_ms, "
+               "or one slow call delays the next heartbeat",
+       .Remedy = "lower platform.timeout_ms or raise membership.heartbeat_ms"},
+      {.Keys = {"membership.confirmation_ms", "membership.heartbeat_ms"},
+       .Holds =
+           [](const Sections &Values) {
+             return Values.Membership.Confirmation >=
+                    2 * Values.Membership.Heartbeat;
+           },
+       .Rule = "membership.confirmation_ms must be at least twice "
+               "membership.heartbeat_ms, or one lost read stops serving",
+       .Remedy =
+           "raise membership.confirmation_ms or lower membership.heartbeat_ms"},
+      {.Keys = {"membership.confirmation_ms", "membership.silence_ms"},
+       .Holds =
+           [](const Sections &Values) {
+             return Values.Membership.Confirmation < Values.Membership.Silence;
+           },
+       .Rule = "membership.confirmation_ms must be less than "
+               "membership.silence_ms, so that a host stops serving before the "
+               "others remove it",
+       .Remedy =
+           "lower membership.confirmation_ms or raise membership.silence_ms"},
+      {.Keys = {"membership.silence_ms", "membership.heartbeat_ms"},
+       .Holds =
+           [](const Sections &Values) {
+             return Values.Membership.Silence + Values.Membership.Heartbeat <=
+                    Milliseconds(4000);
+           },
+       .Rule =
+           "membership.silence_ms and membership.heartbeat_ms must add up to "
+           "at most 4000 ms, the limit for taking over from a failed host",
+       .Remedy = "lower membership.silence_ms"},
+      {.Keys = {"workers.connections", "workers.slots"},
+       .Holds =
+           [](const Sections &Values) {
+             return Values.Workers.Connections >= Values.Workers.Slots;
+           },
+       .Rule = "workers.connections must be at least workers.slots, or slots "
+               "could never be filled",
+       .Remedy = "raise workers.connections or lower workers.slots"},
+      {.Keys = {"workers.status_ms", "platform.timeout_ms"},
+       .Holds =
+           [](const Sections &Values) {
+             return Values.Workers.Status + Values.Platform.Timeout <=
+                    Milliseconds(2000);
+           },
+       .Rule = "workers.status_ms and platform.timeout_ms must add up to at "
+               "most 2000 ms, the limit for noticing a leaving worker",
+       .Remedy = "lower workers.status_ms"},
+      {.Keys = {"workers.host_list_ms", "platform.timeout_ms"},
+       .Holds =
+           [](const Sections &Values) {
+             return Values.Workers.HostList + Values.Platform.Timeout <=
+                    Milliseconds(2000);
+           },
+       .Rule = "workers.host_list_ms and platform.timeout_ms must add up to at "
+               "most 2000 ms, the limit for noticing a leaving worker",
+       .Remedy = "lower workers.host_list_ms"},
+      {.Keys = {"jobs.surplus_lease_ms", "workers.status_ms"},
+       .Holds =
+           [](const Sections &Values) {
+             return Values.Jobs.SurplusLease >= 2 * Values.Workers.Status;
+           },
+       .Rule = "jobs.surplus_lease_ms must be at least twice "
+               "workers.status_ms, or one lost renewal ends a lease",
+       .Remedy = "raise jobs.surplus_lease_ms or lower workers.status_ms"},
+      {.Keys = {"jobs.lease_ms", "jobs.surplus_lease_ms"},
+       .Holds =
+           [](const Sections &Values) {
+             return Values.Jobs.Lease >= Values.Jobs.SurplusLease;
+           },
+       .Rule = "jobs.lease_ms must be at least jobs.surplus_lease_ms, because "
+               "surplus tasks are reclaimed first",
+       .Remedy = "raise jobs.lease_ms or lower jobs.surplus_lease_ms"},
+      {.Keys = {"jobs.checkpoint_ms", "jobs.throttle_ms", "jobs.stop_ms"},
+       .Holds =
+           [](const Sections &Values) {
+             return Values.Jobs.Checkpoint + Values.Jobs.Throttle +
+                        Values.Jobs.Stop <
+                    Milliseconds(5200);
+           },
+       .Rule =
+           "jobs.checkpoint_ms, jobs.throttle_ms and jobs.stop_ms must add up "
+           "to less than 5200 ms, the limit for the start of urgent work",
+       .Remedy = "lower one of the three"},
+      {.Keys = {"stop.limit_ms", "stop.grace_ms"},
+       .Holds =
+           [](const Sections &Values) {
+             return Values.Stop.Limit > Values.Stop.Grace;
+           },
+       .Rule = "stop.limit_ms must be longer than stop.grace_ms, or a planned "
+               "stop interrupts every request",
+       .Remedy = "raise stop.limit_ms or lower stop.grace_ms"},
+  };
+}
+
+} // namespace
+
+auto settingRelations() -> const std::vector<SettingRelation> & {
+  static const auto Relations = makeRelations();
+  return Relations;
+}
+
+} // namespace jayramp
--- /dev/null
+++ b/Source/Settings/SettingRelation.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "Settings/DaemonSettings.h"
+
+#include <string_view>
+#include <vector>
+
+namespace jayramp {
+
+/// A rule that ties several settings together.
+struct SettingRelation {
+  /// The settings that the rule reads; a fault is reported at the first of them
+  /// that the file sets.
+  std::vector<std::string_view> Keys;
+  auto(*Holds)(const DaemonSettings::Sections &) -> bool = nullptr;
+  /// The rule as a sentence, with its reason.
+  std::string_view Rule;
+  std::string_view Remedy;
+};
+
+/// Every rule that ties settings together.
+auto settingRelations() -> const std::vector<SettingRelation> &;
+
+} // namespace jayramp
