--- a/Source/Daemon/EntryHost.cpp
+++ b/Source/Daemon/EntryHost.cpp
@@ -115,29 +115,32 @@
 
 auto EntryHost::Parts::openPlatform() -> Result<void> {
   const auto &Platform = Settings.platform();
-  BOOST_OUTCOME_TRY(Tables,
+  BOOST_OUTCOME_TRY(MadeTables,
                     HttpTableService::create(Platform.TableAddress.text(),
                                              Platform.Timeout, Counters));
-  BOOST_OUTCOME_TRY(Hosts, HttpHostList::create(Platform.HostListAddress.text(),
+  Tables = std::move(MadeTables);
+  BOOST_OUTCOME_TRY(MadeHosts, HttpHostList::create(Platform.HostListAddress.text(),
                                                 Platform.Timeout, Counters));
-  BOOST_OUTCOME_TRY(WorkerCalls, HttpWorkerClient::create(Counters));
+  Hosts = std::move(MadeHosts);
+  BOOST_OUTCOME_TRY(MadeWorkerCalls, HttpWorkerClient::create(Counters));
+  WorkerCalls = std::move(MadeWorkerCalls);
   return success();
 }
 
 auto EntryHost::Parts::openPeers() -> Result<void> {
   const auto &Host = Settings.host();
   std::string Incarnation = makeIdentifier();
-  BOOST_OUTCOME_TRY(
-      Transport, PeerTransport::make(Host.Name, Incarnation,
+  BOOST_OUTCOME_TRY(MadeTransport, PeerTransport::make(Host.Name, Incarnation,
                                      Settings.peer().Address.text(), Counters));
+  Transport = std::move(MadeTransport);
   Member Self{.Name = Host.Name,
               .Incarnation = Incarnation,
               .ApiAddress = Settings.api().Advertise.text(),
               .PeerAddress = Settings.peer().Advertise.text(),
               .AvailabilityZone = Host.AvailabilityZone};
-  BOOST_OUTCOME_TRY(
-      Membership, MembershipRunner::make(Self, timingOf(Settings), *Tables,
+  BOOST_OUTCOME_TRY(MadeMembership, MembershipRunner::make(Self, timingOf(Settings), *Tables,
                                          *Transport, Configurations, Counters));
+  Membership = std::move(MadeMembership);
   ConfigurationChanges = std::make_unique<ConfigurationCommands>(
       *Tables, Configurations, *Membership, *Transport, Counters);
   ConfigurationReads =
@@ -147,16 +150,15 @@
 
 auto EntryHost::Parts::openRequests() -> Result<void> {
   const auto &Host = Settings.host();
-  BOOST_OUTCOME_TRY(
-      auto MadeRegistry,
+  BOOST_OUTCOME_TRY(MadeRegistry,
       KeyRegistry::make({.MaxRecords = Settings.requests().MaximumKeys,
                          .Retention = Settings.requests().KeyRetention}));
   Registry = std::make_unique<KeyRegistry>(std::move(MadeRegistry));
   Keys = std::make_unique<KeyCoordinator>(Host.Name, *Registry, *Membership,
                                           *Transport, Timer, Counters);
-  BOOST_OUTCOME_TRY(auto Ledger,
+  BOOST_OUTCOME_TRY(Ledger,
                     SlotLedger::make({.Seed = std::random_device{}()}));
-  BOOST_OUTCOME_TRY(auto Health, WorkerHealth::make({}));
+  BOOST_OUTCOME_TRY(Health, WorkerHealth::make({}));
   Slots = std::make_unique<SlotBroker>(Host.Name, std::move(Ledger),
                                        std::move(Health), *Membership,
                                        *Transport, Counters);
@@ -198,13 +200,14 @@
       .Address = Settings.api().Address.text(),
       .MaximumBodyBytes = Settings.api().MaximumBodyBytes,
       .MaximumUnreadBytes = Settings.api().MaximumUnreadBytes};
-  BOOST_OUTCOME_TRY(Server,
+  BOOST_OUTCOME_TRY(MadeServer,
                     HttpServer::open(
                         Options,
                         [this](ApiRequest Request, ApiRouter::Respond Done) {
                           Paths->handle(std::move(Request), std::move(Done));
                         },
                         Counters));
+  Server = std::move(MadeServer);
   return success();
 }
 
--- a/Source/Daemon/Main.cpp
+++ b/Source/Daemon/Main.cpp
@@ -90,7 +90,7 @@
       return 0;
     }
     return runHost(Loaded.value());
-  } catch (const cxxopts::OptionException &Failure) {
+  } catch (const cxxopts::exceptions::exception &Failure) {
     std::cerr << "jayrampd: " << Failure.what() << "; see --help\n";
     return ExitUsage;
   }
