Test the request decision classes

Cause: the classes were unverified. Two faults were found and repaired. A release for an unknown key in a shard with lost history wrote a newer record that hid an older finished claim from a later transfer, so a key was granted twice; releases now wait until the shard is complete. A slot of a lost holder was freed by a status that did not yet show its request; the settle time now holds there too.

--- a/Source/Requests/KeyShard.cpp
+++ b/Source/Requests/KeyShard.cpp
@@ -258,14 +258,16 @@
     -> ReportDecision {
   if (Report.ViewVersion != View || Role != ShardRole::Home)
     return ReportWrongView{View};
-  if (!Complete && !LostUntil)
+  if (!Complete && (!LostUntil || Report.Released))
+    // A release gets a new version. Without the history that version could
+    // replace the record of a later claim, which a transfer brings afterwards.
     return ReportNotReady{};
   std::string Index = indexOf(Report.Account, Report.Key);
   auto Position = Map.find(Index);
   KeyState Target = Report.Released ? KeyState::Released : KeyState::Done;
   KeyRecord Record;
   if (Position == Map.end()) {
-    // With a lost history the report is all that is known of the key. A
+    // With a lost history the outcome is all that is known of the key. A
     // release can overtake its own claim, which must then not be granted.
     if (!LostUntil && (!Report.Released || isFull()))
       return ReportOtherClaim{};
--- a/Source/Requests/OutcomeReport.h
+++ b/Source/Requests/OutcomeReport.h
@@ -33,7 +33,8 @@
 /// Another claim holds the key, or none does: acknowledge and ignore.
 struct ReportOtherClaim {};
 
-/// The shard is not complete here yet: the holder repeats the report.
+/// The shard is not complete here yet, or its history is lost and the report
+/// is a release: the holder repeats the report.
 struct ReportNotReady {};
 
 /// Sent in another view, or this host is not home: the holder repeats it to
--- a/Source/Requests/SlotLedger.cpp
+++ b/Source/Requests/SlotLedger.cpp
@@ -222,7 +222,10 @@
     if (Owner == Workers.end())
       continue;
     ++Owner->second.Foreign;
-    Owner->second.ForeignSince = Now;
+    // The request may have been sent just before its holder died, and then
+    // shows in the worker's status only after the settle time.
+    Owner->second.ForeignSince = std::max(
+        {Owner->second.ForeignSince, Now, Grant.Since + Policy.SettleTime});
   }
   return Ended;
 }
--- /dev/null
+++ b/Tests/Unit/SlotLedgerTest.cpp
@@ -0,0 +1,158 @@
+#include "Requests/SlotLedger.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace jayramp {
+namespace {
+
+const TimePoint Start = TimePoint() + std::chrono::hours(1);
+const SlotLedger::ShareOf Full = [](std::string_view) { return 1.0; };
+
+auto ledgerWith(std::uint32_t Workers, std::uint32_t Slots,
+                std::uint32_t Used = 0) -> SlotLedger {
+  auto Ledger = SlotLedger::make({}).value();
+  Ledger.setEpoch(7);
+  for (std::uint32_t Worker = 0; Worker < Workers; ++Worker) {
+    std::string Name = "w" + std::to_string(Worker);
+    Ledger.addWorker(Name, "127.0.0.1:1");
+    Ledger.applyStatus({Name, Slots, Used, false, Start}, Start);
+  }
+  return Ledger;
+}
+
+auto ask(const std::string &Id, WorkClass Class = WorkClass::Short,
+         const std::string &Holder = "x") -> SlotAsk {
+  return {Id, Holder, Holder, Class};
+}
+
+// Guards against more running requests than the worker has slots. The worker
+// is modelled with a start delay, so its status lags behind the grants.
+RC_GTEST_PROP(SlotLedgerTest, neverExceedsSlots,
+              (std::vector<std::uint32_t> Choices)) {
+  constexpr std::uint32_t Slots = 4;
+  auto Initial = *rc::gen::inRange<std::uint32_t>(0, Slots + 1);
+  auto Ledger = ledgerWith(1, Slots, Initial);
+  std::uint32_t Foreign = Initial;
+  struct Running {
+    std::string Id;
+    std::string Holder;
+    TimePoint Visible;
+  };
+  std::vector<Running> Active; // Granted and not ended at the worker.
+  std::uint32_t NextId = 0;
+  TimePoint Now = Start;
+  for (std::uint32_t Choice : Choices) {
+    Now += Milliseconds(Choice / 64 % 1'500);
+    std::size_t Index = Active.empty() ? 0 : Choice / 7 % Active.size();
+    switch (Choice % 7) {
+    case 0:
+    case 1: {
+      std::string Holder = Choice / 3 % 2 == 0 ? "x" : "y";
+      auto Class = Choice / 6 % 2 == 0 ? WorkClass::Short : WorkClass::Long;
+      std::string Id = std::to_string(NextId++);
+      auto Decision = Ledger.grant(ask(Id, Class, Holder), Full, "", Now);
+      if (std::holds_alternative<SlotGrant>(Decision))
+        Active.push_back({Id, Holder, Now + Milliseconds(500)});
+      break;
+    }
+    case 2:
+    case 3:
+      if (Active.empty())
+        break;
+      Ledger.release(Active[Index].Id, Milliseconds(5));
+      // A lost holder's work ends without a release; the status shows it.
+      Active.erase(Active.begin() + static_cast<std::ptrdiff_t>(Index));
+      break;
+    case 4:
+      Foreign -= Foreign > 0 ? 1 : 0;
+      break;
+    case 5: {
+      std::uint32_t Used = Foreign;
+      for (const Running &Item : Active)
+        Used += Item.Visible <= Now ? 1 : 0;
+      Ledger.applyStatus({"w0", Slots, Used, false, Now}, Now);
+      break;
+    }
+    default:
+      Ledger.reclassify(Now);
+      if (Choice / 11 % 4 == 0)
+        Ledger.releaseLostHolders({"x"}, Now);
+    }
+    RC_ASSERT(Foreign + Active.size() <= Slots);
+  }
+}
+
+// Guards against the naive rebuild, which starts with an empty ledger after a
+// takeover and overfills a worker that still runs the old owner's requests.
+TEST(SlotLedgerTest, rebuildsFromStatusAfterTakeover) {
+  auto Ledger = SlotLedger::make({}).value();
+  Ledger.addWorker("w0", "127.0.0.1:1");
+  EXPECT_TRUE(std::holds_alternative<SlotNoWorker>(
+      Ledger.grant(ask("a"), Full, "", Start)));
+  EXPECT_TRUE(Ledger.applyStatus({"w0", 8, 6, false, Start}, Start));
+  EXPECT_EQ(Ledger.foreignSlots("w0"), 6U);
+  EXPECT_EQ(Ledger.freeSlots(), 2U);
+  EXPECT_FALSE(Ledger.applyStatus({"w0", 8, 0, false, Start}, Start));
+  TimePoint Later = Start + std::chrono::seconds(1);
+  EXPECT_TRUE(Ledger.applyStatus({"w0", 8, 1, false, Later}, Later));
+  EXPECT_EQ(Ledger.freeSlots(), 7U);
+}
+
+// Guards against slots that are given twice when their holder dies while the
+// worker still runs its requests.
+TEST(SlotLedgerTest, lostHolderKeepsSlotsUntilStatusShowsThemFree) {
+  auto Ledger = ledgerWith(1, 2);
+  Ledger.grant(ask("a", WorkClass::Short, "dead"), Full, "", Start);
+  Ledger.grant(ask("b", WorkClass::Short, "x"), Full, "", Start);
+  TimePoint Later = Start + std::chrono::seconds(5);
+  EXPECT_EQ(Ledger.releaseLostHolders({"x"}, Later).size(), 1U);
+  EXPECT_TRUE(std::holds_alternative<SlotNoneFree>(
+      Ledger.grant(ask("c"), Full, "", Later)));
+  Ledger.applyStatus({"w0", 2, 1, false, Later}, Later);
+  EXPECT_TRUE(std::holds_alternative<SlotGrant>(
+      Ledger.grant(ask("c"), Full, "", Later)));
+}
+
+// Guards against long work that fills a worker, also by a wrong declaration.
+TEST(SlotLedgerTest, longWorkKeepsToItsShare) {
+  auto Ledger = ledgerWith(1, 8);
+  for (int Grant = 0; Grant < 4; ++Grant)
+    EXPECT_TRUE(std::holds_alternative<SlotGrant>(Ledger.grant(
+        ask("l" + std::to_string(Grant), WorkClass::Long), Full, "", Start)));
+  EXPECT_TRUE(std::holds_alternative<SlotLongShareUsed>(
+      Ledger.grant(ask("l4", WorkClass::Long), Full, "", Start)));
+  Ledger.release("l0", Milliseconds(2'000));
+  Ledger.grant(ask("s"), Full, "", Start);
+  EXPECT_TRUE(Ledger.reclassify(Start + Milliseconds(1'000)).empty());
+  EXPECT_EQ(Ledger.reclassify(Start + Milliseconds(1'001)).size(), 1U);
+  EXPECT_EQ(Ledger.freeLongSlots(), 0U);
+  EXPECT_EQ(Ledger.freeSlots(), 4U);
+  SlotPolicy All;
+  All.LongPercent = 100;
+  auto Greedy = SlotLedger::make(All).value();
+  EXPECT_EQ(Greedy.longLimit(8), 7U);
+  EXPECT_EQ(Greedy.longLimit(1), 1U);
+}
+
+// Guards against work for leaving workers, against double grants by repeats
+// and double releases.
+TEST(SlotLedgerTest, leavingWorkersAndRepeats) {
+  auto Ledger = ledgerWith(2, 1);
+  auto First = Ledger.grant(ask("a"), Full, "", Start);
+  EXPECT_EQ(std::get<SlotGrant>(First).Epoch, 7U);
+  EXPECT_EQ(std::get<SlotGrant>(Ledger.grant(ask("a"), Full, "", Start)),
+            std::get<SlotGrant>(First));
+  EXPECT_EQ(Ledger.freeSlots(), 1U);
+  EXPECT_TRUE(Ledger.release("a", std::nullopt).has_value());
+  EXPECT_FALSE(Ledger.release("a", std::nullopt).has_value());
+  Ledger.markLeaving("w0");
+  auto Other = Ledger.grant(ask("b"), Full, "", Start);
+  EXPECT_EQ(std::get<SlotGrant>(Other).Worker, "w1");
+  Ledger.markLeaving("w1");
+  EXPECT_TRUE(std::holds_alternative<SlotNoWorker>(
+      Ledger.grant(ask("c"), Full, "", Start)));
+}
+
+} // namespace
+} // namespace jayramp
--- /dev/null
+++ b/Tests/Unit/WorkerHealthTest.cpp
@@ -0,0 +1,127 @@
+#include "Requests/WorkerHealth.h"
+#include "Requests/SlotLedger.h"
+
+#include <gtest/gtest.h>
+
+#include <iostream>
+#include <queue>
+
+namespace jayramp {
+namespace {
+
+using Circuit = WorkerHealth::Circuit;
+const TimePoint Start = TimePoint() + std::chrono::hours(1);
+
+// Guards against traffic to a failing worker, and against a full load at once
+// on a worker that just came back.
+TEST(WorkerHealthTest, opensAndReturnsByTrials) {
+  auto Health = WorkerHealth::make({}).value();
+  for (int Attempt = 0; Attempt < 5; ++Attempt)
+    Health.failed("w", Start);
+  EXPECT_EQ(Health.circuit("w", Start), Circuit::Open);
+  EXPECT_EQ(Health.share("w", Start), 0.0);
+  TimePoint Due = Start + Milliseconds(1'000);
+  EXPECT_EQ(Health.circuit("w", Due), Circuit::Trial);
+  EXPECT_GT(Health.share("w", Due), 0.0);
+  Health.attemptStarted("w", Due);
+  EXPECT_EQ(Health.share("w", Due), 0.0);
+  Health.failed("w", Due);
+  EXPECT_EQ(Health.circuit("w", Due + Milliseconds(1'999)), Circuit::Open);
+  Due += Milliseconds(2'000);
+  Health.attemptStarted("w", Due);
+  double Last = 0.0;
+  while (Health.circuit("w", Due) != Circuit::Closed) {
+    Health.succeeded("w", Milliseconds(10), Due);
+    EXPECT_GT(Health.share("w", Due), Last);
+    Last = Health.share("w", Due);
+  }
+  EXPECT_EQ(Last, 1.0);
+}
+
+// Guards against a worker that fails half of its attempts, never several in a
+// row, and against a late answer that closes the circuit.
+TEST(WorkerHealthTest, opensByRateAndIgnoresOldAnswers) {
+  auto Health = WorkerHealth::make({}).value();
+  for (int Attempt = 0; Attempt < 20; ++Attempt)
+    if (Attempt % 2 == 0)
+      Health.succeeded("w", Milliseconds(10), Start);
+    else
+      Health.failed("w", Start);
+  EXPECT_EQ(Health.circuit("w", Start), Circuit::Open);
+  Health.succeeded("w", Milliseconds(10), Start);
+  EXPECT_EQ(Health.circuit("w", Start), Circuit::Open);
+}
+
+// Guards against ejection of so many workers that the rest is overloaded.
+TEST(WorkerHealthTest, ejectsAtMostHalf) {
+  auto Health = WorkerHealth::make({}).value();
+  for (int Worker = 0; Worker < 10; ++Worker)
+    for (int Answer = 0; Answer < 20; ++Answer)
+      Health.succeeded("w" + std::to_string(Worker),
+                       Milliseconds(Worker < 6 ? 30 : 500 + Worker), Start);
+  EXPECT_EQ(Health.ejectOutliers(Start).size(), 4U);
+  EXPECT_TRUE(Health.ejectOutliers(Start).empty());
+  // The remaining six split again: only one more may go.
+  for (int Worker = 0; Worker < 2; ++Worker)
+    for (int Answer = 0; Answer < 50; ++Answer)
+      Health.succeeded("w" + std::to_string(Worker), Milliseconds(900), Start);
+  EXPECT_EQ(Health.ejectOutliers(Start).size(), 1U);
+}
+
+/// Share of 10,000 requests that a worker failing within 1 ms receives among
+/// ten that answer in 50 ms.
+auto shareOfFailingWorker(bool UseHealth) -> double {
+  auto Health = WorkerHealth::make({}).value();
+  auto Ledger = SlotLedger::make({}).value();
+  for (int Worker = 0; Worker < 10; ++Worker) {
+    std::string Name = "w" + std::to_string(Worker);
+    Ledger.addWorker(Name, Name);
+    Ledger.applyStatus({Name, 8, 0, false, Start}, Start);
+  }
+  using End = std::pair<TimePoint, std::string>;
+  std::priority_queue<End, std::vector<End>, std::greater<>> Ends;
+  int Failing = 0;
+  TimePoint Now = Start;
+  for (int Request = 0; Request < 10'000; ++Request) {
+    Now += Milliseconds(1);
+    while (!Ends.empty() && Ends.top().first <= Now) {
+      auto Grant = Ledger.find(Ends.top().second);
+      bool Failed = Grant->Worker == "w0";
+      Ledger.release(Grant->GrantId,
+                     Failed ? std::nullopt : std::optional(Milliseconds(50)));
+      if (Failed)
+        Health.failed(Grant->Worker, Now);
+      else
+        Health.succeeded(Grant->Worker, Milliseconds(50), Now);
+      Ends.pop();
+    }
+    std::string Id = std::to_string(Request);
+    auto Decision = Ledger.grant(
+        {Id, "h", "h", WorkClass::Short},
+        [&](std::string_view Worker) {
+          return UseHealth ? Health.share(Worker, Now) : 1.0;
+        },
+        "", Now);
+    const auto *Grant = std::get_if<SlotGrant>(&Decision);
+    if (!Grant)
+      continue;
+    Health.attemptStarted(Grant->Worker, Now);
+    Failing += Grant->Worker == "w0" ? 1 : 0;
+    Ends.emplace(Now + Milliseconds(Grant->Worker == "w0" ? 1 : 50), Id);
+  }
+  return Failing / 10'000.0;
+}
+
+// Guards against a worker that fails everything quickly and attracts traffic
+// because it looks idle; without WorkerHealth it does.
+TEST(WorkerHealthTest, quickFailuresAttractNoTraffic) {
+  double Naive = shareOfFailingWorker(false);
+  double Share = shareOfFailingWorker(true);
+  std::cout << "share of the failing worker: " << Share << ", without health "
+            << Naive << "\n";
+  EXPECT_GT(Naive, 0.1);
+  EXPECT_LT(Share, 0.005);
+}
+
+} // namespace
+} // namespace jayramp
