--- a/Source/Requests/RecordVersion.h
+++ b/Source/Requests/RecordVersion.h
@@ -2,6 +2,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace jayramp {
 
@@ -11,7 +12,10 @@
   std::uint64_t View = 0;
   std::uint64_t Sequence = 0;
 
-  auto operator<=>(const RecordVersion &) const = default;
+  auto operator==(const RecordVersion &) const -> bool = default;
+  auto operator<=>(const RecordVersion &Other) const -> std::strong_ordering {
+    return std::tie(View, Sequence) <=> std::tie(Other.View, Other.Sequence);
+  }
 };
 
 } // namespace jayramp
--- a/Tests/Unit/WorkerHealthTest.cpp
+++ b/Tests/Unit/WorkerHealthTest.cpp
@@ -69,7 +69,7 @@
 }
 
 /// Share of 10,000 requests that a worker failing within 1 ms receives among
-/// ten that answer in 50 ms.
+/// nine that answer in 50 ms.
 auto shareOfFailingWorker(bool UseHealth) -> double {
   auto Health = WorkerHealth::make({}).value();
   auto Ledger = SlotLedger::make({}).value();
