--- a/Source/Jobs/Decision.h
+++ b/Source/Jobs/Decision.h
@@ -76,7 +76,7 @@
   auto operator==(const QuarantineWorker &) const -> bool = default;
 };
 
-using Decision = std::variant<StartGang, ReclaimGangs, StopGang, EndJob,
-                              QuarantineWorker>;
+using Decision =
+    std::variant<StartGang, ReclaimGangs, StopGang, EndJob, QuarantineWorker>;
 
 } // namespace jayramp
--- a/Source/Jobs/GangPlacer.cpp
+++ b/Source/Jobs/GangPlacer.cpp
@@ -57,9 +57,12 @@
     return false;
   const auto Wanted = Job.Specification.Accelerators;
   std::size_t Spare = 0;
-  for (const auto &[Id, Unit] : State.Plan.units())
-    if (Unit.Account == Job.Specification.Account && !Unit.Block.empty())
-      Spare += Unit.Block.size() - Unit.Held.size();
+  for (const auto &[Id, Unit] : State.Plan.units()) {
+    if (Unit.Account != Job.Specification.Account || Unit.Block.empty())
+      continue;
+    const auto Here = Unit.Block.size() - Unit.Held.size();
+    Spare = Job.Specification.Adjacent ? std::max(Spare, Here) : Spare + Here;
+  }
   if (Spare < Wanted)
     return false;
   const auto Saved = State.Plan;
@@ -67,21 +70,25 @@
     if (Exclude && Job.FailedWorkers.empty())
       continue;
     std::optional<Choice> Best;
-    auto BestPlan = Saved;
+    GuaranteePlan BestPlan;
     // Places that stopping gangs still hold cost time, so they are used only if
-    // that stops fewer gangs.
-    for (const bool WithStopping : {false, true}) {
-      auto Current = guaranteedClaims(WithStopping);
+    // that stops fewer gangs. A reclaim has a bound; other stops may take a
+    // whole lease, longer than urgent work may wait, so they come last.
+    for (const auto Included :
+         {Stopping::None, Stopping::Reclaimed, Stopping::All}) {
+      if (Included == Stopping::All && Best)
+        break;
+      auto Current = guaranteedClaims(Included);
       if (Exclude)
         excludeFailedWorkers(Job, Current);
       auto Chosen = chooseInShapes(Job, std::move(Current));
       if (Chosen && (!Best || victims(*Chosen) < victims(*Best))) {
         Best = std::move(Chosen);
-        BestPlan = State.Plan;
+        std::swap(BestPlan, State.Plan);
+        if (victims(*Best) == 0)
+          break;
       }
       State.Plan = Saved;
-      if (Best && victims(*Best) == 0)
-        break;
     }
     if (Best) {
       State.Plan = std::move(BestPlan);
@@ -109,13 +116,12 @@
           {Id, static_cast<std::uint32_t>(Unit.Block.size() - Unit.Held.size()),
            Unit.Held.empty()});
   // An exact fit first, then shapes in use, so that unused ones stay movable.
-  std::sort(Options.begin(), Options.end(),
-            [&](const auto &Left, const auto &Right) {
-              return std::make_tuple(Left.Spare != Wanted, Left.Unused,
-                                     Left.Spare) <
-                     std::make_tuple(Right.Spare != Wanted, Right.Unused,
-                                     Right.Spare);
-            });
+  std::sort(
+      Options.begin(), Options.end(), [&](const auto &Left, const auto &Right) {
+        return std::make_tuple(Left.Spare != Wanted, Left.Unused, Left.Spare) <
+               std::make_tuple(Right.Spare != Wanted, Right.Unused,
+                               Right.Spare);
+      });
   for (const auto &Next : Options) {
     if (Next.Spare < Wanted)
       continue;
@@ -140,8 +146,8 @@
         Wanted - static_cast<std::uint32_t>(Chosen.Accelerators.size());
     if (Missing == 0)
       break;
-    auto Taken = takeFromShape(Next.Id, std::min(Missing, Next.Spare), false,
-                               Current);
+    auto Taken =
+        takeFromShape(Next.Id, std::min(Missing, Next.Spare), false, Current);
     if (!Taken)
       continue;
     State.Plan.hold(Next.Id, *Taken);
@@ -183,7 +189,7 @@
   return std::move(Found->Accelerators);
 }
 
-auto GangPlacer::guaranteedClaims(bool WithStopping) const
+auto GangPlacer::guaranteedClaims(Stopping Included) const
     -> Placement::Claims {
   Placement::Claims Current(State.Pool.size(), Placement::Free);
   const JobRecord *Last = nullptr;
@@ -198,11 +204,13 @@
       if (Last == nullptr || Last->Key != Key)
         Last = &State.Jobs.at(Key);
       if (Last->Phase == JobPhase::Stopping) {
-        if (!WithStopping)
+        if (Included == Stopping::None ||
+            (Included == Stopping::Reclaimed &&
+             Last->Waits != WaitReason::Reclaiming))
           Current[Index] = Placement::Unavailable;
       } else if (Current[Index] != Placement::Unavailable) {
-        Current[Index] = Last->Guaranteed ? Placement::Unavailable
-                                          : Last->StartSequence;
+        Current[Index] =
+            Last->Guaranteed ? Placement::Unavailable : Last->StartSequence;
       }
     }
   }
@@ -222,8 +230,10 @@
   }
   const bool Head = !HeadPassed;
   const auto Kind = std::make_pair(Wanted.Accelerators, Wanted.Adjacent);
+  const auto Free = State.Pool.freeCount();
   const bool Skip =
-      !Head && Job.FailedWorkers.empty() && Blocked.count(Kind) != 0;
+      !Head && (Free < Wanted.Accelerators ||
+                (Job.FailedWorkers.empty() && Blocked.count(Kind) != 0));
   std::optional<Placement::Block> Found;
   if (!Skip) {
     auto Current = surplusClaims(Job, Head);
@@ -243,7 +253,6 @@
   Blocked.insert(Kind);
   if (!Job.BlockedSince)
     Job.BlockedSince = Now;
-  const auto Free = State.Pool.freeCount();
   if (Wanted.Adjacent && Free >= Wanted.Accelerators)
     Job.Waits = WaitReason::WaitingForAdjacentCapacity;
   else if (Wanted.Priority != JobPriority::Surplus)
--- a/Source/Jobs/GangPlacer.h
+++ b/Source/Jobs/GangPlacer.h
@@ -29,6 +29,9 @@
   auto placeWaiting() -> void;
 
 private:
+  /// Stopping gangs whose places count as free.
+  enum class Stopping { None, Reclaimed, All };
+
   struct Choice {
     std::vector<std::uint32_t> Accelerators;
     std::vector<std::int32_t> Units;
@@ -41,7 +44,7 @@
   auto takeFromShape(std::int32_t Unit, std::uint32_t Count, bool Adjacent,
                      const Placement::Claims &Current)
       -> std::optional<std::vector<std::uint32_t>>;
-  auto guaranteedClaims(bool WithStopping) const -> Placement::Claims;
+  auto guaranteedClaims(Stopping Included) const -> Placement::Claims;
   auto surplusClaims(const JobRecord &Job, bool Head) const
       -> Placement::Claims;
   auto excludeFailedWorkers(const JobRecord &Job,
--- a/Source/Jobs/GuaranteeCheck.cpp
+++ b/Source/Jobs/GuaranteeCheck.cpp
@@ -88,8 +88,8 @@
       return {std::move(Whole)};
     }
     mark(Wanted.Include, Placement::Free);
-    auto Blocks = Finder.candidates(
-        {Wanted.Accelerators, true, Wanted.Include}, Current, Limit);
+    auto Blocks = Finder.candidates({Wanted.Accelerators, true, Wanted.Include},
+                                    Current, Limit);
     mark(Wanted.Include, Placement::Unavailable);
     std::vector<std::vector<std::uint32_t>> Places;
     for (auto &Next : Blocks)
@@ -114,7 +114,8 @@
 
 auto GuaranteeCheck::pack(const Topology &Installed,
                           const std::vector<std::uint8_t> &Available,
-                          const std::vector<Shape> &Shapes) -> Packing {
+                          const std::vector<Shape> &Shapes, Effort Spent)
+    -> Packing {
   // Shapes in use come first, as they have the least choice, then large ones.
   std::vector<std::size_t> Order(Shapes.size());
   std::iota(Order.begin(), Order.end(), 0);
@@ -126,7 +127,7 @@
   });
   Search Searcher(Installed, Available, Shapes);
   auto Best = Searcher.greedy(Order);
-  if (Best.isComplete())
+  if (Best.isComplete() || Spent == Effort::Greedy)
     return Best;
   // Small shapes have to be on one worker, large ones only in one rack, so the
   // opposite order sometimes succeeds.
--- a/Source/Jobs/GuaranteeCheck.h
+++ b/Source/Jobs/GuaranteeCheck.h
@@ -20,6 +20,11 @@
     std::vector<std::uint32_t> Include;
   };
 
+  enum class Effort {
+    Greedy, ///< Largest first, a few hundred microseconds at target size.
+    Search, ///< Also other orders and places, some milliseconds.
+  };
+
   struct Packing {
     /// One sorted block for each shape; empty if it found no place.
     std::vector<std::vector<std::uint32_t>> Blocks;
@@ -32,7 +37,8 @@
   /// accelerators in Include may be used by their own shape in any case.
   static auto pack(const Topology &Installed,
                    const std::vector<std::uint8_t> &Available,
-                   const std::vector<Shape> &Shapes) -> Packing;
+                   const std::vector<Shape> &Shapes,
+                   Effort Spent = Effort::Search) -> Packing;
 
   /// Rejected, with the name of the account, if the guarantees of all accounts
   /// do not fit together into the installed topology, or a quota is smaller
--- a/Source/Jobs/GuaranteePlan.cpp
+++ b/Source/Jobs/GuaranteePlan.cpp
@@ -1,8 +1,7 @@
 #include "Jobs/GuaranteePlan.h"
 
-#include "Jobs/GuaranteeCheck.h"
-
 #include <algorithm>
+#include <utility>
 
 namespace jayramp {
 
@@ -18,8 +17,7 @@
           const auto &Old = Entry->second;
           if (Old.Account != Account.Name || Old.Size != Guarantee.Accelerators)
             continue;
-          if (Kept == All.end() ||
-              Old.Held.size() > Kept->second.Held.size())
+          if (Kept == All.end() || Old.Held.size() > Kept->second.Held.size())
             Kept = Entry;
         }
         if (Kept != All.end()) {
@@ -27,10 +25,9 @@
           Moved.mapped().Ordinal = Ordinal++;
           Next.insert(std::move(Moved));
         } else {
-          Next.emplace(NextId++, Unit{Account.Name, Ordinal++,
-                                      Guarantee.Accelerators,
-                                      {},
-                                      {}});
+          Next.emplace(
+              NextId++,
+              Unit{Account.Name, Ordinal++, Guarantee.Accelerators, {}, {}});
         }
       }
   }
@@ -46,7 +43,8 @@
 
 auto GuaranteePlan::assignBlocks(const Topology &Installed,
                                  const std::vector<std::uint8_t> &Usable,
-                                 const std::vector<std::int32_t> &Ids) -> bool {
+                                 const std::vector<std::int32_t> &Ids,
+                                 GuaranteeCheck::Effort Spent) -> bool {
   auto Available = Usable;
   for (const auto &[Id, Entry] : All) {
     for (auto Index : Entry.Held)
@@ -58,7 +56,7 @@
   std::vector<GuaranteeCheck::Shape> Shapes;
   for (auto Id : Ids)
     Shapes.push_back({All.at(Id).Size, All.at(Id).Held});
-  auto Packed = GuaranteeCheck::pack(Installed, Available, Shapes);
+  auto Packed = GuaranteeCheck::pack(Installed, Available, Shapes, Spent);
   const auto Before = std::count_if(Ids.begin(), Ids.end(), [this](auto Id) {
     return !All.at(Id).Block.empty();
   });
@@ -79,6 +77,7 @@
   std::vector<std::int32_t> Missing;
   for (auto &[Id, Entry] : All) {
     const auto Own = Id;
+    const auto &Shape = Entry;
     const bool Valid =
         std::all_of(Entry.Block.begin(), Entry.Block.end(),
                     [&](auto Index) {
@@ -86,7 +85,7 @@
                              (Holder[Index] == -1 && Usable[Index] != 0);
                     }) &&
         std::all_of(Entry.Held.begin(), Entry.Held.end(), [&](auto Index) {
-          return std::binary_search(Entry.Block.begin(), Entry.Block.end(),
+          return std::binary_search(Shape.Block.begin(), Shape.Block.end(),
                                     Index);
         });
     if (!Valid)
@@ -94,13 +93,14 @@
     if (Entry.Block.empty())
       Missing.push_back(Id);
   }
-  if (Missing.empty() || assignBlocks(Installed, Usable, Missing))
+  if (Missing.empty() ||
+      assignBlocks(Installed, Usable, Missing, GuaranteeCheck::Effort::Search))
     return;
   std::vector<std::int32_t> Movable;
   for (const auto &[Id, Entry] : All)
     if (Entry.Held.size() < Entry.Size)
       Movable.push_back(Id);
-  assignBlocks(Installed, Usable, Movable);
+  assignBlocks(Installed, Usable, Movable, GuaranteeCheck::Effort::Search);
 }
 
 auto GuaranteePlan::moveBlock(const Topology &Installed,
@@ -119,16 +119,48 @@
         return false;
       Displaced.push_back(Other);
     }
-  const auto Saved = All;
-  All.at(Id).Block = Block;
+  auto Before = std::exchange(All.at(Id).Block, Block);
+  std::vector<std::vector<std::uint32_t>> Saved;
   for (auto Other : Displaced)
-    All.at(Other).Block.clear();
-  if (Displaced.empty() || assignBlocks(Installed, Usable, Displaced))
+    Saved.push_back(std::exchange(All.at(Other).Block, {}));
+  if (Displaced.empty() || assignBlocks(Installed, Usable, Displaced,
+                                        GuaranteeCheck::Effort::Greedy))
     return true;
-  All = Saved;
+  All.at(Id).Block = std::move(Before);
+  for (std::size_t Index = 0; Index < Displaced.size(); ++Index)
+    All.at(Displaced[Index]).Block = std::move(Saved[Index]);
   return false;
 }
 
+auto GuaranteePlan::rebook(const Topology &Installed,
+                           const std::vector<std::uint8_t> &Usable,
+                           const std::string &Account)
+    -> std::map<std::int32_t, std::int32_t> {
+  std::map<std::int32_t, std::int32_t> Moved;
+  for (auto &[From, Larger] : All) {
+    if (Larger.Account != Account || Larger.Held.empty())
+      continue;
+    for (auto &[To, Smaller] : All) {
+      if (Smaller.Account != Account || !Smaller.Held.empty() ||
+          Smaller.Size >= Larger.Size || Smaller.Size < Larger.Held.size())
+        continue;
+      const auto Saved = All;
+      const auto DegradedBefore = degradedCount();
+      std::swap(Larger.Held, Smaller.Held);
+      // The shape in use gets the block around its gangs.
+      Smaller.Block.clear();
+      repair(Installed, Usable);
+      if (degradedCount() <= DegradedBefore) {
+        Moved[From] = To;
+        break;
+      }
+      for (auto &[Id, Entry] : All)
+        Entry = Saved.at(Id);
+    }
+  }
+  return Moved;
+}
+
 auto GuaranteePlan::hold(std::int32_t Id,
                          const std::vector<std::uint32_t> &Accelerators)
     -> void {
@@ -176,10 +208,28 @@
   return Pinned;
 }
 
-auto GuaranteePlan::hasDegraded() const -> bool {
-  return std::any_of(All.begin(), All.end(), [](const auto &Entry) {
+auto GuaranteePlan::degradedCount() const -> std::int64_t {
+  return std::count_if(All.begin(), All.end(), [](const auto &Entry) {
     return Entry.second.Block.empty();
   });
 }
 
+auto GuaranteePlan::degraded() const -> std::vector<DegradedGuarantee> {
+  std::vector<DegradedGuarantee> Degraded;
+  for (const auto &[Id, Unit] : All) {
+    if (!Unit.Block.empty())
+      continue;
+    const auto Known = std::find_if(Degraded.begin(), Degraded.end(),
+                                    [&Unit = Unit](const auto &Entry) {
+                                      return Entry.Account == Unit.Account &&
+                                             Entry.Accelerators == Unit.Size;
+                                    });
+    if (Known != Degraded.end())
+      ++Known->Count;
+    else
+      Degraded.push_back({Unit.Account, Unit.Size, 1});
+  }
+  return Degraded;
+}
+
 } // namespace jayramp
--- a/Source/Jobs/GuaranteePlan.h
+++ b/Source/Jobs/GuaranteePlan.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "Jobs/AccountPolicy.h"
+#include "Jobs/DegradedGuarantee.h"
+#include "Jobs/GuaranteeCheck.h"
 #include "Jobs/Topology.h"
 
 #include <cstdint>
@@ -46,6 +48,14 @@
                  const std::vector<std::uint8_t> &Usable, std::int32_t Id,
                  const std::vector<std::uint32_t> &Block) -> bool;
 
+  /// Accounts small gangs in a large shape to an unused smaller shape of the
+  /// same account, so that the large shape is unused again. Gangs stay where
+  /// they are. Returns the new shape for each shape that was emptied.
+  auto rebook(const Topology &Installed,
+              const std::vector<std::uint8_t> &Usable,
+              const std::string &Account)
+      -> std::map<std::int32_t, std::int32_t>;
+
   /// Records that a gang of the account uses these accelerators of the shape.
   auto hold(std::int32_t Id, const std::vector<std::uint32_t> &Accelerators)
       -> void;
@@ -59,12 +69,15 @@
   /// blocks of shapes in use, except those of \p Id.
   auto pinned(std::uint32_t Accelerators, std::int32_t Id) const
       -> std::vector<std::uint8_t>;
-  auto hasDegraded() const -> bool;
+  /// Shapes without a block, summed up by account and size.
+  auto degraded() const -> std::vector<DegradedGuarantee>;
+  auto degradedCount() const -> std::int64_t;
 
 private:
   auto assignBlocks(const Topology &Installed,
                     const std::vector<std::uint8_t> &Usable,
-                    const std::vector<std::int32_t> &Ids) -> bool;
+                    const std::vector<std::int32_t> &Ids,
+                    GuaranteeCheck::Effort Spent) -> bool;
 
   Units All;
   std::int32_t NextId = 0;
--- a/Source/Jobs/JobScheduler.cpp
+++ b/Source/Jobs/JobScheduler.cpp
@@ -1,7 +1,7 @@
 #include "Jobs/JobScheduler.h"
 
 #include "Jobs/GangPlacer.h"
-#include "Jobs/Placement.h"
+#include "Jobs/WaitExplanation.h"
 
 #include <algorithm>
 #include <map>
@@ -10,8 +10,6 @@
 namespace jayramp {
 namespace {
 
-constexpr std::uint32_t LargestGang = 64;
-
 auto cancelledReport() -> WaitReport {
   return {WaitReason::Cancelled, "cancelled by the caller",
           "submit it again under a new key"};
@@ -53,8 +51,8 @@
   bool MemberGone = false;
   for (const auto &Place : Row.Placement) {
     const auto Worker = State.Installed.findWorker(Place.Worker);
-    if (!Worker || Place.Accelerator >=
-                       State.Installed.workerRanges()[*Worker].Count) {
+    if (!Worker ||
+        Place.Accelerator >= State.Installed.workerRanges()[*Worker].Count) {
       MemberGone = true;
       continue;
     }
@@ -143,7 +141,9 @@
   }
   Job->FinishedWorkers.insert(*Worker);
   State.Faults.recordSuccess(End.Worker);
-  if (Job->FinishedWorkers.size() < Workers.size())
+  // A gang that lost members to a change of the topology has not succeeded.
+  if (Job->FinishedWorkers.size() < Workers.size() ||
+      Job->Accelerators.size() < Job->Specification.Accelerators)
     return;
   State.release(*Job);
   State.end(*Job, JobEnd::Succeeded, {});
@@ -160,8 +160,7 @@
     State.Faults.forgetJob(Id);
     return;
   }
-  const auto Caused =
-      State.Faults.recordFailure(Worker, Id, Now, State.Policy);
+  const auto Caused = State.Faults.recordFailure(Worker, Id, Now, State.Policy);
   if (!Caused)
     return;
   // The worker is at fault, not the jobs.
@@ -237,14 +236,14 @@
   State.refreshUsable();
 }
 
-auto JobScheduler::changeAccounts(std::vector<AccountPolicy> Accounts)
-    -> void {
+auto JobScheduler::changeAccounts(std::vector<AccountPolicy> Accounts) -> void {
   State.Accounts = std::move(Accounts);
   State.Plan.setAccounts(State.Accounts);
   for (auto &[Key, Job] : State.Jobs) {
-    const bool Kept = std::all_of(
-        Job.Units.begin(), Job.Units.end(),
-        [this](auto Unit) { return State.Plan.units().count(Unit) != 0; });
+    const bool Kept =
+        std::all_of(Job.Units.begin(), Job.Units.end(), [this](auto Unit) {
+          return State.Plan.units().count(Unit) != 0;
+        });
     if (Kept)
       continue;
     if (Job.Phase == JobPhase::Reclaiming)
@@ -257,6 +256,21 @@
 }
 
 auto JobScheduler::changeTopology(Topology Installed) -> void {
+  // Tasks on a worker that is gone may run until their leases end. It stays
+  // known, as lost, so that its accelerators are not given out again if it is
+  // listed again before that.
+  auto Listed = Installed.workers();
+  std::set<std::string> Retained;
+  for (std::uint32_t Index = 0; Index < State.Pool.size(); ++Index) {
+    const auto &Worker =
+        State.Installed.workers()[State.Installed.workerOf(Index)];
+    if (State.Pool.holder(Index) != AcceleratorPool::None &&
+        !Installed.findWorker(Worker.Name) &&
+        Retained.insert(Worker.Name).second)
+      Listed.push_back(Worker);
+  }
+  if (!Retained.empty())
+    Installed = Topology::make(std::move(Listed)).value();
   const auto Old = std::exchange(State.Installed, std::move(Installed));
   const auto &New = State.Installed;
   const auto Workers = New.workers().size();
@@ -267,7 +281,9 @@
   for (std::uint32_t Worker = 0; Worker < Old.workers().size(); ++Worker) {
     Moved.push_back(New.findWorker(Old.workers()[Worker].Name));
     if (Moved.back()) {
-      State.Lost[*Moved.back()] = OldLost[Worker];
+      State.Lost[*Moved.back()] =
+          OldLost[Worker] &&
+          State.Retained.count(Old.workers()[Worker].Name) == 0;
       State.Leaving[*Moved.back()] = OldLeaving[Worker];
     }
   }
@@ -305,7 +321,10 @@
     else
       State.Pool.hold(Job.Accelerators, Job.Key);
   }
+  State.Retained = Retained;
   State.refreshUsable();
+  for (const auto &Name : Retained)
+    workerLost(Name);
   for (auto *Job : Broken) {
     if (Job->Phase == JobPhase::Reclaiming)
       State.endReservation(*Job);
@@ -360,7 +379,7 @@
 auto JobScheduler::checkSubmission(const JobSpecification &Job) const
     -> Result<void> {
   const auto Size = std::to_string(Job.Accelerators);
-  if (Job.Accelerators == 0 || Job.Accelerators > LargestGang)
+  if (Job.Accelerators == 0 || Job.Accelerators > Topology::LargestGang)
     return Error::make(ErrorKind::InvalidArgument, "accelerators",
                        Size + " is outside 1 to 64",
                        "ask for 1 to 64 accelerators");
@@ -380,9 +399,8 @@
                            std::to_string(State.Installed.acceleratorCount()) +
                            " are installed, " + Size + " were asked for",
                        "ask for fewer");
-  const auto Guaranteed = Job.Priority == JobPriority::Surplus
-                              ? 0
-                              : Account->guaranteedTotal();
+  const auto Guaranteed =
+      Job.Priority == JobPriority::Surplus ? 0 : Account->guaranteedTotal();
   if (Account->AcceleratorQuota != 0 &&
       Job.Accelerators > std::max(Account->AcceleratorQuota, Guaranteed))
     return Error::make(ErrorKind::Rejected, "accelerators",
@@ -397,7 +415,7 @@
   const auto *Job = State.find(Id);
   if (Job == nullptr)
     return std::nullopt;
-  return explain(*Job);
+  return explainWait(State, *Job);
 }
 
 auto JobScheduler::job(const std::string &Id) const -> const JobRecord * {
@@ -414,8 +432,7 @@
 auto JobScheduler::placement(const std::string &Id) const
     -> std::vector<AcceleratorPlace> {
   const auto *Job = State.find(Id);
-  return Job == nullptr ? std::vector<AcceleratorPlace>{}
-                        : State.places(*Job);
+  return Job == nullptr ? std::vector<AcceleratorPlace>{} : State.places(*Job);
 }
 
 auto JobScheduler::workerState(const std::string &Name) const
@@ -431,15 +448,6 @@
                                           : WorkerState::Live;
 }
 
-auto JobScheduler::largestPlaceableGang() const -> std::uint32_t {
-  Placement::Claims Current(State.Pool.size(), Placement::Unavailable);
-  for (std::uint32_t Index = 0; Index < State.Pool.size(); ++Index)
-    if (State.Pool.isFree(Index))
-      Current[Index] = Placement::Free;
-  return Placement::make(State.Installed, State.Policy.Rule)
-      .largestAdjacent(Current, LargestGang);
-}
-
 auto JobScheduler::capacity() const -> CapacityReport {
   CapacityReport Report;
   Report.Installed = State.Pool.size();
@@ -458,77 +466,4 @@
   return Report;
 }
 
-auto JobScheduler::degradedGuarantees() const
-    -> std::vector<DegradedGuarantee> {
-  std::vector<DegradedGuarantee> Degraded;
-  for (const auto &[Id, Unit] : State.Plan.units()) {
-    if (!Unit.Block.empty())
-      continue;
-    const auto Known = std::find_if(
-        Degraded.begin(), Degraded.end(), [&Unit = Unit](const auto &Entry) {
-          return Entry.Account == Unit.Account &&
-                 Entry.Accelerators == Unit.Size;
-        });
-    if (Known != Degraded.end())
-      ++Known->Count;
-    else
-      Degraded.push_back({Unit.Account, Unit.Size, 1});
-  }
-  return Degraded;
-}
-
-auto JobScheduler::explain(const JobRecord &Job) const -> WaitReport {
-  const auto &Wanted = Job.Specification;
-  const auto Size = std::to_string(Wanted.Accelerators);
-  const auto Free = std::to_string(State.Pool.freeCount());
-  WaitReport Report{Job.Waits, {}, {}};
-  switch (Job.Waits) {
-  case WaitReason::None:
-    return Report;
-  case WaitReason::WaitingForCapacity:
-    Report.Detail = "needs " + Size + " accelerators, " + Free + " are free";
-    Report.Remedy = "wait for running jobs to end, or ask for fewer";
-    break;
-  case WaitReason::WaitingForAdjacentCapacity:
-    Report.Detail = "needs " + Size + " adjacent accelerators; " + Free +
-                    " are free, the largest adjacent gang that fits is " +
-                    std::to_string(largestPlaceableGang());
-    Report.Remedy = "wait, ask for fewer, or not for adjacent ones";
-    break;
-  case WaitReason::WouldBreakGuarantee:
-    Report.Detail = "needs " + Size +
-                    " accelerators beyond what is unused of the account's "
-                    "guarantee, so it may not reclaim surplus, and " +
-                    Free + " are free";
-    Report.Remedy = "wait for the account's jobs to end, or ask an operator "
-                    "for a larger guarantee";
-    break;
-  case WaitReason::OverQuota:
-    Report.Detail = "the account holds " +
-                    std::to_string(State.holdings(Wanted.Account)) +
-                    " accelerators, " + Size + " more exceed its quota";
-    Report.Remedy = "wait for the account's jobs to end or cancel some, or "
-                    "ask an operator for a higher quota";
-    break;
-  case WaitReason::Reclaiming:
-    Report.Detail = Job.Phase == JobPhase::Stopping
-                        ? "is stopped for a job with a better claim"
-                        : "has places, surplus gangs on them are stopping";
-    Report.Remedy = "none needed; it starts by itself";
-    break;
-  default:
-    Report.Detail = "the current attempt is being stopped";
-    Report.Remedy = "none needed; the outcome follows";
-    break;
-  }
-  for (const auto &Degraded : degradedGuarantees())
-    if (Degraded.Account == Wanted.Account &&
-        Wanted.Priority != JobPriority::Surplus)
-      Report.Detail += "; the account's guarantee is degraded: " +
-                       std::to_string(Degraded.Count) + " shape(s) of " +
-                       std::to_string(Degraded.Accelerators) +
-                       " do not fit on the live workers";
-  return Report;
-}
-
 } // namespace jayramp
--- a/Source/Jobs/JobScheduler.h
+++ b/Source/Jobs/JobScheduler.h
@@ -25,15 +25,6 @@
   auto operator==(const CapacityReport &) const -> bool = default;
 };
 
-/// Guaranteed shapes of one size that the live workers cannot hold at present.
-struct DegradedGuarantee {
-  std::string Account;
-  std::uint32_t Accelerators = 0;
-  std::uint32_t Count = 0;
-
-  auto operator==(const DegradedGuarantee &) const -> bool = default;
-};
-
 /// Decides which gang runs where. Pure: no clock, threads or input and output;
 /// not safe for use from several threads at once.
 ///
@@ -68,7 +59,9 @@
   /// Unused guarantees are planned anew; gangs whose guarantee is gone become
   /// reclaimable. Jobs of removed accounts are rejected.
   auto changeAccounts(std::vector<AccountPolicy> Accounts) -> void;
-  /// Workers are matched by name. Gangs on workers that are gone are stopped.
+  /// Workers are matched by name. Gangs on workers that are gone are stopped;
+  /// such a worker stays in topology(), as lost, until the next change after
+  /// its gangs have stopped.
   auto changeTopology(Topology Installed) -> void;
   /// False if the report is older than the placement and was ignored.
   auto reportUsage(const UsageReport &Report) -> bool;
@@ -92,9 +85,13 @@
   auto workerState(const std::string &Worker) const
       -> std::optional<WorkerState>;
   /// Largest adjacent gang, up to 64, that free accelerators could hold now.
-  auto largestPlaceableGang() const -> std::uint32_t;
+  auto largestPlaceableGang() const -> std::uint32_t {
+    return State.largestFreeBlock();
+  }
   auto capacity() const -> CapacityReport;
-  auto degradedGuarantees() const -> std::vector<DegradedGuarantee>;
+  auto degradedGuarantees() const -> std::vector<DegradedGuarantee> {
+    return State.Plan.degraded();
+  }
   auto topology() const -> const Topology & { return State.Installed; }
   auto plan() const -> const GuaranteePlan & { return State.Plan; }
   auto pool() const -> const AcceleratorPool & { return State.Pool; }
@@ -106,7 +103,6 @@
   auto finishStop(JobRecord &Job) -> void;
   auto recordFailure(JobRecord &Job, const std::string &Worker, TimePoint Now)
       -> void;
-  auto explain(const JobRecord &Job) const -> WaitReport;
 
   SchedulerState State;
 };
--- a/Source/Jobs/Placement.cpp
+++ b/Source/Jobs/Placement.cpp
@@ -33,6 +33,31 @@
   std::vector<std::uint32_t> Stoppable;
 };
 
+/// For each rack, the free accelerators of the emptiest neighbourhood that it
+/// belongs to, where a neighbourhood is as long as the largest gang needs.
+/// Placing work where this is low keeps the emptiest neighbourhood free.
+auto neighbourhoodFree(const Topology &Installed, const FreeCounts &Counts)
+    -> std::vector<std::int64_t> {
+  const auto &Racks = Installed.rackRanges();
+  const auto &Zones = Installed.zoneOfRack();
+  const auto Scope = Installed.scopeOf(Topology::LargestGang);
+  const std::size_t Length =
+      Scope && Scope->Unit == ShapeScope::Level::RackRun ? Scope->Racks : 1;
+  std::vector<std::int64_t> Free(Racks.size(), 0);
+  for (std::size_t First = 0; First < Racks.size(); ++First) {
+    // At the end of a zone the neighbourhood is cut short.
+    auto Last = std::min(First + Length, Racks.size()) - 1;
+    while (Zones[Last] != Zones[First])
+      --Last;
+    const Range In{Racks[First].First,
+                   Racks[Last].First + Racks[Last].Count - Racks[First].First};
+    for (auto Rack = First; Rack <= Last; ++Rack)
+      Free[Rack] =
+          std::max(Free[Rack], static_cast<std::int64_t>(Counts.free(In)));
+  }
+  return Free;
+}
+
 /// Fewest gangs in the range that hold \p Needed accelerators there. A single
 /// gang that is enough is chosen as young as possible, otherwise the largest
 /// goes first, which keeps the number of gangs minimal.
@@ -52,9 +77,8 @@
   std::vector<std::int64_t> Victims;
   while (Needed > 0 && !Gangs.empty()) {
     auto Chosen =
-        std::find_if(Gangs.begin(), Gangs.end(), [&](const auto &Gang) {
-          return Gang.second >= Needed;
-        });
+        std::find_if(Gangs.begin(), Gangs.end(),
+                     [&](const auto &Gang) { return Gang.second >= Needed; });
     if (Chosen == Gangs.end())
       Chosen = std::max_element(Gangs.begin(), Gangs.end(),
                                 [](const auto &Left, const auto &Right) {
@@ -91,10 +115,7 @@
     return {};
   const FreeCounts Counts(Current);
   const auto &Racks = Installed->rackRanges();
-  const auto &Zones = Installed->zoneOfRack();
-  std::vector<std::int64_t> ZoneFree(Installed->zoneCount(), 0);
-  for (std::size_t Rack = 0; Rack < Racks.size(); ++Rack)
-    ZoneFree[Zones[Rack]] += Counts.free(Racks[Rack]);
+  const auto Nearby = neighbourhoodFree(*Installed, Counts);
 
   std::vector<Candidate> Found;
   for (const auto &In : Installed->ranges(*Scope)) {
@@ -121,9 +142,9 @@
               : *std::min_element(Next.Victims.begin(), Next.Victims.end());
       Next.Rank = {static_cast<std::int64_t>(Next.Victims.size()),
                    -Oldest,
-                   static_cast<std::int64_t>(FreeHere) - Wanted.Size,
+                   Nearby[Rack],
                    static_cast<std::int64_t>(Counts.free(Racks[Rack])),
-                   ZoneFree[Zones[Rack]],
+                   static_cast<std::int64_t>(FreeHere) - Wanted.Size,
                    Position};
     }
     Found.push_back(std::move(Next));
@@ -136,14 +157,14 @@
   std::vector<Block> Blocks;
   for (std::size_t Index = 0; Index < Count; ++Index)
     Blocks.push_back(
-        choose(Wanted, Current, Found[Index].In, Found[Index].Victims));
+        choose(Wanted, Current, Found[Index].In, Found[Index].Victims, Nearby));
   return Blocks;
 }
 
 auto Placement::choose(const Request &Wanted, const Claims &Current,
                        const Range &In,
-                       const std::vector<std::int64_t> &Victims) const
-    -> Block {
+                       const std::vector<std::int64_t> &Victims,
+                       const std::vector<std::int64_t> &Nearby) const -> Block {
   Block Chosen;
   Chosen.Victims = Victims;
   Chosen.Accelerators = Wanted.Include;
@@ -166,12 +187,12 @@
     std::stable_sort(Open.begin(), Open.end(), [&](auto Left, auto Right) {
       const auto LeftWorker = Installed->workerOf(Left);
       const auto RightWorker = Installed->workerOf(Right);
-      return std::make_tuple(OnWorker[LeftWorker],
-                             InRack[Installed->rackOfWorker(LeftWorker)],
-                             LeftWorker) <
-             std::make_tuple(OnWorker[RightWorker],
-                             InRack[Installed->rackOfWorker(RightWorker)],
-                             RightWorker);
+      const auto LeftRack = Installed->rackOfWorker(LeftWorker);
+      const auto RightRack = Installed->rackOfWorker(RightWorker);
+      return std::make_tuple(Nearby[LeftRack], InRack[LeftRack],
+                             OnWorker[LeftWorker], LeftWorker) <
+             std::make_tuple(Nearby[RightRack], InRack[RightRack],
+                             OnWorker[RightWorker], RightWorker);
     });
   }
   for (auto Gang : Victims)
--- a/Source/Jobs/Placement.h
+++ b/Source/Jobs/Placement.h
@@ -55,7 +55,8 @@
 
   auto choose(const Request &Wanted, const Claims &Current,
               const Topology::Range &Range,
-              const std::vector<std::int64_t> &Victims) const -> Block;
+              const std::vector<std::int64_t> &Victims,
+              const std::vector<std::int64_t> &Nearby) const -> Block;
 
   const Topology *Installed;
   PlacementRule Rule;
--- a/Source/Jobs/SchedulerState.cpp
+++ b/Source/Jobs/SchedulerState.cpp
@@ -1,5 +1,7 @@
 #include "Jobs/SchedulerState.h"
 
+#include "Jobs/Placement.h"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -69,12 +71,20 @@
   return {Workers.begin(), Workers.end()};
 }
 
+auto SchedulerState::largestFreeBlock() const -> std::uint32_t {
+  Placement::Claims Current(Pool.size(), Placement::Unavailable);
+  for (std::uint32_t Index = 0; Index < Pool.size(); ++Index)
+    if (Pool.isFree(Index))
+      Current[Index] = Placement::Free;
+  return Placement::make(Installed, Policy.Rule)
+      .largestAdjacent(Current, Topology::LargestGang);
+}
+
 auto SchedulerState::refreshUsable() -> void {
   for (std::uint32_t Worker = 0; Worker < Installed.workers().size();
        ++Worker) {
-    const bool Usable =
-        !Lost[Worker] && !Leaving[Worker] &&
-        !Faults.isQuarantined(Installed.workers()[Worker].Name);
+    const bool Usable = !Lost[Worker] && !Leaving[Worker] &&
+                        !Faults.isQuarantined(Installed.workers()[Worker].Name);
     const auto &Range = Installed.workerRanges()[Worker];
     for (auto Index = Range.First; Index < Range.First + Range.Count; ++Index)
       Pool.setUsable(Index, Usable);
@@ -122,8 +132,8 @@
     start(Job, Now);
     return;
   }
-  ReclaimGangs Reclaim{Job.Specification.Id, Job.Attempt, places(Job), {},
-                       Job.Guaranteed};
+  ReclaimGangs Reclaim{
+      Job.Specification.Id, Job.Attempt, places(Job), {}, Job.Guaranteed};
   for (const auto *Victim : Victims)
     Reclaim.Victims.push_back({Victim->Specification.Id, Victim->Attempt});
   Outbox.emplace_back(std::move(Reclaim));
@@ -153,11 +163,11 @@
   Job.Waits = Reason;
 }
 
-auto SchedulerState::stop(JobRecord &Job, WaitReason Reason,
-                          std::string Detail) -> void {
+auto SchedulerState::stop(JobRecord &Job, WaitReason Reason, std::string Detail)
+    -> void {
   beginStop(Job, Reason);
-  Outbox.emplace_back(StopGang{Job.Specification.Id, Job.Attempt, Reason,
-                               std::move(Detail)});
+  Outbox.emplace_back(
+      StopGang{Job.Specification.Id, Job.Attempt, Reason, std::move(Detail)});
 }
 
 auto SchedulerState::release(JobRecord &Job) -> void {
@@ -185,6 +195,14 @@
   Job.Guaranteed = false;
   Job.Units.clear();
   repairPlan();
+  const auto Moved =
+      Plan.rebook(Installed, Pool.usable(), Job.Specification.Account);
+  if (Moved.empty())
+    return;
+  for (auto &[Key, Other] : Jobs)
+    for (auto &Unit : Other.Units)
+      if (const auto To = Moved.find(Unit); To != Moved.end())
+        Unit = To->second;
 }
 
 auto SchedulerState::clearPlaces(JobRecord &Job) -> void {
--- a/Source/Jobs/SchedulerState.h
+++ b/Source/Jobs/SchedulerState.h
@@ -10,6 +10,7 @@
 #include "Jobs/WorkerFaults.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -30,6 +31,9 @@
   auto places(const JobRecord &Job) const -> std::vector<AcceleratorPlace>;
   auto workersOf(const JobRecord &Job) const -> std::vector<std::uint32_t>;
 
+  /// Largest adjacent gang, up to 64, that free accelerators could hold.
+  auto largestFreeBlock() const -> std::uint32_t;
+
   /// Recomputes which accelerators may be used, and repairs the plan.
   auto refreshUsable() -> void;
   auto repairPlan() -> void;
@@ -66,6 +70,8 @@
   std::unordered_map<std::string, std::uint32_t> Holdings;
   std::vector<bool> Lost;    ///< By worker index.
   std::vector<bool> Leaving; ///< By worker index.
+  /// Workers that are no longer listed but still hold gangs.
+  std::set<std::string> Retained;
   std::vector<Decision> Outbox;
   JobKey NextKey = 1;
   std::int64_t NextStart = 1;
--- a/Source/Jobs/Topology.cpp
+++ b/Source/Jobs/Topology.cpp
@@ -32,9 +32,9 @@
                          "the name occurs twice", "use each name once");
     const auto First = Built.acceleratorCount();
     const auto *Before = Index > 0 ? &Workers[Index - 1] : nullptr;
-    const bool NewZone =
-        Before == nullptr || std::tie(Before->Region, Before->AvailabilityZone) !=
-                                 std::tie(Worker.Region, Worker.AvailabilityZone);
+    const bool NewZone = Before == nullptr ||
+                         std::tie(Before->Region, Before->AvailabilityZone) !=
+                             std::tie(Worker.Region, Worker.AvailabilityZone);
     if (NewZone)
       ++Built.ZoneCount;
     if (NewZone || Before->Rack != Worker.Rack) {
@@ -100,9 +100,9 @@
        ++First) {
     const auto Last = First + Scope.Racks - 1;
     if (ZoneOfRack[First] == ZoneOfRack[Last])
-      Runs.push_back({RackRanges[First].First,
-                      RackRanges[Last].First + RackRanges[Last].Count -
-                          RackRanges[First].First});
+      Runs.push_back({RackRanges[First].First, RackRanges[Last].First +
+                                                   RackRanges[Last].Count -
+                                                   RackRanges[First].First});
   }
   return Runs;
 }
--- a/Source/Jobs/Topology.h
+++ b/Source/Jobs/Topology.h
@@ -19,6 +19,9 @@
 /// are neighbours.
 class Topology {
 public:
+  /// Largest gang that a job may ask for.
+  static constexpr std::uint32_t LargestGang = 64;
+
   /// A range of accelerators [First, First + Count).
   struct Range {
     std::uint32_t First = 0;
--- a/Source/Jobs/WorkerFaults.cpp
+++ b/Source/Jobs/WorkerFaults.cpp
@@ -19,8 +19,9 @@
   Quarantine Caused;
   // 20 doublings exceed any sensible limit and do not overflow.
   const auto Doublings = std::min(Entry.Quarantines, 20U);
-  Caused.Delay = std::min(Policy.QuarantineDelay * (std::int64_t{1} << Doublings),
-                          Policy.LongestQuarantine);
+  Caused.Delay =
+      std::min(Policy.QuarantineDelay * (std::int64_t{1} << Doublings),
+               Policy.LongestQuarantine);
   Caused.Jobs.assign(Entry.Jobs.begin(), Entry.Jobs.end());
   ++Entry.Quarantines;
   Entry.Until = Now + Caused.Delay;
--- a/Tests/Benchmark/PlacementBenchmark.cpp
+++ b/Tests/Benchmark/PlacementBenchmark.cpp
@@ -27,7 +27,8 @@
     const auto Rack = Index / 6;
     const auto Zone = Rack * Zones / Racks;
     // At target size one worker of a rack has two accelerators, the others one:
-    // 770 workers with 890 accelerators, as 120 of 129 racks have such a worker.
+    // 770 workers with 890 accelerators, as 120 of 129 racks have such a
+    // worker.
     const std::uint32_t Accelerators =
         Large ? 8 : (Index % 6 == 0 && Rack < 120 * Workers / 770 ? 2 : 1);
     char Name[32];
@@ -43,18 +44,17 @@
 auto makeJobs(SimulatedCluster &Cluster) -> void {
   std::mt19937_64 Random(Cluster.Seed);
   std::uniform_real_distribution<double> Uniform(0, 1);
-  std::exponential_distribution<double> Gap(JobsPerDay / Day);
+  std::exponential_distribution<double> Gap(1.5 * JobsPerDay / Day);
   std::lognormal_distribution<double> Spread(0, 0.8);
   double Total = 0;
   for (double At = Gap(Random); At < Cluster.Seconds; At += Gap(Random)) {
     SimulatedJob Next;
-    // Arrivals swing by half over the day: thinned at night, doubled at noon.
+    // Arrivals swing by half over the day: drawn at the peak rate and thinned.
     const auto Swing = 1 + 0.5 * std::sin(2 * 3.14159265 * At / Day);
     if (Uniform(Random) > Swing / 1.5)
       continue;
     Next.ArrivesAt = At;
-    const auto &Account =
-        Cluster.Accounts[Random() % Cluster.Accounts.size()];
+    const auto &Account = Cluster.Accounts[Random() % Cluster.Accounts.size()];
     auto &Job = Next.Specification;
     Job.Id = "j" + std::to_string(Cluster.Jobs.size());
     Job.Account = Account.Name;
@@ -94,8 +94,8 @@
 }
 
 auto today(std::uint64_t Seed, double Seconds) -> SimulatedCluster {
-  SimulatedCluster Cluster{"48 workers x 8", makeWorkers(48, 4, true), {}, {},
-                           Seconds, Seed};
+  SimulatedCluster Cluster{
+      "48 workers x 8", makeWorkers(48, 4, true), {}, {}, Seconds, Seed};
   Cluster.Accounts = {{"a", {{8, 6}}, 0},
                       {"b", {{16, 2}, {8, 2}}, 0},
                       {"c", {{4, 4}}, 0},
@@ -106,7 +106,11 @@
 
 auto target(std::uint64_t Seed, double Seconds) -> SimulatedCluster {
   SimulatedCluster Cluster{"770 workers, 890 accelerators",
-                           makeWorkers(770, 6, false), {}, {}, Seconds, Seed};
+                           makeWorkers(770, 6, false),
+                           {},
+                           {},
+                           Seconds,
+                           Seed};
   for (int Team = 0; Team < 30; ++Team)
     Cluster.Accounts.push_back(
         {"t" + std::to_string(Team),
@@ -121,13 +125,14 @@
 auto print(const char *Name, const SimulationReport &Report) -> void {
   std::printf("%-30s finished=%u open=%u completion_mean_s=%.0f p95_s=%.0f "
               "surplus_used=%.4f probes=%u broken=%u reclaimed=%u "
-              "largest_gang=%.1f free=%.1f decision_p50_us=%.0f p99_us=%.0f "
+              "largest_gang=%.1f ideal_gang=%.1f free=%.1f "
+              "decision_p50_us=%.0f p99_us=%.0f "
               "decisions=%u\n",
               Name, Report.Finished, Report.Unfinished, Report.MeanCompletion,
               Report.P95Completion, Report.SurplusUsed, Report.Probes,
               Report.BrokenGuarantees, Report.ReclaimedGangs,
-              Report.MeanLargestGang, Report.MeanFree, Report.DecisionP50,
-              Report.DecisionP99, Report.Decisions);
+              Report.MeanLargestGang, Report.MeanIdealGang, Report.MeanFree,
+              Report.DecisionP50, Report.DecisionP99, Report.Decisions);
   std::fflush(stdout);
 }
 
@@ -138,9 +143,9 @@
 
 /// Time of one placement on a cluster that is 80% full.
 auto measureGrowth(std::uint32_t Workers, std::uint32_t Gang) -> void {
-  auto Scheduler = JobScheduler::make(
-      Topology::make(makeWorkers(Workers, 6, false)).value(),
-      {{"a", {{2, 4}}, 0}});
+  auto Scheduler =
+      JobScheduler::make(Topology::make(makeWorkers(Workers, 6, false)).value(),
+                         {{"a", {{2, 4}}, 0}});
   TimePoint Now{};
   std::mt19937_64 Random(1);
   const auto Installed = Scheduler.topology().acceleratorCount();
--- a/Tests/Benchmark/PlacementSimulation.cpp
+++ b/Tests/Benchmark/PlacementSimulation.cpp
@@ -10,9 +10,11 @@
 namespace jayramp {
 namespace {
 
-constexpr double ReclaimSeconds = 2.5;  // checkpoint 1.0, throttle 0.5, stop 1
-constexpr double LeaseSeconds = 10;     // a lost member's gang stops after it
-constexpr double ProbeBound = 5.2;      // urgent work starts within this
+constexpr double ReclaimSeconds = 2.5; // checkpoint 1.0, throttle 0.5, stop 1
+// A gang with a lost member stops after its lease.
+constexpr double SurplusLeaseSeconds = 4;
+constexpr double GuaranteedLeaseSeconds = 10;
+constexpr double ProbeBound = 5.2; // urgent work starts within this
 constexpr double ProbeRuns = 120;
 constexpr double RestartCost = 30; // work lost by a checkpoint and restart
 constexpr double HostFailuresPerDay = 13;
@@ -97,6 +99,7 @@
   const auto Both = SurplusSeconds + IdleSeconds;
   Report.SurplusUsed = Both > 0 ? SurplusSeconds / Both : 1;
   Report.MeanLargestGang = Samples > 0 ? LargestSum / Samples : 0;
+  Report.MeanIdealGang = Samples > 0 ? IdealSum / Samples : 0;
   Report.MeanFree = Samples > 0 ? FreeSum / Samples : 0;
   Report.DecisionP50 = percentile(DecisionTimes, 0.50);
   Report.DecisionP99 = percentile(DecisionTimes, 0.99);
@@ -116,7 +119,7 @@
   case EventKind::Arrival: {
     const auto &Job = Cluster.Jobs[Next.Number];
     if (Scheduler.submit(Job.Specification, time()))
-      Work[Job.Specification.Id] = {Now, Job.Runs, 0, false};
+      Work[Job.Specification.Id] = {Now, Job.Runs, 0, false, false};
     break;
   }
   case EventKind::Finish:
@@ -131,8 +134,9 @@
   case EventKind::ProbeCheck: {
     const auto *Job = Scheduler.job(Next.Name);
     ++Report.Probes;
-    if (Job != nullptr && Job->Phase != JobPhase::Running)
+    if (Job != nullptr && Job->Phase != JobPhase::Running) {
       ++Report.BrokenGuarantees;
+    }
     if (Job != nullptr && Job->Phase != JobPhase::Running)
       Scheduler.cancel(Next.Name);
     break;
@@ -140,6 +144,7 @@
   case EventKind::Sample:
     LargestSum += Scheduler.largestPlaceableGang();
     FreeSum += Scheduler.capacity().Free;
+    IdealSum += std::min(64U, Scheduler.capacity().Free);
     ++Samples;
     break;
   case EventKind::Lost:
@@ -171,30 +176,48 @@
 
 auto PlacementSimulation::startProbe(std::uint32_t Number) -> void {
   const auto &Account = Cluster.Accounts[Number % Cluster.Accounts.size()];
+  // Unused shapes are counted from the gangs, not taken from the plan: each
+  // guaranteed gang uses a shape of its size or else the next larger one.
+  std::map<std::uint32_t, std::vector<std::uint32_t>> Room;
+  for (const auto &Shape : Account.Guarantees)
+    Room[Shape.Accelerators].assign(Shape.Count, Shape.Accelerators);
+  for (const auto &Degraded : Scheduler.degradedGuarantees())
+    if (Degraded.Account == Account.Name)
+      Room[Degraded.Accelerators].resize(Room[Degraded.Accelerators].size() -
+                                         Degraded.Count);
+  const bool Planned = !Scheduler.plan().units().empty();
+  std::vector<std::uint32_t> Gangs;
+  for (const auto &Id : Scheduler.jobIds()) {
+    const auto *Job = Scheduler.job(Id);
+    const auto &Wanted = Job->Specification;
+    if (Wanted.Account == Account.Name &&
+        Wanted.Priority != JobPriority::Surplus &&
+        (Planned ? Job->Guaranteed : Job->Phase == JobPhase::Running))
+      Gangs.push_back(Wanted.Accelerators);
+  }
+  std::sort(Gangs.begin(), Gangs.end(), std::greater<>());
+  for (auto Size : Gangs) {
+    std::uint32_t *Best = nullptr;
+    for (auto &[Shape, Units] : Room)
+      for (auto &Left : Units)
+        if (Left >= Size && (Best == nullptr || Left < *Best))
+          Best = &Left;
+    if (Best != nullptr)
+      *Best -= Size;
+  }
   for (const auto &Shape : Account.Guarantees) {
-    std::uint32_t Used = 0;
-    for (const auto &Id : Scheduler.jobIds()) {
-      const auto *Job = Scheduler.job(Id);
-      if (Job->Specification.Account == Account.Name &&
-          Job->Specification.Priority != JobPriority::Surplus &&
-          Job->Specification.Accelerators == Shape.Accelerators &&
-          (Job->Guaranteed || (Scheduler.plan().units().empty() &&
-                               Job->Phase == JobPhase::Running)))
-        ++Used;
-    }
-    for (const auto &Degraded : Scheduler.degradedGuarantees())
-      if (Degraded.Account == Account.Name &&
-          Degraded.Accelerators == Shape.Accelerators)
-        Used += Degraded.Count;
-    for (auto Index = Used; Index < Shape.Count; ++Index) {
+    const auto &Units = Room[Shape.Accelerators];
+    const auto Unused = static_cast<std::uint32_t>(
+        std::count(Units.begin(), Units.end(), Shape.Accelerators));
+    for (std::uint32_t Index = 0; Index < Unused; ++Index) {
       const auto Id = "probe-" + std::to_string(Number) + "-" +
                       std::to_string(Shape.Accelerators) + "-" +
                       std::to_string(Index);
-      if (!Scheduler.submit({Id, Account.Name, Shape.Accelerators,
-                             JobPriority::Urgent, true},
-                            time()))
+      if (!Scheduler.submit(
+              {Id, Account.Name, Shape.Accelerators, JobPriority::Urgent, true},
+              time()))
         continue;
-      Work[Id] = {Now, ProbeRuns, 0, true};
+      Work[Id] = {Now, ProbeRuns, 0, true, false};
       push(Now + ProbeBound, EventKind::ProbeCheck, Id);
     }
   }
@@ -226,6 +249,7 @@
   if (const auto *Start = std::get_if<StartGang>(&Made)) {
     auto &Entry = Work.at(Start->Job);
     Entry.StartedAt = Now;
+    Entry.Guaranteed = Start->Guaranteed;
     push(Now + Entry.Remaining, EventKind::Finish, Start->Job, Start->Attempt);
   } else if (const auto *Reclaim = std::get_if<ReclaimGangs>(&Made)) {
     for (const auto &Victim : Reclaim->Victims) {
@@ -236,7 +260,9 @@
     }
   } else if (const auto *Stop = std::get_if<StopGang>(&Made)) {
     pauseWork(Stop->Job);
-    push(Now + LeaseSeconds, EventKind::Stopped, Stop->Job, Stop->Attempt);
+    push(Now + (Work.at(Stop->Job).Guaranteed ? GuaranteedLeaseSeconds
+                                              : SurplusLeaseSeconds),
+         EventKind::Stopped, Stop->Job, Stop->Attempt);
   } else if (const auto *End = std::get_if<EndJob>(&Made)) {
     Work.erase(End->Job);
   }
--- a/Tests/Benchmark/PlacementSimulation.h
+++ b/Tests/Benchmark/PlacementSimulation.h
@@ -38,7 +38,8 @@
   std::uint32_t ReclaimedGangs = 0;
   double MeanLargestGang = 0; ///< Over the second half of the run.
   double MeanFree = 0;
-  double DecisionP50 = 0; ///< Microseconds, decisions that placed a job.
+  double MeanIdealGang = 0; ///< If all free capacity were one block, up to 64.
+  double DecisionP50 = 0;   ///< Microseconds, decisions that placed a job.
   double DecisionP99 = 0;
   std::uint32_t Decisions = 0;
 };
@@ -55,8 +56,16 @@
   auto run() -> SimulationReport;
 
 private:
-  enum class EventKind { Arrival, Finish, Stopped, Probe, ProbeCheck, Sample,
-                         Lost, Returned };
+  enum class EventKind {
+    Arrival,
+    Finish,
+    Stopped,
+    Probe,
+    ProbeCheck,
+    Sample,
+    Lost,
+    Returned
+  };
   struct Event {
     double At = 0;
     std::uint64_t Order = 0;
@@ -73,6 +82,7 @@
     double Remaining = 0;
     double StartedAt = 0;
     bool Probe = false;
+    bool Guaranteed = false;
   };
 
   auto push(double At, EventKind Kind, std::string Name,
@@ -100,6 +110,7 @@
   double IdleSeconds = 0;
   double LargestSum = 0;
   double FreeSum = 0;
+  double IdealSum = 0;
   std::uint32_t Samples = 0;
   std::uint32_t Idle = 0;
   std::uint32_t Surplus = 0;
--- a/Tests/Unit/JobSchedulerTest.cpp
+++ b/Tests/Unit/JobSchedulerTest.cpp
@@ -12,13 +12,15 @@
 #include <iostream>
 #include <map>
 #include <numeric>
+#include <optional>
 #include <set>
 
 namespace jayramp {
 namespace {
 
 // RapidCheck prints its seed at the start; RC_PARAMS="seed=N" repeats a run.
-const int ConfiguredRuns = setenv("RC_PARAMS", "max_success=2000", 0);
+const int ConfiguredRuns =
+    setenv("RC_PARAMS", "max_success=3000 max_size=200", 0);
 
 using Place = std::pair<std::string, std::uint32_t>;
 
@@ -32,6 +34,8 @@
   std::uint64_t Degraded = 0;
   std::uint64_t ExactChecks = 0;
   std::uint64_t Quarantines = 0;
+  std::uint64_t AccountChanges = 0;
+  std::uint64_t TopologyChanges = 0;
 };
 
 Coverage Reached;
@@ -111,7 +115,7 @@
 public:
   Model(Topology Installed, std::vector<AccountPolicy> Accounts)
       : Scheduler(JobScheduler::make(Installed, Accounts, policy())),
-        Accounts(std::move(Accounts)) {}
+        Accounts(std::move(Accounts)), Listed(Installed.workers()) {}
 
   static auto policy() -> SchedulerPolicy {
     SchedulerPolicy Policy;
@@ -123,7 +127,7 @@
       -> void {
     Now += Milliseconds(1000 + Right % 5000);
     ++Reached.Steps;
-    switch (Kind % 10) {
+    switch (Kind) {
     case 0:
     case 1:
     case 2:
@@ -137,8 +141,8 @@
       break;
     case 6:
       if (const auto *Gang = pick(Left))
-        endGang(*Gang, Right % 2 == 0 ? TaskResult::Failed
-                                      : TaskResult::Finished);
+        endGang(*Gang,
+                Right % 2 == 0 ? TaskResult::Failed : TaskResult::Finished);
       break;
     case 7:
       if (!Running.empty() && Left % 2 == 0)
@@ -151,6 +155,12 @@
     case 8:
       Scheduler.workerReturned(worker(Left));
       break;
+    case 9:
+      changeAccounts(Left);
+      break;
+    case 10:
+      changeTopology(Left);
+      break;
     default:
       confirmStops(Left);
       break;
@@ -183,6 +193,44 @@
               Scheduler.checkSubmission(Job).has_value());
   }
 
+  auto changeAccounts(std::uint32_t Left) -> void {
+    if (Left % 4 != 0)
+      return;
+    auto &Guarantees = Accounts[1].Guarantees;
+    if (Guarantees.empty())
+      Guarantees = {{1 + Left % 3, 1}};
+    else
+      Guarantees.clear();
+    Scheduler.changeAccounts(Accounts);
+    ++Reached.AccountChanges;
+    refreshGuaranteed();
+  }
+
+  auto changeTopology(std::uint32_t Left) -> void {
+    auto &Workers = Listed;
+    if (Removed) {
+      Workers.push_back(*Removed);
+      Removed.reset();
+    } else if (Workers.size() > 1) {
+      const auto At =
+          Workers.begin() + static_cast<long>(Left % Workers.size());
+      Removed = *At;
+      Workers.erase(At);
+    }
+    Scheduler.changeTopology(Topology::make(Workers).value());
+    ++Reached.TopologyChanges;
+    refreshGuaranteed();
+  }
+
+  // A change may make guaranteed gangs reclaimable, never the reverse.
+  auto refreshGuaranteed() -> void {
+    for (auto &[Id, Gang] : Running) {
+      const bool Guaranteed = Scheduler.job(Id)->Guaranteed;
+      RC_ASSERT(Gang.Guaranteed || !Guaranteed);
+      Gang.Guaranteed = Guaranteed;
+    }
+  }
+
   auto pick(std::uint32_t Left) -> const Gang * {
     if (Running.empty())
       return nullptr;
@@ -200,14 +248,24 @@
     std::set<std::string> Workers;
     for (const auto &Entry : Ended.Places)
       Workers.insert(Entry.first);
+    // Everything fails on the first worker, so that it is quarantined.
+    if (Workers.count(worker(0)) != 0U)
+      Result = TaskResult::Failed;
     if (Result == TaskResult::Finished) {
       Running.erase(Ended.Job);
       for (const auto &Name : Workers)
         Scheduler.taskEnded({Ended.Job, Ended.Attempt, Name, Result}, Now);
+      // A gang that lost a member to a topology change still has to stop.
+      if (Scheduler.job(Ended.Job) != nullptr) {
+        RC_ASSERT(Ended.Stopping);
+        Running[Ended.Job] = Ended;
+      }
       return;
     }
     Scheduler.taskEnded({Ended.Job, Ended.Attempt, *Workers.begin(), Result},
                         Now);
+    if (!Ended.Stopping)
+      RC_ASSERT(Scheduler.job(Ended.Job)->Phase == JobPhase::Stopping);
   }
 
   auto confirmStops(std::uint32_t Left) -> void {
@@ -337,6 +395,8 @@
   std::map<std::string, std::uint32_t> Sizes;
   TimePoint Now{};
   std::uint32_t Submitted = 0;
+  std::vector<WorkerDescription> Listed;
+  std::optional<WorkerDescription> Removed;
 };
 
 auto accountsFor(std::uint32_t Choice, const Topology &Installed)
@@ -356,14 +416,13 @@
 // too much or too little, and a guarantee that cannot be reclaimed or is
 // reported as degraded although it fits.
 RC_GTEST_PROP(JobSchedulerTest, keepsGuaranteesInAnySequence, ()) {
-  const auto Installed = smallTopology(
-      *rc::gen::inRange(1U, 3U), *rc::gen::inRange(1U, 3U),
-      *rc::gen::inRange(1U, 4U), *rc::gen::inRange(1U, 5U));
-  Model Checked(Installed,
-                accountsFor(*rc::gen::inRange(0U, 72U), Installed));
+  const auto Installed =
+      smallTopology(*rc::gen::inRange(1U, 3U), *rc::gen::inRange(1U, 3U),
+                    *rc::gen::inRange(1U, 4U), *rc::gen::inRange(1U, 5U));
+  Model Checked(Installed, accountsFor(*rc::gen::inRange(0U, 72U), Installed));
   const auto Steps = *rc::gen::container<
       std::vector<std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>>>(
-      rc::gen::tuple(rc::gen::inRange(0U, 10U), rc::gen::inRange(0U, 1000U),
+      rc::gen::tuple(rc::gen::inRange(0U, 15U), rc::gen::inRange(0U, 1000U),
                      rc::gen::inRange(0U, 1000U)));
   for (const auto &[Kind, Left, Right] : Steps)
     Checked.step(Kind, Left, Right);
@@ -383,6 +442,8 @@
   EXPECT_GT(Reached.Probes, 1000U);
   EXPECT_GT(Reached.ExactChecks, 100U);
   EXPECT_GT(Reached.Quarantines, 0U);
+  EXPECT_GT(Reached.AccountChanges, 100U);
+  EXPECT_GT(Reached.TopologyChanges, 100U);
 }
 
 // Documented baseline: an admission that compares only sums. It must break a
@@ -393,9 +454,10 @@
     // Account a is guaranteed one shape of 4, account b four of 1.
     std::vector<std::uint8_t> Open(8, 1);
     std::vector<std::uint32_t> Gangs;
-    const auto Steps = *rc::gen::container<
-        std::vector<std::pair<bool, std::uint32_t>>>(rc::gen::pair(
-        rc::gen::arbitrary<bool>(), rc::gen::inRange(0U, 8U)));
+    const auto Steps =
+        *rc::gen::container<std::vector<std::pair<bool, std::uint32_t>>>(
+            rc::gen::pair(rc::gen::arbitrary<bool>(),
+                          rc::gen::inRange(0U, 8U)));
     for (const auto &[Start, At] : Steps) {
       if (Start && Gangs.size() < 4 && Open[At] != 0) {
         // As a sum this is always right: 8 - used >= 4 + (4 - used).
@@ -486,10 +548,9 @@
   ASSERT_TRUE(Scheduler.submit({"small", "a", 1}, Now));
   Scheduler.decide(Now);
   EXPECT_EQ(Scheduler.job("small")->Phase, JobPhase::Running);
-  Scheduler.taskEnded(
-      {"old", 1, Scheduler.placement("old").front().Worker,
-       TaskResult::Finished},
-      Now);
+  Scheduler.taskEnded({"old", 1, Scheduler.placement("old").front().Worker,
+                       TaskResult::Finished},
+                      Now);
   Scheduler.decide(Now);
   EXPECT_EQ(Scheduler.job("large")->Phase, JobPhase::Reclaiming);
   EXPECT_EQ(Scheduler.job("small")->Phase, JobPhase::Stopping);
@@ -504,8 +565,7 @@
   const std::vector<AccountPolicy> Accounts{{"a", {{4, 2}}, 0}, {"b", {}, 0}};
   auto Before = JobScheduler::make(Installed, Accounts);
   const TimePoint Now{};
-  ASSERT_TRUE(
-      Before.submit({"g", "a", 4, JobPriority::Guaranteed, true}, Now));
+  ASSERT_TRUE(Before.submit({"g", "a", 4, JobPriority::Guaranteed, true}, Now));
   ASSERT_TRUE(Before.submit({"s", "b", 3}, Now));
   Before.decide(Now);
   auto After = JobScheduler::make(Installed, Accounts);
