--- a/Tests/Unit/MembershipSimulation.h
+++ b/Tests/Unit/MembershipSimulation.h
@@ -40,28 +40,29 @@
 
   /// Adds one cut that separates the hosts of \p Group from the others, and
   /// from the store if \p StoreToo, for the time given.
-  void cut(std::set<std::size_t> Group, Milliseconds From, Milliseconds For,
-           bool StoreToo) {
+  auto cut(std::set<std::size_t> Group, Milliseconds From, Milliseconds For,
+           bool StoreToo) -> void {
     Cuts.push_back({std::move(Group), at(From), at(From + For), false});
     if (StoreToo)
       StoreCuts.push_back({Cuts.back().Group, at(From), at(From + For), false});
   }
 
-  void storeOutage(Milliseconds From, Milliseconds For) {
+  auto storeOutage(Milliseconds From, Milliseconds For) -> void {
     StoreCuts.push_back({all(), at(From), at(From + For), false});
   }
 
-  void storeCut(std::size_t Index, Milliseconds From, Milliseconds For) {
+  auto storeCut(std::size_t Index, Milliseconds From, Milliseconds For)
+      -> void {
     StoreCuts.push_back({{Index}, at(From), at(From + For), false});
   }
 
   /// Ends the process of a host for good.
-  void crash(std::size_t Index, Milliseconds At) {
+  auto crash(std::size_t Index, Milliseconds At) -> void {
     push(at(At), [this, Index] { Hosts[Index]->State.reset(); });
   }
 
   /// Empty if the invariant held, otherwise what was seen.
-  std::string run() {
+  auto run() -> std::string {
     TimePoint End = at(Bounds.Length);
     for (TimePoint Tick = at(Milliseconds(0)); Tick < End;
          Tick += Milliseconds(20))
@@ -81,10 +82,10 @@
     return {};
   }
 
-  std::uint64_t storedVersion() const { return Stored.version(); }
-  const View &storedView() const { return Stored; }
+  auto storedVersion() const -> std::uint64_t { return Stored.version(); }
+  auto storedView() const -> const View & { return Stored; }
   /// Share of the ticks after \p From in which host \p Index might serve.
-  double servingShare(std::size_t Index, Milliseconds From) const {
+  auto servingShare(std::size_t Index, Milliseconds From) const -> double {
     std::size_t Served = 0;
     std::size_t Total = 0;
     for (const auto &[Time, Permitted] : Hosts[Index]->History)
@@ -111,22 +112,22 @@
   };
   using Action = std::function<void()>;
 
-  static TimePoint at(Milliseconds Offset) {
+  static auto at(Milliseconds Offset) -> TimePoint {
     return TimePoint(std::chrono::hours(1)) + Offset;
   }
-  int pick(int Low, int High) {
+  auto pick(int Low, int High) -> int {
     return std::uniform_int_distribution<int>(Low, High)(Random);
   }
-  std::set<std::size_t> all() const {
+  auto all() const -> std::set<std::size_t> {
     std::set<std::size_t> Group;
     for (std::size_t Index = 0; Index < Bounds.Hosts; ++Index)
       Group.insert(Index);
     return Group;
   }
-  void push(TimePoint When, Action What) {
+  auto push(TimePoint When, Action What) -> void {
     Events.emplace(When, std::move(What));
   }
-  static std::string nameOf(std::size_t Index) {
+  static auto nameOf(std::size_t Index) -> std::string {
     return "h" + std::to_string(Index);
   }
 
@@ -144,7 +145,7 @@
     });
   }
 
-  Milliseconds delay() {
+  auto delay() -> Milliseconds {
     // Mostly short; now and then longer than every window.
     int Kind = pick(0, 99);
     if (Kind < 90 || !Bounds.LateMessages)
@@ -152,7 +153,7 @@
     return Milliseconds(Kind < 98 ? pick(20, 400) : pick(400, 3500));
   }
 
-  bool connected(std::size_t From, std::size_t To) const {
+  auto connected(std::size_t From, std::size_t To) const -> bool {
     return std::none_of(Cuts.begin(), Cuts.end(), [&](const Cut &Entry) {
       bool Leaves = Entry.Group.contains(From) && !Entry.Group.contains(To);
       bool Enters = !Entry.Group.contains(From) && Entry.Group.contains(To);
@@ -160,7 +161,7 @@
              (Leaves || (Enters && !Entry.OneWay));
     });
   }
-  bool storeReachable(std::size_t Index) const {
+  auto storeReachable(std::size_t Index) const -> bool {
     return std::none_of(StoreCuts.begin(), StoreCuts.end(),
                         [&](const Cut &Entry) {
                           return Entry.Group.contains(Index) &&
@@ -168,7 +169,7 @@
                         });
   }
 
-  void addFault() {
+  auto addFault() -> void {
     Milliseconds From(pick(2000, static_cast<int>(Bounds.Length.count())));
     Milliseconds For(pick(100, 9000));
     auto Index =
@@ -236,7 +237,7 @@
     }
   }
 
-  void boot(std::size_t Index, TimePoint When) {
+  auto boot(std::size_t Index, TimePoint When) -> void {
     Host &Target = *Hosts[Index];
     Target.State.emplace(Member{.Name = nameOf(Index)}, MembershipTiming(),
                          When);
@@ -280,7 +281,7 @@
     std::uint64_t OwnRow;
   };
 
-  void beat(std::size_t Index) {
+  auto beat(std::size_t Index) -> void {
     Host &Source = *Hosts[Index];
     if (!Source.State->isMember())
       return;
@@ -310,7 +311,7 @@
     std::vector<std::pair<std::string, std::uint64_t>> Rows;
   };
 
-  void maintain(std::size_t Index) {
+  auto maintain(std::size_t Index) -> void {
     TimePoint SentAt = Now;
     store<ReadAnswer>(
         Index,
@@ -328,7 +329,7 @@
         });
   }
 
-  void change(std::size_t Index, Host &Source) {
+  auto change(std::size_t Index, Host &Source) -> void {
     auto Decision = Source.State->decide(Now, Bounds.RequiredContacts);
     if (std::holds_alternative<KeepView>(Decision))
       return;
@@ -359,7 +360,7 @@
         });
   }
 
-  void greet(std::size_t Index) {
+  auto greet(std::size_t Index) -> void {
     Host &Source = *Hosts[Index];
     TimePoint SentAt = Now;
     unsigned Life = Source.Life;
@@ -389,7 +390,7 @@
     }
   }
 
-  std::string violation() {
+  auto violation() -> std::string {
     std::map<std::uint64_t, std::string> Serving;
     for (std::size_t Index = 0; Index < Hosts.size(); ++Index) {
       Host &Target = *Hosts[Index];
