--- /dev/null
+++ b/Tests/EndToEnd/HttpTestClient.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "Base/Clock.h"
+
+#include <memory>
+#include <string>
+
+namespace jayramp {
+
+/// A blocking HTTP client with one connection, which is kept open between
+/// calls. Not safe for use by several threads at once.
+class HttpTestClient {
+public:
+  struct Answer {
+    unsigned Status = 0;
+    std::string Body;
+  };
+
+  /// \p Address is "IP:port"; the connection is opened by the first call.
+  explicit HttpTestClient(std::string Address);
+  ~HttpTestClient();
+  HttpTestClient(HttpTestClient &&) noexcept;
+  auto operator=(HttpTestClient &&) noexcept -> HttpTestClient &;
+
+  /// Sends one request and reads the whole answer. Throws std::runtime_error
+  /// if the connection fails, the answer is cut or \p Timeout passes; the next
+  /// call then opens a new connection.
+  auto call(const std::string &Method, const std::string &Path,
+            const std::string &Body = {},
+            Milliseconds Timeout = std::chrono::seconds(30)) -> Answer;
+
+  /// Adds a header to every later request.
+  auto addHeader(const std::string &Name, const std::string &Value) -> void;
+
+private:
+  class Connection;
+
+  std::unique_ptr<Connection> Body;
+};
+
+} // namespace jayramp
