Start worker stand-ins of a cluster outside the range of outgoing ports

Cause: worker-stand-in found no 48 free consecutive ports in the range of outgoing connections while other tests ran (bind: Address already in use). Conclusion: the start no longer depends on outgoing connections.

--- a/Tests/EndToEnd/TestCluster.cpp
+++ b/Tests/EndToEnd/TestCluster.cpp
@@ -63,6 +63,33 @@
   throw std::runtime_error("no free loopback port");
 }
 
+/// Starts workers on consecutive free ports. The range of outgoing connections
+/// has no such run of ports while other tests make many connections.
+auto startWorkers(const TestCluster::Options &Wanted) -> StandIn {
+  constexpr int MostTries = 50;
+  for (int Try = 1;; ++Try) {
+    std::set<unsigned short> Taken;
+    unsigned short First = freePort(Taken);
+    bool Free = true;
+    for (std::size_t Index = 1; Free && Index < Wanted.Workers; ++Index)
+      Free = canBind(static_cast<unsigned short>(First + Index));
+    if (!Free && Try < MostTries)
+      continue;
+    std::vector<std::string> Arguments{
+        "--listen", "127.0.0.1:" + std::to_string(First), "--workers",
+        std::to_string(Wanted.Workers)};
+    Arguments.insert(Arguments.end(), Wanted.WorkerArguments.begin(),
+                     Wanted.WorkerArguments.end());
+    try {
+      return StandIn::worker(Arguments);
+    } catch (const std::runtime_error &) {
+      // Another process may have taken a port in the meantime.
+      if (Try >= MostTries)
+        throw;
+    }
+  }
+}
+
 auto loopback(unsigned short Port) -> std::string {
   return "127.0.0.1:" + std::to_string(Port);
 }
@@ -120,11 +147,7 @@
 }
 
 auto TestCluster::start(const Options &Wanted) -> TestCluster {
-  std::vector<std::string> Arguments{"--workers",
-                                     std::to_string(Wanted.Workers)};
-  Arguments.insert(Arguments.end(), Wanted.WorkerArguments.begin(),
-                   Wanted.WorkerArguments.end());
-  TestCluster Started(Wanted, StandIn::platform(), StandIn::worker(Arguments));
+  TestCluster Started(Wanted, StandIn::platform(), startWorkers(Wanted));
   Started.listWorkers(Wanted);
   for (std::size_t Index = 0; Index < Wanted.EntryHosts; ++Index) {
     Started.writeSettings(Wanted, Index);
