Keep key shards complete over skipped views

Cause: hosts skip views at a start of several hosts and in a rolling restart, and a skipped view lost the completeness of every shard, so that claims were answered HISTORY_LOST for 300 s. A process also took the role of an earlier incarnation under its name, and a home replicated with the view version of the record instead of its own, so that claims of an older view were refused after a change; between the adoption of roles and owners a record could go to the old backup, or to none. Change: the view row records the last 16 views; a host adopts each one that it skipped with its role there. Transfers carry the view through which the sender knows the history and the views that had no grant, so that a shard whose holders were replaced twice in succession stays complete. Roles need the incarnation. Replication uses the view version of the decision. Measured: SkippedViewsTest (start of eight with each host seeing two views): 256 of 256 shards complete. Conclusion: only hosts that miss more than 16 views lose completeness.

--- a/Source/Membership/MembershipEngine.cpp
+++ b/Source/Membership/MembershipEngine.cpp
@@ -215,7 +215,7 @@
   Registry.count("jayramp_view_changes_total");
   auto Written =
       View::make(Versions.empty() ? Next.version() : Versions.front(),
-                 Next.members(), Next.predecessors());
+                 Next.members(), Next.predecessors(), Next.recent());
   std::lock_guard Lock(Mutex);
   if (Versions.size() > 1)
     OwnRowVersion = std::max(OwnRowVersion, Versions[1]);
--- a/Source/Membership/View.cpp
+++ b/Source/Membership/View.cpp
@@ -40,17 +40,55 @@
   return value::array(std::move(Entries));
 }
 
-auto parseMember(const value &Object) -> Member {
+auto parseState(const value &Object) -> MemberState {
   std::string State = text(Object, "state");
   if (State != "serving" && State != "leaving")
     throw web::json::json_exception("state is neither serving nor leaving");
+  return State == "leaving" ? MemberState::Leaving : MemberState::Serving;
+}
+
+auto stateText(const Member &Source) -> value {
+  return value::string(Source.State == MemberState::Leaving ? "leaving"
+                                                            : "serving");
+}
+
+auto parseEarlier(const value &Object) -> EarlierView {
+  EarlierView Result;
+  Result.Version = Object.at("version").as_number().to_uint64();
+  for (const auto &Entry : Object.at("members").as_array())
+    Result.Members.push_back(
+        {.Name = text(Entry, "name"),
+         .Incarnation = text(Entry, "incarnation"),
+         .ApiAddress = {},
+         .PeerAddress = {},
+         .AvailabilityZone = text(Entry, "availability_zone"),
+         .State = parseState(Entry)});
+  return Result;
+}
+
+auto toJsonValue(const EarlierView &Source) -> value {
+  std::vector<value> Members;
+  for (const auto &Entry : Source.Members) {
+    value Object = value::object();
+    Object["name"] = value::string(Entry.Name);
+    Object["incarnation"] = value::string(Entry.Incarnation);
+    Object["availability_zone"] = value::string(Entry.AvailabilityZone);
+    Object["state"] = stateText(Entry);
+    Members.push_back(Object);
+  }
+  value Object = value::object();
+  Object["version"] = value::number(Source.Version);
+  Object["members"] = value::array(std::move(Members));
+  return Object;
+}
+
+auto parseMember(const value &Object) -> Member {
   return {.Name = text(Object, "name"),
           .Incarnation = text(Object, "incarnation"),
           .ApiAddress = text(Object, "api_address"),
           .PeerAddress = text(Object, "peer_address"),
           .AvailabilityZone = text(Object, "availability_zone"),
-          .State =
-              State == "leaving" ? MemberState::Leaving : MemberState::Serving};
+          .State = parseState(Object)};
 }
 
 auto toJsonValue(const Member &Source) -> value {
@@ -60,20 +98,21 @@
   Object["api_address"] = value::string(Source.ApiAddress);
   Object["peer_address"] = value::string(Source.PeerAddress);
   Object["availability_zone"] = value::string(Source.AvailabilityZone);
-  Object["state"] = value::string(
-      Source.State == MemberState::Leaving ? "leaving" : "serving");
+  Object["state"] = stateText(Source);
   return Object;
 }
 
 } // namespace
 
 View::View(std::uint64_t Version, std::vector<Member> Members,
-           std::vector<Electorate> Predecessors)
+           std::vector<Electorate> Predecessors,
+           std::vector<EarlierView> Recent)
     : Version(Version), Members(std::move(Members)),
-      Predecessors(std::move(Predecessors)) {}
+      Predecessors(std::move(Predecessors)), Recent(std::move(Recent)) {}
 
 auto View::make(std::uint64_t Version, std::vector<Member> Members,
-                std::vector<Electorate> Predecessors) -> Result<View> {
+                std::vector<Electorate> Predecessors,
+                std::vector<EarlierView> Recent) -> Result<View> {
   std::sort(Members.begin(), Members.end(),
             [](const Member &A, const Member &B) { return A.Name < B.Name; });
   for (std::size_t Index = 0; Index < Members.size(); ++Index) {
@@ -83,7 +122,8 @@
     if (Index > 0 && Members[Index - 1].Name == Members[Index].Name)
       return invalid(Place, "occurs twice: " + Members[Index].Name);
   }
-  return View(Version, std::move(Members), std::move(Predecessors));
+  return View(Version, std::move(Members), std::move(Predecessors),
+              std::move(Recent));
 }
 
 auto View::parse(std::string_view Text, std::uint64_t RowVersion)
@@ -99,9 +139,14 @@
     for (const auto &Entry : Object.at("predecessors").as_array())
       Predecessors.push_back(
           {names(Entry.at("names")), names(Entry.at("released"))});
+    std::vector<EarlierView> Recent;
+    // Rows of versions of the program before 0.1 have no such field.
+    if (Object.has_field("recent"))
+      for (const auto &Entry : Object.at("recent").as_array())
+        Recent.push_back(parseEarlier(Entry));
     std::uint64_t Version = Object.at("version").as_number().to_uint64();
     return make(RowVersion == 0 ? Version : RowVersion, std::move(Members),
-                std::move(Predecessors));
+                std::move(Predecessors), std::move(Recent));
   } catch (const std::exception &Failure) {
     return invalid("view", Failure.what());
   }
@@ -122,6 +167,10 @@
     Earlier.push_back(Group);
   }
   Object["predecessors"] = value::array(std::move(Earlier));
+  std::vector<value> Past;
+  for (const auto &Entry : Recent)
+    Past.push_back(toJsonValue(Entry));
+  Object["recent"] = value::array(std::move(Past));
   return Object.serialize();
 }
 
@@ -149,7 +198,8 @@
                                  return A.Name < B.Name;
                                }),
               Added);
-  return {Version + 1, std::move(Next), nextPredecessors(Settled, {})};
+  return {Version + 1, std::move(Next), nextPredecessors(Settled, {}),
+          nextRecent()};
 }
 
 auto View::withoutMembers(const std::vector<std::string> &Names, bool Settled,
@@ -160,7 +210,23 @@
       Next.push_back(Entry);
   return {
       Version + 1, std::move(Next),
-      nextPredecessors(Settled, Released ? Names : std::vector<std::string>{})};
+      nextPredecessors(Settled, Released ? Names : std::vector<std::string>{}),
+      nextRecent()};
+}
+
+auto View::nextRecent() const -> std::vector<EarlierView> {
+  std::vector<EarlierView> Next = Recent;
+  if (Version == 0)
+    return Next;
+  EarlierView Last{Version, Members};
+  for (Member &Entry : Last.Members) {
+    Entry.ApiAddress.clear();
+    Entry.PeerAddress.clear();
+  }
+  Next.push_back(std::move(Last));
+  if (Next.size() > MostRecent)
+    Next.erase(Next.begin());
+  return Next;
 }
 
 auto View::nextPredecessors(bool Settled,
--- a/Source/Membership/View.h
+++ b/Source/Membership/View.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/Result.h"
+#include "Membership/EarlierView.h"
 #include "Membership/Electorate.h"
 #include "Membership/Member.h"
 
@@ -16,12 +17,17 @@
 /// checks the row `membership/view` at version() is fenced by the view.
 class View {
 public:
+  /// A start of eight hosts writes eight views within a second, and a host
+  /// that is replaced three more; a host may miss all of them.
+  static constexpr std::size_t MostRecent = 16;
+
   /// The view before the first write: version 0, no members.
   View() = default;
 
   /// \returns InvalidArgument if a name is empty or occurs twice.
   static auto make(std::uint64_t Version, std::vector<Member> Members,
-                   std::vector<Electorate> Predecessors = {}) -> Result<View>;
+                   std::vector<Electorate> Predecessors = {},
+                   std::vector<EarlierView> Recent = {}) -> Result<View>;
 
   /// Reads the text of toJson(). \p RowVersion replaces the version in the
   /// text unless it is 0. \returns InvalidArgument naming the field.
@@ -38,6 +44,9 @@
     return Predecessors;
   }
 
+  /// The last views before this one, oldest first, at most MostRecent.
+  auto recent() const -> const std::vector<EarlierView> & { return Recent; }
+
   /// The member of this name, or nullptr.
   auto find(std::string_view Name) const -> const Member *;
   auto contains(std::string_view Name, std::string_view Incarnation) const
@@ -57,14 +66,16 @@
 
 private:
   View(std::uint64_t Version, std::vector<Member> Members,
-       std::vector<Electorate> Predecessors);
+       std::vector<Electorate> Predecessors, std::vector<EarlierView> Recent);
 
   auto nextPredecessors(bool Settled, std::vector<std::string> Released) const
       -> std::vector<Electorate>;
+  auto nextRecent() const -> std::vector<EarlierView>;
 
   std::uint64_t Version = 0;
   std::vector<Member> Members;
   std::vector<Electorate> Predecessors;
+  std::vector<EarlierView> Recent;
 };
 
 } // namespace jayramp
--- a/Source/Requests/KeyCoordinator.cpp
+++ b/Source/Requests/KeyCoordinator.cpp
@@ -109,9 +109,11 @@
     return Map;
   }
   auto decideClaim(const KeyClaim &Claim, const Answered &Done) -> void;
-  auto replicate(const KeyRecord &Record, const Acknowledged &Done) -> void;
-  auto finishGrant(const KeyRecord &Record, bool Stored, const Answered &Done)
-      -> void;
+  /// \p ViewVersion is the view in which the record was decided on.
+  auto replicate(std::uint64_t ViewVersion, const KeyRecord &Record,
+                 const Acknowledged &Done) -> void;
+  auto finishGrant(std::uint64_t ViewVersion, const KeyRecord &Record,
+                   bool Stored, const Answered &Done) -> void;
   auto decideReport(const OutcomeReport &Report, const Acknowledged &Done)
       -> void;
   auto sendReport(const std::shared_ptr<const OutcomeReport> &Report) -> void;
@@ -250,36 +252,43 @@
     return Done(answerOf(Decision));
   KeyRecord Record = Needed->Record;
   auto Self = shared_from_this();
-  replicate(Record, [Self, Record, Done](bool Stored) {
-    Self->finishGrant(Record, Stored, Done);
-  });
+  std::uint64_t ViewVersion = Claim.ViewVersion;
+  replicate(ViewVersion, Record,
+            [Self, ViewVersion, Record, Done](bool Stored) {
+              Self->finishGrant(ViewVersion, Record, Stored, Done);
+            });
 }
 
-auto KeyCoordinator::Implementation::finishGrant(const KeyRecord &Record,
+auto KeyCoordinator::Implementation::finishGrant(std::uint64_t ViewVersion,
+                                                 const KeyRecord &Record,
                                                  bool Stored,
                                                  const Answered &Done) -> void {
   if (!Stored) {
-    Registry.replicationFailed(Record.Version.View, Record);
+    Registry.replicationFailed(ViewVersion, Record);
     Counters.count("jayramp_key_replication_failed_total");
     return Done({peer::v1::CLAIM_NO_REPLICA, {}});
   }
-  auto Decision = Registry.replicationAcknowledged(Record.Version.View, Record,
-                                                   Clock::now());
+  auto Decision =
+      Registry.replicationAcknowledged(ViewVersion, Record, Clock::now());
   const auto *Granted = std::get_if<ReplicationGranted>(&Decision);
   if (!Granted || !Membership.hasMajority())
     return Done({peer::v1::CLAIM_NO_REPLICA, {}});
   Done({peer::v1::CLAIM_GRANTED, Granted->Record});
 }
 
-auto KeyCoordinator::Implementation::replicate(const KeyRecord &Record,
+auto KeyCoordinator::Implementation::replicate(std::uint64_t ViewVersion,
+                                               const KeyRecord &Record,
                                                const Acknowledged &Done)
     -> void {
   auto Current = map();
+  // Between the adoption of the roles and of the map, the backup is unknown.
+  if (Current->version() != ViewVersion)
+    return Done(false);
   const std::string &Backup = Current->backup(Record.Shard);
   if (Backup.empty()) // The view has one serving member: there is no backup.
     return Done(true);
   Envelope Message;
-  Message.set_view_version(Record.Version.View);
+  Message.set_view_version(ViewVersion);
   writeRecord(Record, *Message.mutable_replicate_key()->mutable_record());
   Transport.call(Backup, Message, ReplicationTimeout,
                  [Done](const PeerTransport::Answer &Answer) {
@@ -348,12 +357,14 @@
   if (const auto *Recorded = std::get_if<ReportRecorded>(&Decision)) {
     KeyRecord Record = Recorded->Record;
     auto Self = shared_from_this();
-    return replicate(Record, [Self, Record, Done](bool Stored) {
-      if (Stored)
-        Self->Registry.replicationAcknowledged(Record.Version.View, Record,
-                                               Clock::now());
-      Done(Stored);
-    });
+    std::uint64_t ViewVersion = Report.ViewVersion;
+    return replicate(ViewVersion, Record,
+                     [Self, ViewVersion, Record, Done](bool Stored) {
+                       if (Stored)
+                         Self->Registry.replicationAcknowledged(
+                             ViewVersion, Record, Clock::now());
+                       Done(Stored);
+                     });
   }
   bool Repeat = std::holds_alternative<ReportNotReady>(Decision) ||
                 std::holds_alternative<ReportWrongView>(Decision);
@@ -394,19 +405,13 @@
 
 auto KeyCoordinator::Implementation::adoptView(
     const std::shared_ptr<const View> &Current) -> void {
+  std::string Incarnation = Membership.incarnation();
+  for (const ShardRoles &Skipped : ShardRoles::ofSkipped(
+           *Current, Registry.viewVersion(), HostName, Incarnation))
+    if (Registry.adoptView(Skipped, Clock::now()))
+      Registry.holderLost(Skipped.Members, Clock::now());
   auto Next = std::make_shared<const ShardMap>(*Current);
-  ShardRoles Roles;
-  Roles.ViewVersion = Current->version();
-  Roles.OwnIncarnation = Membership.incarnation();
-  Roles.FirstOfDeployment = Current->version() == 1;
-  for (const Member &Entry : Current->members())
-    Roles.Members.insert(Entry.Incarnation);
-  for (std::uint32_t Shard = 0; Shard < KeyShardCount; ++Shard) {
-    if (Next->home(Shard) == HostName)
-      Roles.Roles[Shard] = ShardRole::Home;
-    else if (Next->backup(Shard) == HostName)
-      Roles.Roles[Shard] = ShardRole::Backup;
-  }
+  auto Roles = ShardRoles::of(*Current, *Next, HostName, Incarnation);
   if (!Registry.adoptView(Roles, Clock::now()))
     return;
   {
@@ -415,7 +420,7 @@
   }
   for (const KeyRecord &Record :
        Registry.holderLost(Roles.Members, Clock::now()))
-    replicate(Record, [](bool) {});
+    replicate(Current->version(), Record, [](bool) {});
   for (std::uint32_t Shard = 0; Shard < KeyShardCount; ++Shard)
     for (const std::string &Target : {Next->home(Shard), Next->backup(Shard)})
       if (!Target.empty() && Target != HostName)
@@ -440,9 +445,12 @@
   for (Envelope &Part : *Parts) {
     Part.set_view_version(Export.ViewVersion);
     Part.mutable_transfer_shard()->set_shard(Shard);
+    Part.mutable_transfer_shard()->set_known_through(Export.KnownThrough);
   }
   Parts->back().mutable_transfer_shard()->set_complete(Export.Complete);
   Parts->back().mutable_transfer_shard()->set_incomplete(Export.Incomplete);
+  for (std::uint64_t Idle : Export.IdleViews)
+    Parts->back().mutable_transfer_shard()->add_idle_views(Idle);
   sendParts(Parts, 0, Target);
 }
 
@@ -474,12 +482,15 @@
 auto KeyCoordinator::Implementation::handleTransfer(const Envelope &Request)
     -> Envelope {
   const auto &Source = Request.transfer_shard();
-  ShardExport Transfer{.ViewVersion = Request.view_version(),
-                       .Shard = Source.shard(),
-                       .SenderIncarnation = Request.incarnation(),
-                       .Records = {},
-                       .Complete = Source.complete(),
-                       .Incomplete = Source.incomplete()};
+  ShardExport Transfer{
+      .ViewVersion = Request.view_version(),
+      .Shard = Source.shard(),
+      .SenderIncarnation = Request.incarnation(),
+      .Records = {},
+      .Complete = Source.complete(),
+      .Incomplete = Source.incomplete(),
+      .KnownThrough = Source.known_through(),
+      .IdleViews = {Source.idle_views().begin(), Source.idle_views().end()}};
   for (const auto &Record : Source.records())
     Transfer.Records.push_back(readRecord(Record));
   return acknowledge(Registry.importShard(Transfer, Clock::now()));
--- a/Source/Requests/KeyShard.cpp
+++ b/Source/Requests/KeyShard.cpp
@@ -19,6 +19,12 @@
   return Record.State == KeyState::Released || Record.State == KeyState::Done;
 }
 
+// Old records are useful only while the changes of view that made them old go
+// on; a start or a rolling restart of eight hosts takes less.
+constexpr Milliseconds StaleRetention{30000};
+// Bounds the memory and the messages; more views than the view row records.
+constexpr std::size_t MostIdleViews = 64;
+
 // A record from elsewhere may have been granted there.
 auto asGranted(KeyRecord Record) -> KeyRecord {
   if (Record.State == KeyState::Tentative)
@@ -77,6 +83,7 @@
   Entry.ChangedAt = ChangedAt;
   Entry.ConfirmedView = 0;
   Entry.FromReport = false;
+  Entry.Stale = false;
   setOutcome(Entry, std::move(Outcome));
   return Entry;
 }
@@ -118,6 +125,7 @@
 auto KeyShard::claim(const KeyClaim &Claim, TimePoint Now) -> ClaimDecision {
   if (auto Refused = refusal(Claim.ViewVersion))
     return *Refused;
+  Touched = true;
   auto Position = Map.find(indexOf(Claim.Account, Claim.Key));
   bool Found = Position != Map.end();
   const Held *Entry = Found ? &Position->second : nullptr;
@@ -162,6 +170,7 @@
 auto KeyShard::reassert(const KeyClaim &Claim, TimePoint Now) -> ClaimDecision {
   if (auto Refused = refusal(Claim.ViewVersion))
     return *Refused;
+  Touched = true;
   auto Position = Map.find(indexOf(Claim.Account, Claim.Key));
   if (Position == Map.end())
     return createRecord(Claim, KeyState::Granted, Now);
@@ -187,6 +196,7 @@
     -> ReplicationDecision {
   if (ViewVersion != View || Role != ShardRole::Home)
     return ReplicationStale{};
+  Touched = true;
   auto Position = Map.find(indexOf(Sent.Account, Sent.Key));
   if (Position == Map.end())
     return ReplicationStale{};
@@ -224,8 +234,11 @@
   if (Position != Map.end()) {
     const KeyRecord &Own = Position->second.Record;
     if (Own.Version > Record.Version ||
-        (Own.Version == Record.Version && Own.State > Record.State))
+        (Own.Version == Record.Version && Own.State > Record.State)) {
+      Position->second.Stale = false;
       return false;
+    }
+    Position->second.Stale = false;
     if (Own.Version == Record.Version && Own.State == Record.State)
       return true;
   }
@@ -248,6 +261,7 @@
     return ReplicaAnswer::WrongView;
   if (Role != ShardRole::Backup)
     return ReplicaAnswer::NotBackup;
+  Touched = true;
   if (isFull() && Map.count(indexOf(Record.Account, Record.Key)) == 0)
     return ReplicaAnswer::RegistryFull;
   return merge(Record, Now) ? ReplicaAnswer::Stored
@@ -262,6 +276,7 @@
     // A release gets a new version. Without the history that version could
     // replace the record of a later claim, which a transfer brings afterwards.
     return ReportNotReady{};
+  Touched = true;
   std::string Index = indexOf(Report.Account, Report.Key);
   auto Position = Map.find(Index);
   KeyState Target = Report.Released ? KeyState::Released : KeyState::Done;
@@ -328,25 +343,25 @@
   bool Consecutive = !First && ViewVersion == View + 1;
   bool StaysHome =
       Consecutive && Role == ShardRole::Home && NewRole == ShardRole::Home;
-  // Grants of a view need both its home and its backup. A host that was one of
-  // them missed none; any other host may have missed some.
-  if (!First && Role == ShardRole::Neither) {
-    for (auto Position = Map.begin(); Position != Map.end();)
-      Position = erase(Position);
-    Complete = false;
-  }
-  if (!First && !Consecutive)
-    Complete = false;
+  bool WasNeither = Role == ShardRole::Neither;
   if (First)
-    Complete = FirstOfDeployment;
+    KnownThrough = FirstOfDeployment ? ViewVersion - 1 : 0;
+  else
+    leaveView();
+  View = ViewVersion;
+  Complete = reachesView();
+  if (WasNeither && !Complete)
+    for (auto &[Index, Entry] : Map)
+      Entry.Stale = true;
   if (!StaysHome) {
     LostUntil.reset();
     // Another home may have granted them from the backup's copy.
     for (auto &[Index, Entry] : Map)
       Entry.Record = asGranted(std::move(Entry.Record));
   }
-  View = ViewVersion;
   Role = NewRole;
+  Touched = false;
+  AdoptedAt = Now;
   Others = NewOthers;
   // Holders that joined with this view are unknown until holderLost().
   Live.reset();
@@ -355,6 +370,30 @@
   decideHistory(Now);
 }
 
+auto KeyShard::leaveView() -> void {
+  // A change in a view needs both its home and its backup. A host that was one
+  // of them missed none; any other host may have missed some.
+  bool TookPart = Role != ShardRole::Neither;
+  if (Complete)
+    KnownThrough = TookPart ? View : View - 1;
+  if (TookPart && !Touched)
+    IdleViews.insert(View);
+  while (IdleViews.size() > MostIdleViews)
+    IdleViews.erase(IdleViews.begin());
+}
+
+auto KeyShard::reachesView() const -> bool {
+  for (std::uint64_t Earlier = KnownThrough + 1; Earlier < View; ++Earlier)
+    if (IdleViews.count(Earlier) == 0)
+      return false;
+  return true;
+}
+
+auto KeyShard::eraseStale() -> void {
+  for (auto Position = Map.begin(); Position != Map.end();)
+    Position = Position->second.Stale ? erase(Position) : std::next(Position);
+}
+
 auto KeyShard::decideHistory(TimePoint Now) -> void {
   if (Role != ShardRole::Home || Complete || LostUntil)
     return;
@@ -371,8 +410,9 @@
   Transfer.SenderIncarnation = Sender;
   Transfer.Complete = Complete;
   Transfer.Incomplete = !Complete;
+  Transfer.KnownThrough = Complete ? View - 1 : KnownThrough;
   if (!Complete)
-    return Transfer;
+    Transfer.IdleViews = IdleViews;
   for (const auto &[Index, Entry] : Map)
     Transfer.Records.push_back(snapshot(Entry, Now));
   return Transfer;
@@ -381,12 +421,23 @@
 auto KeyShard::importShard(const ShardExport &Transfer, TimePoint Now) -> bool {
   if (Transfer.ViewVersion != View || Role == ShardRole::Neither)
     return false;
-  for (const KeyRecord &Record : Transfer.Records)
-    merge(Record, Now);
-  if (Transfer.Complete) {
-    BecameComplete = BecameComplete || (!Complete && Role == ShardRole::Home);
-    Complete = true;
-    LostUntil.reset();
+  std::uint64_t Theirs =
+      Transfer.Complete ? View - 1 : std::min(Transfer.KnownThrough, View - 1);
+  // An older history than this one could bring back what has ended since.
+  if (Theirs >= (Complete ? View - 1 : KnownThrough))
+    for (const KeyRecord &Record : Transfer.Records)
+      merge(Record, Now);
+  if (!Complete && (Transfer.Complete || Transfer.Incomplete)) {
+    if (Theirs > KnownThrough) {
+      KnownThrough = Theirs;
+      eraseStale();
+    }
+    IdleViews.insert(Transfer.IdleViews.begin(), Transfer.IdleViews.end());
+    if (reachesView()) {
+      BecameComplete = BecameComplete || Role == ShardRole::Home;
+      Complete = true;
+      LostUntil.reset();
+    }
   }
   if (Transfer.Incomplete)
     IncompleteFrom.insert(Transfer.SenderIncarnation);
@@ -400,10 +451,17 @@
                    Now - Position->second.ChangedAt > Limits.Retention;
     Position = Expired ? erase(Position) : std::next(Position);
   }
+  if (Role == ShardRole::Neither && !Complete &&
+      Now - AdoptedAt > StaleRetention) {
+    eraseStale();
+    if (Map.empty())
+      KnownThrough = 0;
+  }
   if (LostUntil && Now >= *LostUntil) {
     LostUntil.reset();
     Complete = true;
     BecameComplete = true;
+    eraseStale();
   }
   return std::exchange(BecameComplete, false);
 }
--- a/Source/Requests/KeyShard.h
+++ b/Source/Requests/KeyShard.h
@@ -65,6 +65,8 @@
     TimePoint ChangedAt;
     std::uint64_t ConfirmedView = 0; ///< View whose backup acknowledged it.
     bool FromReport = false;         ///< Ended by its holder's own report.
+    /// Kept from an earlier role; a newer history that lacks it removes it.
+    bool Stale = false;
   };
   using Records = std::unordered_map<std::string, Held>;
 
@@ -80,6 +82,11 @@
   auto isLost(const KeyRecord &Record) const -> bool;
   auto merge(const KeyRecord &Incoming, TimePoint Now) -> bool;
   auto decideHistory(TimePoint Now) -> void;
+  /// Notes, when a view is left, what this host knows of it.
+  auto leaveView() -> void;
+  /// Whether the history reaches up to the current view.
+  auto reachesView() const -> bool;
+  auto eraseStale() -> void;
   auto createRecord(const KeyClaim &Claim, KeyState State, TimePoint Now)
       -> ClaimDecision;
 
@@ -91,6 +98,14 @@
   bool Complete = false;
   bool BecameComplete = false;
   std::optional<TimePoint> LostUntil;
+  /// Every grant of the views up to this one is in Map. A new host has 0, which
+  /// is true of an empty Map.
+  std::uint64_t KnownThrough = 0;
+  /// Views that certainly had no grant in this shard.
+  std::set<std::uint64_t> IdleViews;
+  /// A command of the current view may have changed the shard.
+  bool Touched = false;
+  TimePoint AdoptedAt;
   Incarnations Others; ///< Members of the view without this host.
   Incarnations Live;   ///< Holders that may still report.
   std::set<std::string> IncompleteFrom;
--- a/Source/Requests/ShardExport.h
+++ b/Source/Requests/ShardExport.h
@@ -3,6 +3,7 @@
 #include "Requests/KeyRecord.h"
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,12 @@
   /// The sender does not hold the shard complete. If neither mark is set, more
   /// messages follow.
   bool Incomplete = false;
+  /// Every grant of the views up to this one is among the records. On each
+  /// message of a transfer; a complete shard has `ViewVersion` - 1.
+  std::uint64_t KnownThrough = 0;
+  /// Views in which no key of the shard was granted or changed, on the last
+  /// message of an incomplete transfer.
+  std::set<std::uint64_t> IdleViews;
 };
 
 } // namespace jayramp
--- a/Source/Requests/ShardRoles.h
+++ b/Source/Requests/ShardRoles.h
@@ -5,9 +5,14 @@
 #include <cstdint>
 #include <set>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace jayramp {
 
+class ShardMap;
+class View;
+
 inline constexpr std::size_t KeyShardCount = 256;
 
 enum class ShardRole : std::uint8_t { Neither, Home, Backup };
@@ -22,6 +27,18 @@
   /// True only for the first view that was ever written to the table service:
   /// no key was claimed before, so empty shards are complete.
   bool FirstOfDeployment = false;
+
+  /// The roles of the host \p Name in its incarnation \p Incarnation.
+  static auto of(const View &Adopted, const ShardMap &Owners,
+                 std::string_view Name, std::string_view Incarnation)
+      -> ShardRoles;
+
+  /// The roles in the views after \p AdoptedVersion that \p Newest records,
+  /// oldest first. A host that skipped them adopts each in turn, and then
+  /// \p Newest itself, which is not among them.
+  static auto ofSkipped(const View &Newest, std::uint64_t AdoptedVersion,
+                        std::string_view Name, std::string_view Incarnation)
+      -> std::vector<ShardRoles>;
 };
 
 } // namespace jayramp
--- a/Tests/Unit/KeyRegistryModel.cpp
+++ b/Tests/Unit/KeyRegistryModel.cpp
@@ -89,8 +89,8 @@
   if (Target.Adopted >= Views.size())
     return;
   std::uint64_t Version = Target.Adopted + 1;
-  // A new incarnation reads only the current view.
-  if (Target.Adopted == 0 && Views.size() > 1)
+  // A new incarnation reads the current view, or adopts recorded ones first.
+  if (Target.Adopted == 0 && Views.size() > 1 && !SkipOne)
     Version = Views.size();
   else if (SkipOne && Version < Views.size())
     ++Version;
--- a/Tests/Unit/KeyRegistryTest.cpp
+++ b/Tests/Unit/KeyRegistryTest.cpp
@@ -1,5 +1,8 @@
 #include "KeyRegistryModel.h"
 
+#include "Membership/ShardMap.h"
+#include "Membership/View.h"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -295,6 +298,179 @@
       Third.claim(claimOf(2, "k", "c2"), Start + std::chrono::seconds(301))));
 }
 
+/// Hosts that adopt views late, with the shard owners of the program.
+class SkippedViews {
+public:
+  auto join(const std::string &Name) -> void {
+    Current = Current.withMember({.Name = Name,
+                                  .Incarnation = "i-" + Name,
+                                  .ApiAddress = "",
+                                  .PeerAddress = "",
+                                  .AvailabilityZone = Name.substr(0, 1)},
+                                 true);
+    Registries.try_emplace(Name, makeRegistry());
+  }
+  auto leave(const std::string &Name) -> void {
+    Current = Current.withoutMembers({Name}, true, false);
+    Registries.erase(Name);
+  }
+  auto restart(const std::string &Name) -> void {
+    Registries.erase(Name);
+    Registries.emplace(Name, makeRegistry());
+  }
+  auto adopt(const std::string &Name) -> void {
+    KeyRegistry &Target = Registries.at(Name);
+    for (const auto &Roles : ShardRoles::ofSkipped(
+             Current, Target.viewVersion(), Name, "i-" + Name)) {
+      Target.adoptView(Roles, Start);
+      Target.holderLost(Roles.Members, Start);
+    }
+    auto Roles = ShardRoles::of(Current, ShardMap(Current), Name, "i-" + Name);
+    Target.adoptView(Roles, Start);
+    Target.holderLost(Roles.Members, Start);
+  }
+  /// Every host adopts the view and sends its shards once.
+  auto settle() -> void {
+    for (auto &[Name, Registry] : Registries)
+      adopt(Name);
+    ShardMap Owners(Current);
+    for (auto &[Name, Registry] : Registries)
+      for (std::uint32_t Shard = 0; Shard < KeyShardCount; ++Shard)
+        for (const auto &To : {Owners.home(Shard), Owners.backup(Shard)})
+          if (To != Name && !To.empty())
+            Registries.at(To).importShard(Registry.exportShard(Shard, Start),
+                                          Start);
+  }
+  /// Shards whose home can decide on claims.
+  auto completeHomes() -> std::size_t {
+    ShardMap Owners(Current);
+    std::size_t Count = 0;
+    for (std::uint32_t Shard = 0; Shard < KeyShardCount; ++Shard)
+      Count += Registries.at(Owners.home(Shard)).isComplete(Shard) ? 1 : 0;
+    return Count;
+  }
+  /// Claims a key at its home; true if it was granted with a copy.
+  auto grant(const std::string &Key) -> bool {
+    ShardMap Owners(Current);
+    auto Shard = KeyRegistry::shardOf("acme", Key);
+    KeyRegistry &Home = Registries.at(Owners.home(Shard));
+    auto Decision = Home.claim(claimOf(Current.version(), Key,
+                                       "c" + std::to_string(++Claims),
+                                       "i-" + Owners.home(Shard)),
+                               Start);
+    const auto *Needed = std::get_if<ReplicationNeeded>(&Decision);
+    if (!Needed)
+      return false;
+    const auto &Backup = Owners.backup(Shard);
+    if (!Backup.empty() &&
+        Registries.at(Backup).replicate(Current.version(), Needed->Record,
+                                        Start) != ReplicaAnswer::Stored)
+      return false;
+    return std::holds_alternative<ReplicationGranted>(
+        Home.replicationAcknowledged(Current.version(), Needed->Record, Start));
+  }
+
+  std::map<std::string, KeyRegistry> Registries;
+  View Current;
+  int Claims = 0;
+};
+
+// Guards against a cold start after which no key can be claimed for the whole
+// retention time: eight hosts write eight views, and each host sees only the
+// one that it wrote and the last one.
+TEST(SkippedViewsTest, coldStartOfEightLosesNoHistory) {
+  SkippedViews Hosts;
+  for (int Number = 0; Number < 8; ++Number) {
+    std::string Name =
+        std::string(1, char('a' + Number % 4)) + std::to_string(Number);
+    Hosts.join(Name);
+    Hosts.adopt(Name);
+  }
+  Hosts.settle();
+  EXPECT_EQ(Hosts.completeHomes(), KeyShardCount);
+  EXPECT_TRUE(Hosts.grant("k"));
+  EXPECT_FALSE(Hosts.grant("k"));
+}
+
+// Guards against lost history when hosts are replaced one after the other and
+// the others see every third view.
+TEST(SkippedViewsTest, rollingReplacementKeepsGrants) {
+  SkippedViews Hosts;
+  for (const char *Name : {"a0", "b0", "c0", "d0", "a1", "b1"})
+    Hosts.join(Name);
+  Hosts.settle();
+  for (int Key = 0; Key < 50; ++Key)
+    ASSERT_TRUE(Hosts.grant("k" + std::to_string(Key)));
+  Hosts.join("c1");
+  Hosts.leave("a0");
+  Hosts.join("d1");
+  Hosts.settle();
+  EXPECT_EQ(Hosts.completeHomes(), KeyShardCount);
+  for (int Key = 0; Key < 50; ++Key)
+    EXPECT_FALSE(Hosts.grant("k" + std::to_string(Key)));
+}
+
+// Guards against a process that takes the role, and the empty shards, of the
+// earlier process under its name.
+TEST(SkippedViewsTest, newIncarnationHasNoRoleOfItsPredecessor) {
+  View First = View().withMember({.Name = "a",
+                                  .Incarnation = "old",
+                                  .ApiAddress = "",
+                                  .PeerAddress = "",
+                                  .AvailabilityZone = "z"},
+                                 true);
+  KeyRegistry Registry = makeRegistry();
+  auto Roles = ShardRoles::of(First, ShardMap(First), "a", "new");
+  EXPECT_EQ(Roles.Roles[0], ShardRole::Neither);
+  Registry.adoptView(Roles, Start);
+  View Second = First.withMember({.Name = "a",
+                                  .Incarnation = "new",
+                                  .ApiAddress = "",
+                                  .PeerAddress = "",
+                                  .AvailabilityZone = "z"},
+                                 true);
+  Registry.adoptView(ShardRoles::of(Second, ShardMap(Second), "a", "new"),
+                     Start);
+  EXPECT_FALSE(Registry.isComplete(0));
+}
+
+// Guards against two grants of one key when hosts skip views in any pattern:
+// each step joins or removes a host, lets some hosts adopt the view, lets all
+// adopt it and exchange their shards, or claims a key.
+RC_GTEST_PROP(SkippedViewsProperty, grantsEachKeyOnce, ()) {
+  auto Choices = *rc::gen::container<std::vector<std::uint32_t>>(
+      40, rc::gen::arbitrary<std::uint32_t>());
+  SkippedViews Hosts;
+  std::set<std::string> Granted;
+  int Joined = 0;
+  auto Join = [&] {
+    Hosts.join(std::string(1, char('a' + Joined % 4)) + std::to_string(Joined));
+    ++Joined;
+  };
+  Join();
+  Hosts.settle();
+  for (std::uint32_t Choice : Choices) {
+    std::uint32_t Part = Choice / 8;
+    auto Any = [&] {
+      return std::next(Hosts.Registries.begin(), Part % Hosts.Registries.size())
+          ->first;
+    };
+    if (Choice % 8 < 2 && Hosts.Registries.size() < 8) {
+      Join();
+    } else if (Choice % 8 == 2 && Hosts.Registries.size() > 1) {
+      Hosts.leave(Any());
+    } else if (Choice % 8 < 5) {
+      Hosts.adopt(Any());
+    } else if (Choice % 8 == 5) {
+      Hosts.settle();
+    } else {
+      std::string Key = "k" + std::to_string(Part % 5);
+      if (Hosts.grant(Key))
+        RC_ASSERT(Granted.insert(Key).second);
+    }
+  }
+}
+
 // Guards against unbounded memory, and against eviction of a grant whose
 // holder may still report.
 TEST(KeyRegistryLimitsTest, boundsRecordsAndEvictsEndedOnes) {
--- a/Tests/Unit/ViewTest.cpp
+++ b/Tests/Unit/ViewTest.cpp
@@ -46,5 +46,31 @@
   EXPECT_EQ(Third.withoutMembers({"a"}, true, false).predecessors().size(), 1U);
 }
 
+// Guards against a host that cannot learn its role in a view that it skipped,
+// and against a row that grows with every change.
+TEST(ViewTest, recordsTheLastViewsOnly) {
+  View Current = View().withMember(member("a"), true);
+  EXPECT_TRUE(Current.recent().empty());
+  for (int Change = 0; Change < 30; ++Change)
+    Current = Change % 2 == 0 ? Current.withMember(member("b"), true)
+                              : Current.withoutMembers({"b"}, true, false);
+  ASSERT_EQ(Current.recent().size(), View::MostRecent);
+  EXPECT_EQ(Current.recent().front().Version,
+            Current.version() - View::MostRecent);
+  const EarlierView &Last = Current.recent().back();
+  EXPECT_EQ(Last.Version, Current.version() - 1);
+  ASSERT_EQ(Last.Members.size(), 2U);
+  EXPECT_EQ(Last.Members[1].Incarnation, "i-b");
+  EXPECT_EQ(Last.Members[1].State, MemberState::Leaving);
+  EXPECT_EQ(View::parse(Current.toJson()).value(), Current);
+}
+
+// Guards against hosts that refuse the row of an earlier program version.
+TEST(ViewTest, readsRowsWithoutEarlierViews) {
+  auto Read = View::parse(R"({"version":1,"members":[],"predecessors":[]})");
+  ASSERT_TRUE(Read);
+  EXPECT_TRUE(Read.value().recent().empty());
+}
+
 } // namespace
 } // namespace jayramp
