Let the request decision classes change their limits while running

Cause: a changed short limit, long percentage, queue limit or retry budget took effect only at a restart; ShardMap and KeyRegistry had different shardOf() functions for one thing; a worker could get more requests than it accepts connections. Change: setters on FairQueue, WorkClassPolicy, RetryBudget and SlotLedger; the ledger grants at most connections - 1 slots of a worker; ShardMap::shardOf() is gone and its test is now on KeyRegistry::shardOf(), with a fixed value. Measured: the unit tests of these classes pass.

--- a/Source/Membership/ShardMap.cpp
+++ b/Source/Membership/ShardMap.cpp
@@ -49,11 +49,6 @@
   }
 }
 
-auto ShardMap::shardOf(std::string_view Account, std::string_view Key)
-    -> std::uint32_t {
-  return static_cast<std::uint32_t>(stableHash(Account, Key) % ShardCount);
-}
-
 auto ShardMap::home(std::uint32_t Shard) const -> const std::string & {
   return Homes.at(Shard);
 }
--- a/Source/Membership/ShardMap.h
+++ b/Source/Membership/ShardMap.h
@@ -21,10 +21,6 @@
   ShardMap() = default;
   explicit ShardMap(const View &Source);
 
-  /// Shard of a request key, below ShardCount; the same on every host.
-  static auto shardOf(std::string_view Account, std::string_view Key)
-      -> std::uint32_t;
-
   /// Name of the member that grants claims of \p Shard; empty if there is none.
   auto home(std::uint32_t Shard) const -> const std::string &;
   /// Name of the member that holds the second copy; empty if there is only one
--- a/Source/Requests/FairQueue.cpp
+++ b/Source/Requests/FairQueue.cpp
@@ -62,6 +62,13 @@
   return true;
 }
 
+auto FairQueue::setAccountLimit(std::size_t Limit) -> bool {
+  if (Limit == 0)
+    return false;
+  Limits.MaxEntriesPerAccount = Limit;
+  return true;
+}
+
 auto FairQueue::setVirtualTime(std::size_t Index, std::size_t Class,
                                double Value) -> void {
   AccountState &Target = Accounts[Index];
--- a/Source/Requests/FairQueue.h
+++ b/Source/Requests/FairQueue.h
@@ -29,6 +29,10 @@
   /// Sets an account's weight; must be above 0 (false otherwise).
   auto setShare(std::string_view Account, double Share) -> bool;
 
+  /// Changes the entries that may wait for one account; false if 0. Entries
+  /// that wait already stay.
+  auto setAccountLimit(std::size_t Limit) -> bool;
+
   auto push(const QueueEntry &Entry, TimePoint Now) -> PushDecision;
 
   /// Removes the next entry for a free slot: short work first, long work only
--- a/Source/Requests/RetryBudget.cpp
+++ b/Source/Requests/RetryBudget.cpp
@@ -24,6 +24,13 @@
   return RetryBudget(Policy);
 }
 
+auto RetryBudget::setShare(double Share) -> bool {
+  if (!(Share >= 0) || Share > 1)
+    return false;
+  Policy.Share = Share;
+  return true;
+}
+
 auto RetryBudget::recordFirstAttempt() -> void {
   Tokens = std::min(Policy.Burst, Tokens + Policy.Share);
 }
--- a/Source/Requests/RetryBudget.h
+++ b/Source/Requests/RetryBudget.h
@@ -15,6 +15,9 @@
 public:
   static auto make(RetryPolicy Policy) -> Result<RetryBudget>;
 
+  /// Changes the retries per first attempt; false unless from 0 to 1.
+  auto setShare(double Share) -> bool;
+
   /// A request's first attempt earns a share of a retry.
   auto recordFirstAttempt() -> void;
 
--- a/Source/Requests/SlotBroker.cpp
+++ b/Source/Requests/SlotBroker.cpp
@@ -245,6 +245,12 @@
   Health.ejectOutliers(Now);
 }
 
+auto SlotBroker::setLongLimits(std::uint32_t LongPercent,
+                               Milliseconds ShortLimit) -> void {
+  std::lock_guard Lock(Mutex);
+  Ledger.setLongLimits(LongPercent, ShortLimit);
+}
+
 auto SlotBroker::freeSlots() const -> std::uint32_t {
   std::lock_guard Lock(Mutex);
   return Ledger.freeSlots();
--- a/Source/Requests/SlotBroker.h
+++ b/Source/Requests/SlotBroker.h
@@ -81,6 +81,10 @@
   /// about every 100 ms.
   auto maintain() -> void;
 
+  /// Changes the limits of long work; see SlotLedger::setLongLimits().
+  auto setLongLimits(std::uint32_t LongPercent, Milliseconds ShortLimit)
+      -> void;
+
   auto freeSlots() const -> std::uint32_t;
   auto usedSlots(const std::string &Worker) const -> std::uint32_t;
   /// "LIVE" or, while the circuit breaker is open, "QUARANTINED".
--- a/Source/Requests/SlotLedger.cpp
+++ b/Source/Requests/SlotLedger.cpp
@@ -28,9 +28,22 @@
     return Error::make(ErrorKind::InvalidArgument, "ShortLimit",
                        "every request would count as long",
                        "set a limit above 0 ms");
+  if (Policy.Connections < 2)
+    return Error::make(ErrorKind::InvalidArgument, "Connections",
+                       "no connection is left for requests",
+                       "set at least 2");
   return SlotLedger(Policy);
 }
 
+auto SlotLedger::setLongLimits(std::uint32_t LongPercent,
+                               Milliseconds ShortLimit) -> bool {
+  if (LongPercent > 100 || ShortLimit <= Milliseconds(0))
+    return false;
+  Policy.LongPercent = LongPercent;
+  Policy.ShortLimit = ShortLimit;
+  return true;
+}
+
 auto SlotLedger::longLimit(std::uint32_t Slots) const -> std::uint32_t {
   if (Policy.LongPercent == 0 || Slots == 0)
     return 0;
@@ -86,7 +99,7 @@
   Worker &Entry = Position->second;
   if (Entry.Known && Status.RequestedAt <= Entry.LastStatus)
     return false;
-  Entry.Slots = Status.Slots;
+  Entry.Slots = std::min(Status.Slots, Policy.Connections - 1);
   Entry.Leaving = Status.Leaving;
   Entry.LastStatus = Status.RequestedAt;
   if (!Entry.Known) {
--- a/Source/Requests/SlotLedger.h
+++ b/Source/Requests/SlotLedger.h
@@ -32,6 +32,11 @@
 
   static auto make(SlotPolicy Policy) -> Result<SlotLedger>;
 
+  /// Changes the limits of long work; grants in use stay. False, without a
+  /// change, if a value is out of range.
+  auto setLongLimits(std::uint32_t LongPercent, Milliseconds ShortLimit)
+      -> bool;
+
   /// Takes over a worker. It gets no work before its first status. Repeats
   /// only update the address.
   auto addWorker(std::string_view Worker, std::string_view Address) -> void;
--- a/Source/Requests/SlotPolicy.h
+++ b/Source/Requests/SlotPolicy.h
@@ -16,6 +16,9 @@
   /// A grant of this age counts as started in the worker's status. Holders
   /// dispatch at once, and the worker reports once a second.
   Milliseconds SettleTime{2'000};
+  /// Connections that a worker accepts. One is kept for status calls; each of
+  /// the others carries one request.
+  std::uint32_t Connections = 64;
   std::uint64_t Seed = 1; ///< Of the random choice of workers.
 };
 
--- a/Source/Requests/WorkClassPolicy.cpp
+++ b/Source/Requests/WorkClassPolicy.cpp
@@ -34,6 +34,13 @@
   return WorkClassPolicy(ShortLimit);
 }
 
+auto WorkClassPolicy::setShortLimit(Milliseconds Limit) -> bool {
+  if (Limit <= Milliseconds(0))
+    return false;
+  ShortLimit = Limit;
+  return true;
+}
+
 auto WorkClassPolicy::find(std::string_view Account,
                            std::optional<WorkClass> Declared) const
     -> const History * {
--- a/Source/Requests/WorkClassPolicy.h
+++ b/Source/Requests/WorkClassPolicy.h
@@ -20,6 +20,9 @@
   /// \p ShortLimit separates short from long run times; above 0.
   static auto make(Milliseconds ShortLimit) -> Result<WorkClassPolicy>;
 
+  /// Changes the limit for later run times; false unless above 0.
+  auto setShortLimit(Milliseconds Limit) -> bool;
+
   /// Adds a whole run time, or the time so far of a run past the short limit
   /// that was cut off.
   auto observe(std::string_view Account, std::optional<WorkClass> Declared,
--- a/Tests/Unit/FairQueueTest.cpp
+++ b/Tests/Unit/FairQueueTest.cpp
@@ -256,5 +256,25 @@
   RC_ASSERT(Queue.size() == 0U);
 }
 
+// Guards against a changed queue limit that takes effect only at a restart.
+TEST(FairQueueSettingTest, accountLimitChangesWhileRunning) {
+  auto Queue = FairQueue::make({.MaxEntriesPerAccount = 1}).value();
+  TimePoint Now{};
+  auto Push = [&](std::uint64_t Id) {
+    return Queue.push({.Id = Id,
+                       .Account = "acme",
+                       .Class = WorkClass::Short,
+                       .Deadline = Now + Milliseconds(1000),
+                       .Cost = 1.0},
+                      Now);
+  };
+  EXPECT_TRUE(std::holds_alternative<PushQueued>(Push(1)));
+  EXPECT_TRUE(std::holds_alternative<PushAccountFull>(Push(2)));
+  EXPECT_FALSE(Queue.setAccountLimit(0));
+  EXPECT_TRUE(Queue.setAccountLimit(2));
+  EXPECT_TRUE(std::holds_alternative<PushQueued>(Push(3)));
+  EXPECT_TRUE(std::holds_alternative<PushAccountFull>(Push(4)));
+}
+
 } // namespace
 } // namespace jayramp
--- a/Tests/Unit/KeyRegistryTest.cpp
+++ b/Tests/Unit/KeyRegistryTest.cpp
@@ -319,5 +319,12 @@
   EXPECT_EQ(Home.recordCount(), 1U);
 }
 
+// Guards against a hash that differs between hosts or builds: records would be
+// looked for in the wrong place.
+TEST(KeyRegistryShardTest, shardsAreStableAndKeepFieldsApart) {
+  EXPECT_EQ(KeyRegistry::shardOf("account", "key"), 20U);
+  EXPECT_NE(KeyRegistry::shardOf("ab", "c"), KeyRegistry::shardOf("a", "bc"));
+}
+
 } // namespace
 } // namespace jayramp
--- a/Tests/Unit/RetryBudgetTest.cpp
+++ b/Tests/Unit/RetryBudgetTest.cpp
@@ -56,5 +56,18 @@
   EXPECT_EQ(RetryBudget::make(Policy).error().place(), "FirstBackoff");
 }
 
+// Guards against a changed retry budget that takes effect only at a restart.
+TEST(RetryBudgetSettingTest, shareChangesWhileRunning) {
+  auto Budget = RetryBudget::make({.Share = 0.0, .Burst = 10.0}).value();
+  while (Budget.takeRetry()) {
+  }
+  Budget.recordFirstAttempt();
+  EXPECT_FALSE(Budget.takeRetry());
+  EXPECT_FALSE(Budget.setShare(1.5));
+  EXPECT_TRUE(Budget.setShare(1.0));
+  Budget.recordFirstAttempt();
+  EXPECT_TRUE(Budget.takeRetry());
+}
+
 } // namespace
 } // namespace jayramp
--- a/Tests/Unit/ShardMapTest.cpp
+++ b/Tests/Unit/ShardMapTest.cpp
@@ -63,13 +63,5 @@
   }
 }
 
-// Guards against a hash that differs between hosts or builds: records would be
-// looked for in the wrong place.
-TEST(ShardMapTest, shardsAreStableAndKeepFieldsApart) {
-  EXPECT_EQ(ShardMap::shardOf("account", "key"),
-            ShardMap::shardOf("account", "key"));
-  EXPECT_NE(ShardMap::shardOf("ab", "c"), ShardMap::shardOf("a", "bc"));
-}
-
 } // namespace
 } // namespace jayramp
--- a/Tests/Unit/SlotLedgerTest.cpp
+++ b/Tests/Unit/SlotLedgerTest.cpp
@@ -154,5 +154,28 @@
       Ledger.grant(ask("c"), Full, "", Start)));
 }
 
+// Guards against a changed percentage of long work that takes effect only at a
+// restart.
+TEST(SlotLedgerSettingTest, longPercentChangesWhileRunning) {
+  auto Ledger = SlotLedger::make({.LongPercent = 50}).value();
+  EXPECT_EQ(Ledger.longLimit(8), 4U);
+  EXPECT_FALSE(Ledger.setLongLimits(101, Milliseconds(250)));
+  EXPECT_FALSE(Ledger.setLongLimits(25, Milliseconds(0)));
+  EXPECT_EQ(Ledger.longLimit(8), 4U);
+  EXPECT_TRUE(Ledger.setLongLimits(25, Milliseconds(250)));
+  EXPECT_EQ(Ledger.longLimit(8), 2U);
+}
+
+// Guards against more requests on a worker than it accepts connections: it
+// would refuse them, and each refusal costs a retry.
+TEST(SlotLedgerSettingTest, connectionsLimitTheSlots) {
+  EXPECT_FALSE(SlotLedger::make({.Connections = 1}));
+  auto Ledger = SlotLedger::make({.Connections = 4}).value();
+  TimePoint Now{};
+  Ledger.addWorker("w", "127.0.0.1:1");
+  Ledger.applyStatus({.Worker = "w", .Slots = 8, .RequestedAt = Now}, Now);
+  EXPECT_EQ(Ledger.freeSlots("w"), 3U);
+}
+
 } // namespace
 } // namespace jayramp
--- a/Tests/Unit/WorkClassPolicyTest.cpp
+++ b/Tests/Unit/WorkClassPolicyTest.cpp
@@ -36,5 +36,15 @@
   EXPECT_EQ(Policy.classify("acme", Short), WorkClass::Short);
 }
 
+// Guards against a changed short limit that takes effect only at a restart.
+TEST(WorkClassPolicySettingTest, shortLimitChangesWhileRunning) {
+  auto Policy = WorkClassPolicy::make(Milliseconds(250)).value();
+  EXPECT_FALSE(Policy.setShortLimit(Milliseconds(0)));
+  EXPECT_TRUE(Policy.setShortLimit(Milliseconds(50)));
+  for (int Run = 0; Run < 20; ++Run)
+    Policy.observe("acme", WorkClass::Short, Milliseconds(100));
+  EXPECT_EQ(Policy.classify("acme", WorkClass::Short), WorkClass::Long);
+}
+
 } // namespace
 } // namespace jayramp
