Cancel, reassert and fence requests in the request router

Cause: found by reading the code against docs/requests.md. - Grants were not named to the new home after a view change. - A process that was paused dispatched without asking whether it may serve, and a grant of an earlier incarnation could be dispatched after its home had answered UNKNOWN for it and forgotten the key. - A record of an earlier view was replicated with the view of the record, so the new backup refused it for ever: its claim ended NO_REPLICA and its report was repeated without end. - A claim whose answer was lost stayed granted until its holder left the view. - A repeat that had seen another claim in progress could end NOT_RUN after its home changed. - Refusals inside pump() recursed once for each waiting request. - Configuration limits were not applied; a waiting request could not be cancelled.

--- a/Source/Api/ApiRouter.cpp
+++ b/Source/Api/ApiRouter.cpp
@@ -72,6 +72,10 @@
     Requests.submit(Request.Body, Done);
     return true;
   }
+  if (Request.Method == "DELETE" && isPath(Request, "requests", 4)) {
+    Requests.cancel(Request.Path[2], Request.Path[3], Done);
+    return true;
+  }
   if (Request.Method == "GET" && isPath(Request, "requests", 4)) {
     Keys.show(Request.Path[2], Request.Path[3], Done);
     return true;
--- a/Source/Api/RequestCommands.cpp
+++ b/Source/Api/RequestCommands.cpp
@@ -45,4 +45,14 @@
   });
 }
 
+auto RequestCommands::cancel(const std::string &Account, const std::string &Key,
+                             const Respond &Done) -> void {
+  auto Cancelled =
+      Router.cancel(Account, Key, [Done](const v1::RequestOutcome &Outcome) {
+        Done(ApiResponse::json(200, Outcome));
+      });
+  if (!Cancelled)
+    Done(ApiResponse::failure(Cancelled.error()));
+}
+
 } // namespace jayramp
--- a/Source/Api/RequestCommands.h
+++ b/Source/Api/RequestCommands.h
@@ -26,6 +26,11 @@
   /// POST /v1/requests: 200 with the outcome, or an error that names the field.
   auto submit(const std::string &Body, Respond Done) -> void;
 
+  /// DELETE /v1/requests/{account}/{key}: 200 with the outcome of the waiting
+  /// request that was cancelled, 404 or 409 otherwise.
+  auto cancel(const std::string &Account, const std::string &Key,
+              const Respond &Done) -> void;
+
 private:
   auto check(const v1::SubmitRequest &Request) const -> Result<void>;
 
--- a/Source/Daemon/EntryHost.cpp
+++ b/Source/Daemon/EntryHost.cpp
@@ -157,7 +157,9 @@
   Keys = std::make_unique<KeyCoordinator>(Host.Name, *Registry, *Membership,
                                           *Transport, Timer, Counters);
   BOOST_OUTCOME_TRY(Ledger,
-                    SlotLedger::make({.Seed = std::random_device{}()}));
+                    SlotLedger::make(
+                        {.Connections = Settings.workers().Connections,
+                         .Seed = std::random_device{}()}));
   BOOST_OUTCOME_TRY(Health, WorkerHealth::make({}));
   Slots = std::make_unique<SlotBroker>(Host.Name, std::move(Ledger),
                                        std::move(Health), *Membership,
@@ -218,6 +220,7 @@
     Live.insert(Entry.Incarnation);
   Slots->adoptView(Current->version(), Live);
   Keys->adoptView(Current);
+  Router->reassertClaims();
   Directory->adoptView(std::make_shared<const ShardMap>(*Current));
 }
 
--- a/Source/Requests/KeyCoordinator.cpp
+++ b/Source/Requests/KeyCoordinator.cpp
@@ -93,7 +93,7 @@
 
   auto registerHandlers() -> void;
   auto claim(const std::string &Account, const std::string &Key,
-             const std::string &ClaimId, Answered Done) -> void;
+             const std::string &ClaimId, bool Reassert, Answered Done) -> void;
   auto report(std::shared_ptr<const OutcomeReport> Report) -> void;
   auto query(const std::string &Account, const std::string &Key, Answered Done)
       -> void;
@@ -108,10 +108,12 @@
     std::lock_guard Lock(MapMutex);
     return Map;
   }
-  auto decideClaim(const KeyClaim &Claim, const Answered &Done) -> void;
-  auto replicate(const KeyRecord &Record, const Acknowledged &Done) -> void;
-  auto finishGrant(const KeyRecord &Record, bool Stored, const Answered &Done)
+  auto decideClaim(const KeyClaim &Claim, bool Reassert, const Answered &Done)
       -> void;
+  auto replicate(std::uint64_t ViewVersion, const KeyRecord &Record,
+                 const Acknowledged &Done) -> void;
+  auto finishGrant(std::uint64_t ViewVersion, const KeyRecord &Record,
+                   bool Stored, const Answered &Done) -> void;
   auto decideReport(const OutcomeReport &Report, const Acknowledged &Done)
       -> void;
   auto sendReport(const std::shared_ptr<const OutcomeReport> &Report) -> void;
@@ -157,13 +159,14 @@
                        .ClaimId = Source.claim_id(),
                        .HolderHost = Request.sender(),
                        .HolderIncarnation = Request.incarnation()};
-        Self->decideClaim(Claim, [Reply](const ClaimAnswer &Answer) {
-          Envelope Message;
-          Message.mutable_claim_key_reply()->set_decision(Answer.Decision);
-          writeRecord(Answer.Record,
-                      *Message.mutable_claim_key_reply()->mutable_record());
-          Reply(Message);
-        });
+        Self->decideClaim(
+            Claim, Source.reassert(), [Reply](const ClaimAnswer &Answer) {
+              Envelope Message;
+              Message.mutable_claim_key_reply()->set_decision(Answer.Decision);
+              writeRecord(Answer.Record,
+                          *Message.mutable_claim_key_reply()->mutable_record());
+              Reply(Message);
+            });
       });
   Add(PeerMessageType::ReplicateKey,
       [Weak](const Envelope &Request, const PeerReply &Reply) {
@@ -209,7 +212,8 @@
 auto KeyCoordinator::Implementation::claim(const std::string &Account,
                                            const std::string &Key,
                                            const std::string &ClaimId,
-                                           Answered Done) -> void {
+                                           bool Reassert, Answered Done)
+    -> void {
   auto Current = map();
   std::uint32_t Shard = KeyRegistry::shardOf(Account, Key);
   const std::string &Home = Current->home(Shard);
@@ -221,7 +225,7 @@
                    .ClaimId = ClaimId,
                    .HolderHost = HostName,
                    .HolderIncarnation = Membership.incarnation()};
-    return decideClaim(Claim, Done);
+    return decideClaim(Claim, Reassert, Done);
   }
   Envelope Message;
   Message.set_view_version(Current->version());
@@ -230,6 +234,7 @@
   Target->set_account(Account);
   Target->set_key(Key);
   Target->set_claim_id(ClaimId);
+  Target->set_reassert(Reassert);
   Transport.call(Home, Message, ClaimTimeout,
                  [Done](const PeerTransport::Answer &Answer) {
                    if (!Answer || !Answer.value()->has_claim_key_reply())
@@ -240,46 +245,56 @@
 }
 
 auto KeyCoordinator::Implementation::decideClaim(const KeyClaim &Claim,
+                                                 bool Reassert,
                                                  const Answered &Done) -> void {
   // A minority could grant a key that the majority grants in an older view.
   if (!Membership.hasMajority())
     return Done({peer::v1::CLAIM_NO_REPLICA, {}});
-  ClaimDecision Decision = Registry.claim(Claim, Clock::now());
+  ClaimDecision Decision = Reassert ? Registry.reassert(Claim, Clock::now())
+                                    : Registry.claim(Claim, Clock::now());
   const auto *Needed = std::get_if<ReplicationNeeded>(&Decision);
   if (!Needed)
     return Done(answerOf(Decision));
   KeyRecord Record = Needed->Record;
+  std::uint64_t ViewVersion = Claim.ViewVersion;
   auto Self = shared_from_this();
-  replicate(Record, [Self, Record, Done](bool Stored) {
-    Self->finishGrant(Record, Stored, Done);
-  });
+  replicate(ViewVersion, Record,
+            [Self, ViewVersion, Record, Done](bool Stored) {
+              Self->finishGrant(ViewVersion, Record, Stored, Done);
+            });
 }
 
-auto KeyCoordinator::Implementation::finishGrant(const KeyRecord &Record,
+auto KeyCoordinator::Implementation::finishGrant(std::uint64_t ViewVersion,
+                                                 const KeyRecord &Record,
                                                  bool Stored,
                                                  const Answered &Done) -> void {
   if (!Stored) {
-    Registry.replicationFailed(Record.Version.View, Record);
+    Registry.replicationFailed(ViewVersion, Record);
     Counters.count("jayramp_key_replication_failed_total");
     return Done({peer::v1::CLAIM_NO_REPLICA, {}});
   }
-  auto Decision = Registry.replicationAcknowledged(Record.Version.View, Record,
-                                                   Clock::now());
+  auto Decision =
+      Registry.replicationAcknowledged(ViewVersion, Record, Clock::now());
   const auto *Granted = std::get_if<ReplicationGranted>(&Decision);
   if (!Granted || !Membership.hasMajority())
     return Done({peer::v1::CLAIM_NO_REPLICA, {}});
   Done({peer::v1::CLAIM_GRANTED, Granted->Record});
 }
 
-auto KeyCoordinator::Implementation::replicate(const KeyRecord &Record,
+// ViewVersion is the view of the decision. The record's own version can be
+// older: a record of an earlier view is replicated again to a new backup.
+auto KeyCoordinator::Implementation::replicate(std::uint64_t ViewVersion,
+                                               const KeyRecord &Record,
                                                const Acknowledged &Done)
     -> void {
   auto Current = map();
+  if (Current->version() != ViewVersion)
+    return Done(false);
   const std::string &Backup = Current->backup(Record.Shard);
   if (Backup.empty()) // The view has one serving member: there is no backup.
     return Done(true);
   Envelope Message;
-  Message.set_view_version(Record.Version.View);
+  Message.set_view_version(ViewVersion);
   writeRecord(Record, *Message.mutable_replicate_key()->mutable_record());
   Transport.call(Backup, Message, ReplicationTimeout,
                  [Done](const PeerTransport::Answer &Answer) {
@@ -348,12 +363,14 @@
   if (const auto *Recorded = std::get_if<ReportRecorded>(&Decision)) {
     KeyRecord Record = Recorded->Record;
     auto Self = shared_from_this();
-    return replicate(Record, [Self, Record, Done](bool Stored) {
-      if (Stored)
-        Self->Registry.replicationAcknowledged(Record.Version.View, Record,
-                                               Clock::now());
-      Done(Stored);
-    });
+    std::uint64_t ViewVersion = Report.ViewVersion;
+    return replicate(
+        ViewVersion, Record, [Self, ViewVersion, Record, Done](bool Stored) {
+          if (Stored)
+            Self->Registry.replicationAcknowledged(ViewVersion, Record,
+                                                   Clock::now());
+          Done(Stored);
+        });
   }
   bool Repeat = std::holds_alternative<ReportNotReady>(Decision) ||
                 std::holds_alternative<ReportWrongView>(Decision);
@@ -415,7 +432,7 @@
   }
   for (const KeyRecord &Record :
        Registry.holderLost(Roles.Members, Clock::now()))
-    replicate(Record, [](bool) {});
+    replicate(Roles.ViewVersion, Record, [](bool) {});
   for (std::uint32_t Shard = 0; Shard < KeyShardCount; ++Shard)
     for (const std::string &Target : {Next->home(Shard), Next->backup(Shard)})
       if (!Target.empty() && Target != HostName)
@@ -510,7 +527,14 @@
 
 auto KeyCoordinator::claim(const std::string &Account, const std::string &Key,
                            const std::string &ClaimId, Answered Done) -> void {
-  Body->claim(Account, Key, ClaimId, std::move(Done));
+  Body->claim(Account, Key, ClaimId, false, std::move(Done));
+}
+
+auto KeyCoordinator::reassert(const std::string &Account,
+                              const std::string &Key,
+                              const std::string &ClaimId, Answered Done)
+    -> void {
+  Body->claim(Account, Key, ClaimId, true, std::move(Done));
 }
 
 auto KeyCoordinator::report(const std::string &Account, const std::string &Key,
--- a/Source/Requests/KeyCoordinator.h
+++ b/Source/Requests/KeyCoordinator.h
@@ -43,6 +43,13 @@
   auto claim(const std::string &Account, const std::string &Key,
              const std::string &ClaimId, Answered Done) -> void;
 
+  /// Names a claim that this host was granted in an earlier view to the home
+  /// of the current one. \p Done gets CLAIM_DECISION_UNSPECIFIED,
+  /// CLAIM_NO_REPLICA, CLAIM_REBALANCING or CLAIM_WRONG_VIEW if it has to be
+  /// repeated.
+  auto reassert(const std::string &Account, const std::string &Key,
+                const std::string &ClaimId, Answered Done) -> void;
+
   /// Tells the home how a claim ended and repeats it until a home of the
   /// current view acknowledges. \p Released: the request did not run.
   auto report(const std::string &Account, const std::string &Key,
--- a/Source/Requests/PendingRequest.h
+++ b/Source/Requests/PendingRequest.h
@@ -33,8 +33,12 @@
   OutcomeTracker Tracker;
   std::string ClaimId;
   bool Finished = false;
+  v1::RequestOutcome Outcome; ///< Set shortly after Finished.
   bool Granted = false;        ///< This host holds the claim of the key.
-  bool SeenInProgress = false; ///< Another claim holds the key.
+  /// Incarnation of this host that the claim was granted to.
+  std::string HolderIncarnation;
+  bool ClaimSent = false;      ///< The home may hold a claim of this request.
+  bool SeenInProgress = false; ///< Another claim holds or held the key.
   std::uint32_t ClaimTries = 0;
   v1::Reason WaitReason = v1::DEADLINE_EXCEEDED; ///< Given at the deadline.
   WorkClass Class = WorkClass::Short;
--- a/Source/Requests/RequestRouter.cpp
+++ b/Source/Requests/RequestRouter.cpp
@@ -35,6 +35,12 @@
 constexpr Milliseconds LongestClaimDelay{200};
 // Delay before a peer that reported free slots is asked again.
 constexpr Milliseconds PeerAskDelay{20};
+constexpr Milliseconds ReassertDelay{200};
+// Values of fields that the configuration leaves at 0; see jayramp.proto.
+constexpr std::uint32_t DefaultShortLimitMs = 250;
+constexpr std::uint32_t DefaultLongPercent = 50;
+constexpr std::uint32_t DefaultQueueLimit = 1000;
+constexpr std::uint32_t DefaultRetryPercent = 10;
 constexpr std::uint32_t RetryAfterRefusalMs = 1000;
 constexpr std::uint32_t RetryAfterRebalancingMs = 500;
 
@@ -51,6 +57,18 @@
   return v1::WORKER_FAILED;
 }
 
+auto nameOf(const v1::SubmitRequest &Request) -> std::string {
+  return Request.account() + '\0' + Request.key();
+}
+
+/// Whether a home has to be told again about a claim that it should hold.
+auto repeatsReassert(peer::v1::ClaimDecision Decision) -> bool {
+  return Decision == peer::v1::CLAIM_DECISION_UNSPECIFIED ||
+         Decision == peer::v1::CLAIM_NO_REPLICA ||
+         Decision == peer::v1::CLAIM_REBALANCING ||
+         Decision == peer::v1::CLAIM_WRONG_VIEW;
+}
+
 auto reasonLabel(v1::Reason Reason) -> std::string {
   return "reason=\"" + v1::Reason_Name(Reason) + "\"";
 }
@@ -79,6 +97,9 @@
         Retries(RetryBudget::make({.Seed = std::random_device{}()}).value()) {}
 
   auto submit(const v1::SubmitRequest &Request, Done Respond) -> void;
+  auto cancel(const std::string &Account, const std::string &Key,
+              const Done &Respond) -> Result<void>;
+  auto reassertClaims() -> void;
   auto apply(const Configuration &Newer) -> void;
   auto pump() -> void;
 
@@ -91,10 +112,22 @@
     std::unordered_map<std::uint64_t, Pending> Map;
   };
 
+  struct NameShard {
+    std::mutex Mutex;
+    std::unordered_multimap<std::string, Pending> Map;
+  };
+
+  auto namesOf(const std::string &Name) -> NameShard & {
+    return Names[std::hash<std::string>()(Name) % PendingShards];
+  }
   auto shardOf(std::uint64_t Id) -> PendingShard & {
     return Shards[Id % PendingShards];
   }
   auto find(std::uint64_t Id) -> Pending;
+  auto withdraw(const Pending &Entry) -> bool;
+  auto reassert(const Pending &Entry, std::uint64_t Round) -> void;
+  auto pumpOnce() -> void;
+  auto dispatchRefusal(const Pending &Entry) -> std::optional<std::string>;
   auto claim(const Pending &Entry) -> void;
   auto onClaim(const Pending &Entry, const ClaimAnswer &Answer) -> void;
   auto claimAgain(const Pending &Entry, v1::Reason Reason, bool NewId) -> void;
@@ -124,6 +157,8 @@
   Metrics &Counters;
   std::atomic<std::uint64_t> NextId{1};
   std::array<PendingShard, PendingShards> Shards;
+  std::array<NameShard, PendingShards> Names; ///< By account and key.
+  std::atomic<std::uint64_t> ReassertRound{0};
   std::mutex QueueMutex; ///< Guards Queue, Classes and Retries.
   FairQueue Queue;
   WorkClassPolicy Classes;
@@ -159,6 +194,12 @@
     std::lock_guard Lock(Shard.Mutex);
     Shard.Map.emplace(Entry->Id, Entry);
   }
+  {
+    std::string Name = nameOf(Request);
+    NameShard &Shard = namesOf(Name);
+    std::lock_guard Lock(Shard.Mutex);
+    Shard.Map.emplace(std::move(Name), Entry);
+  }
   if (Refusing.load())
     return finish(Entry, makeOutcome(v1::NOT_RUN, v1::STOPPING,
                                      "this entry host is stopping",
@@ -182,6 +223,7 @@
     if (Entry->Finished)
       return;
     ClaimId = Entry->ClaimId;
+    Entry->ClaimSent = true;
   }
   auto Self = shared_from_this();
   Keys.claim(Entry->Request.account(), Entry->Request.key(), ClaimId,
@@ -199,6 +241,7 @@
       std::lock_guard Lock(Entry->Mutex);
       Abandoned = Entry->Finished;
       Entry->Granted = !Abandoned;
+      Entry->HolderIncarnation = Answer.Record.HolderIncarnation;
     }
     // The deadline passed while the claim was under way, so it never ran.
     if (Abandoned)
@@ -239,7 +282,8 @@
     if (Entry->Finished)
       return;
     Entry->WaitReason = Reason;
-    Entry->SeenInProgress = Reason == v1::KEY_IN_PROGRESS;
+    // Stays set when the home changes later: the other claim may have run.
+    Entry->SeenInProgress |= Reason == v1::KEY_IN_PROGRESS;
     if (NewId)
       Entry->ClaimId = makeIdentifier();
     Delay = std::min(FirstClaimDelay * (1 << std::min(Entry->ClaimTries, 4U)),
@@ -307,7 +351,21 @@
   finish(Entry, std::move(Outcome));
 }
 
+// Releasing a slot or ending an attempt inside pumpOnce() calls this again.
+// Without the guard a queue of refused requests recurses once per request.
 auto RequestRouter::Implementation::pump() -> void {
+  thread_local bool Running = false;
+  thread_local bool Again = false;
+  Again = true;
+  if (Running)
+    return;
+  Running = true;
+  while (std::exchange(Again, false))
+    pumpOnce();
+  Running = false;
+}
+
+auto RequestRouter::Implementation::pumpOnce() -> void {
   while (true) {
     QueueEntry Next;
     SlotDecision Decision;
@@ -367,20 +425,47 @@
 }
 
 auto RequestRouter::Implementation::useGrant(const SlotGrant &Grant) -> void {
-  std::optional<QueueEntry> Next;
-  {
-    std::lock_guard Lock(QueueMutex);
-    Next = Queue.pop(Grant.Class == WorkClass::Long, Clock::now());
+  while (true) {
+    std::optional<QueueEntry> Next;
+    {
+      std::lock_guard Lock(QueueMutex);
+      Next = Queue.pop(Grant.Class == WorkClass::Long, Clock::now());
+    }
+    if (!Next)
+      return Slots.release(Grant, {});
+    if (auto Entry = find(Next->Id))
+      return dispatch(Entry, Grant);
   }
-  Pending Entry = Next ? find(Next->Id) : nullptr;
-  if (Entry)
-    dispatch(Entry, Grant);
-  else
-    Slots.release(Grant, {});
+}
+
+// A process that was paused judges its right to serve here, right before it
+// sends. A claim ends with the incarnation that it was granted to: its home
+// has answered "unknown" for it since and may have forgotten the key.
+auto RequestRouter::Implementation::dispatchRefusal(const Pending &Entry)
+    -> std::optional<std::string> {
+  auto Serving = Membership.serving();
+  if (const auto *Refused = std::get_if<ServingRefused>(&Serving))
+    return Refused->Detail;
+  if (Entry->Request.idempotent())
+    return std::nullopt;
+  std::string Current = Membership.incarnation();
+  std::lock_guard Lock(Entry->Mutex);
+  if (Entry->HolderIncarnation == Current)
+    return std::nullopt;
+  return "this entry host left the view after it was granted the key";
 }
 
 auto RequestRouter::Implementation::dispatch(const Pending &Entry,
                                              const SlotGrant &Grant) -> void {
+  if (auto Refusal = dispatchRefusal(Entry)) {
+    Slots.release(Grant, {});
+    RequestOutcome Closed;
+    {
+      std::lock_guard Lock(Entry->Mutex);
+      Closed = Entry->Tracker.close(*Refusal);
+    }
+    return finish(Entry, toMessage(Closed, v1::STALE_VIEW));
+  }
   TimePoint Now = Clock::now();
   std::optional<std::uint32_t> Number;
   {
@@ -482,6 +567,102 @@
   finish(Entry, toMessage(Closed, Reason));
 }
 
+auto RequestRouter::Implementation::withdraw(const Pending &Entry) -> bool {
+  RequestOutcome Closed;
+  bool InProgress = false;
+  {
+    std::lock_guard Lock(Entry->Mutex);
+    if (Entry->Finished || Entry->Tracker.openAttempts() > 0)
+      return false;
+    InProgress = Entry->SeenInProgress && !Entry->Granted;
+    // From here on no attempt can start.
+    Closed = Entry->Tracker.close("the caller cancelled it");
+  }
+  {
+    std::lock_guard Lock(QueueMutex);
+    Queue.cancel(Entry->Id);
+  }
+  finish(Entry, InProgress
+                    ? makeOutcome(v1::UNKNOWN, v1::KEY_IN_PROGRESS,
+                                  "cancelled; another request with this key "
+                                  "may have run",
+                                  0)
+                    : toMessage(Closed, v1::CANCELLED));
+  return true;
+}
+
+auto RequestRouter::Implementation::cancel(const std::string &Account,
+                                           const std::string &Key,
+                                           const Done &Respond)
+    -> Result<void> {
+  std::string Name = Account + '\0' + Key;
+  std::vector<Pending> Found;
+  {
+    NameShard &Shard = namesOf(Name);
+    std::lock_guard Lock(Shard.Mutex);
+    auto [Begin, End] = Shard.Map.equal_range(Name);
+    for (auto Position = Begin; Position != End; ++Position)
+      Found.push_back(Position->second);
+  }
+  if (Found.empty())
+    return Error::make(ErrorKind::NotFound, "key",
+                       "no request with key " + Key + " waits on this host",
+                       "ask the entry host that accepted it");
+  Pending Newest;
+  for (const Pending &Entry : Found)
+    if (withdraw(Entry) && (!Newest || Newest->Id < Entry->Id))
+      Newest = Entry;
+  if (!Newest)
+    return Error::make(ErrorKind::Conflict, "key",
+                       "the request with key " + Key + " is at a worker",
+                       "wait for its outcome");
+  Counters.count("jayramp_cancelled_total");
+  v1::RequestOutcome Outcome;
+  {
+    std::lock_guard Lock(Newest->Mutex);
+    Outcome = Newest->Outcome;
+  }
+  Respond(Outcome);
+  return success();
+}
+
+auto RequestRouter::Implementation::reassertClaims() -> void {
+  std::uint64_t Round = ++ReassertRound;
+  std::vector<Pending> Open;
+  for (PendingShard &Shard : Shards) {
+    std::lock_guard Lock(Shard.Mutex);
+    for (const auto &[Id, Entry] : Shard.Map)
+      if (!Entry->Request.idempotent())
+        Open.push_back(Entry);
+  }
+  for (const Pending &Entry : Open)
+    reassert(Entry, Round);
+}
+
+auto RequestRouter::Implementation::reassert(const Pending &Entry,
+                                             std::uint64_t Round) -> void {
+  std::string ClaimId;
+  std::string Current = Membership.incarnation();
+  {
+    std::lock_guard Lock(Entry->Mutex);
+    // A claim of an earlier incarnation ended with it.
+    if (Entry->Finished || !Entry->Granted || ReassertRound.load() != Round ||
+        Entry->HolderIncarnation != Current)
+      return;
+    ClaimId = Entry->ClaimId;
+  }
+  auto Self = shared_from_this();
+  Keys.reassert(Entry->Request.account(), Entry->Request.key(), ClaimId,
+                [Self, Entry, Round](const ClaimAnswer &Answer) {
+                  if (!repeatsReassert(Answer.Decision))
+                    return;
+                  Self->later(ReassertDelay,
+                              [Entry, Round](Implementation &Router) {
+                                Router.reassert(Entry, Round);
+                              });
+                });
+}
+
 auto RequestRouter::Implementation::onDeadline(const Pending &Entry) -> void {
   {
     std::lock_guard Lock(QueueMutex);
@@ -515,7 +696,10 @@
     std::lock_guard Lock(Entry->Mutex);
     if (std::exchange(Entry->Finished, true))
       return;
-    Report = Entry->Granted;
+    // A claim whose answer was lost may be granted at the home; releasing it
+    // frees the key for the caller's repeat.
+    Report = Entry->Granted ||
+             (Entry->ClaimSent && Outcome.outcome() == v1::NOT_RUN);
     ClaimId = Entry->ClaimId;
     if (Outcome.attempts() == 0)
       Outcome.set_attempts(Entry->Tracker.sentAttempts());
@@ -526,6 +710,10 @@
   Outcome.set_key(Entry->Request.key());
   Outcome.set_request_id(Settings.HostName + "-" + std::to_string(Entry->Id));
   Outcome.set_entry_host(Settings.HostName);
+  {
+    std::lock_guard Lock(Entry->Mutex);
+    Entry->Outcome = Outcome;
+  }
   bool Released = Outcome.outcome() == v1::NOT_RUN;
   if (Report)
     Keys.report(Entry->Request.account(), Entry->Request.key(), ClaimId,
@@ -535,6 +723,15 @@
     std::lock_guard Lock(Shard.Mutex);
     Shard.Map.erase(Entry->Id);
   }
+  {
+    std::string Name = nameOf(Entry->Request);
+    NameShard &Shard = namesOf(Name);
+    std::lock_guard Lock(Shard.Mutex);
+    auto [Begin, End] = Shard.Map.equal_range(Name);
+    Shard.Map.erase(std::find_if(Begin, End, [&Entry](const auto &Item) {
+      return Item.second == Entry;
+    }));
+  }
   Counters.count("jayramp_requests_total",
                  "outcome=\"" + v1::Outcome_Name(Outcome.outcome()) + "\"");
   if (Released)
@@ -556,9 +753,21 @@
 }
 
 auto RequestRouter::Implementation::apply(const Configuration &Newer) -> void {
+  const auto &Document = Newer.document();
+  auto OrDefault = [](std::uint32_t Value, std::uint32_t Default) {
+    return Value == 0 ? Default : Value;
+  };
+  Milliseconds ShortLimit(
+      OrDefault(Document.short_limit_ms(), DefaultShortLimitMs));
+  Slots.setLongLimits(
+      OrDefault(Document.long_slot_percent(), DefaultLongPercent), ShortLimit);
   std::lock_guard Lock(QueueMutex);
-  for (const auto &Account : Newer.document().accounts())
+  for (const auto &Account : Document.accounts())
     Queue.setShare(Account.name(), std::max(1U, Account.request_share()));
+  Classes.setShortLimit(ShortLimit);
+  Queue.setAccountLimit(OrDefault(Document.queue_limit(), DefaultQueueLimit));
+  Retries.setShare(
+      OrDefault(Document.retry_budget_percent(), DefaultRetryPercent) / 100.0);
 }
 
 RequestRouter::RequestRouter(Options Settings, MembershipRunner &Membership,
@@ -582,6 +791,13 @@
   Body->submit(Request, std::move(Respond));
 }
 
+auto RequestRouter::cancel(const std::string &Account, const std::string &Key,
+                           const Done &Respond) -> Result<void> {
+  return Body->cancel(Account, Key, Respond);
+}
+
+auto RequestRouter::reassertClaims() -> void { Body->reassertClaims(); }
+
 auto RequestRouter::apply(const Configuration &Newer) -> void {
   Body->apply(Newer);
 }
--- a/Source/Requests/RequestRouter.h
+++ b/Source/Requests/RequestRouter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/Clock.h"
+#include "Base/Result.h"
 
 #include <cstddef>
 #include <functional>
@@ -47,6 +48,17 @@
   /// latest shortly after the request's deadline, on any thread.
   auto submit(const v1::SubmitRequest &Request, Done Respond) -> void;
 
+  /// Ends the waiting requests with \p Key on this host. \p Respond is called
+  /// with the outcome of the newest, NOT_RUN with reason CANCELLED unless an
+  /// earlier attempt or another claim may have run.
+  /// \returns NotFound if none is here, Conflict if it is at a worker; then
+  /// \p Respond is not called.
+  auto cancel(const std::string &Account, const std::string &Key,
+              const Done &Respond) -> Result<void>;
+
+  /// Names the claims of open requests to the homes of a new view.
+  auto reassertClaims() -> void;
+
   /// Takes over shares and limits of a configuration.
   auto apply(const Configuration &Newer) -> void;
 
--- a/Tests/Unit/ApiPageTest.cpp
+++ b/Tests/Unit/ApiPageTest.cpp
@@ -91,6 +91,7 @@
   auto Page = readPage();
   for (const auto *Path :
        {"POST /v1/requests", "GET /v1/requests/{account}/{key}",
+        "DELETE /v1/requests/{account}/{key}",
         "POST /v1/jobs", "GET /v1/jobs[?account=]", "GET /v1/jobs/{id}",
         "DELETE /v1/jobs/{id}", "GET /v1/configuration",
         "PUT /v1/configuration", "GET /v1/accounts/{name}",
