--- a/Tests/Benchmark/PlacementBenchmark.cpp
+++ b/Tests/Benchmark/PlacementBenchmark.cpp
@@ -44,12 +44,12 @@
 auto makeJobs(SimulatedCluster &Cluster) -> void {
   std::mt19937_64 Random(Cluster.Seed);
   std::uniform_real_distribution<double> Uniform(0, 1);
-  std::exponential_distribution<double> Gap(JobsPerDay / Day);
+  std::exponential_distribution<double> Gap(1.5 * JobsPerDay / Day);
   std::lognormal_distribution<double> Spread(0, 0.8);
   double Total = 0;
   for (double At = Gap(Random); At < Cluster.Seconds; At += Gap(Random)) {
     SimulatedJob Next;
-    // Arrivals swing by half over the day: thinned at night, doubled at noon.
+    // Arrivals swing by half over the day: drawn at the peak rate and thinned.
     const auto Swing = 1 + 0.5 * std::sin(2 * 3.14159265 * At / Day);
     if (Uniform(Random) > Swing / 1.5)
       continue;
@@ -125,13 +125,15 @@
 auto print(const char *Name, const SimulationReport &Report) -> void {
   std::printf("%-30s finished=%u open=%u completion_mean_s=%.0f p95_s=%.0f "
               "surplus_used=%.4f probes=%u broken=%u reclaimed=%u "
-              "largest_gang=%.1f free=%.1f decision_p50_us=%.0f p99_us=%.0f "
-              "decisions=%u\n",
+              "largest_gang=%.1f ideal_gang=%.1f free=%.1f "
+              "decision_p50_us=%.0f p99_us=%.0f "
+              "cpu_p99_us=%.0f decisions=%u\n",
               Name, Report.Finished, Report.Unfinished, Report.MeanCompletion,
               Report.P95Completion, Report.SurplusUsed, Report.Probes,
               Report.BrokenGuarantees, Report.ReclaimedGangs,
-              Report.MeanLargestGang, Report.MeanFree, Report.DecisionP50,
-              Report.DecisionP99, Report.Decisions);
+              Report.MeanLargestGang, Report.MeanIdealGang, Report.MeanFree,
+              Report.DecisionP50, Report.DecisionP99, Report.ProcessorP99,
+              Report.Decisions);
   std::fflush(stdout);
 }
 
--- a/Tests/Benchmark/PlacementSimulation.h
+++ b/Tests/Benchmark/PlacementSimulation.h
@@ -38,8 +38,10 @@
   std::uint32_t ReclaimedGangs = 0;
   double MeanLargestGang = 0; ///< Over the second half of the run.
   double MeanFree = 0;
-  double DecisionP50 = 0; ///< Microseconds, decisions that placed a job.
+  double MeanIdealGang = 0; ///< If all free capacity were one block, up to 64.
+  double DecisionP50 = 0;   ///< Microseconds, decisions that placed a job.
   double DecisionP99 = 0;
+  double ProcessorP99 = 0; ///< Same, processor time only.
   std::uint32_t Decisions = 0;
 };
 
@@ -81,6 +83,7 @@
     double Remaining = 0;
     double StartedAt = 0;
     bool Probe = false;
+    bool Guaranteed = false;
   };
 
   auto push(double At, EventKind Kind, std::string Name,
@@ -101,6 +104,7 @@
   std::map<std::string, Progress> Work;
   std::vector<double> Completions;
   std::vector<double> DecisionTimes;
+  std::vector<double> ProcessorTimes;
   SimulationReport Report;
   std::uint64_t NextOrder = 0;
   double Now = 0;
@@ -108,6 +112,7 @@
   double IdleSeconds = 0;
   double LargestSum = 0;
   double FreeSum = 0;
+  double IdealSum = 0;
   std::uint32_t Samples = 0;
   std::uint32_t Idle = 0;
   std::uint32_t Surplus = 0;
--- a/Tests/Unit/JobSchedulerTest.cpp
+++ b/Tests/Unit/JobSchedulerTest.cpp
@@ -12,13 +12,15 @@
 #include <iostream>
 #include <map>
 #include <numeric>
+#include <optional>
 #include <set>
 
 namespace jayramp {
 namespace {
 
 // RapidCheck prints its seed at the start; RC_PARAMS="seed=N" repeats a run.
-const int ConfiguredRuns = setenv("RC_PARAMS", "max_success=2000", 0);
+const int ConfiguredRuns =
+    setenv("RC_PARAMS", "max_success=3000 max_size=200", 0);
 
 using Place = std::pair<std::string, std::uint32_t>;
 
@@ -32,6 +34,8 @@
   std::uint64_t Degraded = 0;
   std::uint64_t ExactChecks = 0;
   std::uint64_t Quarantines = 0;
+  std::uint64_t AccountChanges = 0;
+  std::uint64_t TopologyChanges = 0;
 };
 
 Coverage Reached;
@@ -111,7 +115,7 @@
 public:
   Model(Topology Installed, std::vector<AccountPolicy> Accounts)
       : Scheduler(JobScheduler::make(Installed, Accounts, policy())),
-        Accounts(std::move(Accounts)) {}
+        Accounts(std::move(Accounts)), Listed(Installed.workers()) {}
 
   static auto policy() -> SchedulerPolicy {
     SchedulerPolicy Policy;
@@ -123,7 +127,7 @@
       -> void {
     Now += Milliseconds(1000 + Right % 5000);
     ++Reached.Steps;
-    switch (Kind % 10) {
+    switch (Kind) {
     case 0:
     case 1:
     case 2:
@@ -151,6 +155,12 @@
     case 8:
       Scheduler.workerReturned(worker(Left));
       break;
+    case 9:
+      changeAccounts(Left);
+      break;
+    case 10:
+      changeTopology(Left);
+      break;
     default:
       confirmStops(Left);
       break;
@@ -183,6 +193,44 @@
               Scheduler.checkSubmission(Job).has_value());
   }
 
+  auto changeAccounts(std::uint32_t Left) -> void {
+    if (Left % 4 != 0)
+      return;
+    auto &Guarantees = Accounts[1].Guarantees;
+    if (Guarantees.empty())
+      Guarantees = {{1 + Left % 3, 1}};
+    else
+      Guarantees.clear();
+    Scheduler.changeAccounts(Accounts);
+    ++Reached.AccountChanges;
+    refreshGuaranteed();
+  }
+
+  auto changeTopology(std::uint32_t Left) -> void {
+    auto &Workers = Listed;
+    if (Removed) {
+      Workers.push_back(*Removed);
+      Removed.reset();
+    } else if (Workers.size() > 1) {
+      const auto At =
+          Workers.begin() + static_cast<long>(Left % Workers.size());
+      Removed = *At;
+      Workers.erase(At);
+    }
+    Scheduler.changeTopology(Topology::make(Workers).value());
+    ++Reached.TopologyChanges;
+    refreshGuaranteed();
+  }
+
+  // A change may make guaranteed gangs reclaimable, never the reverse.
+  auto refreshGuaranteed() -> void {
+    for (auto &[Id, Gang] : Running) {
+      const bool Guaranteed = Scheduler.job(Id)->Guaranteed;
+      RC_ASSERT(Gang.Guaranteed || !Guaranteed);
+      Gang.Guaranteed = Guaranteed;
+    }
+  }
+
   auto pick(std::uint32_t Left) -> const Gang * {
     if (Running.empty())
       return nullptr;
@@ -200,14 +248,24 @@
     std::set<std::string> Workers;
     for (const auto &Entry : Ended.Places)
       Workers.insert(Entry.first);
+    // Everything fails on the first worker, so that it is quarantined.
+    if (Workers.count(worker(0)) != 0U)
+      Result = TaskResult::Failed;
     if (Result == TaskResult::Finished) {
       Running.erase(Ended.Job);
       for (const auto &Name : Workers)
         Scheduler.taskEnded({Ended.Job, Ended.Attempt, Name, Result}, Now);
+      // A gang that lost a member to a topology change still has to stop.
+      if (Scheduler.job(Ended.Job) != nullptr) {
+        RC_ASSERT(Ended.Stopping);
+        Running[Ended.Job] = Ended;
+      }
       return;
     }
     Scheduler.taskEnded({Ended.Job, Ended.Attempt, *Workers.begin(), Result},
                         Now);
+    if (!Ended.Stopping)
+      RC_ASSERT(Scheduler.job(Ended.Job)->Phase == JobPhase::Stopping);
   }
 
   auto confirmStops(std::uint32_t Left) -> void {
@@ -337,6 +395,8 @@
   std::map<std::string, std::uint32_t> Sizes;
   TimePoint Now{};
   std::uint32_t Submitted = 0;
+  std::vector<WorkerDescription> Listed;
+  std::optional<WorkerDescription> Removed;
 };
 
 auto accountsFor(std::uint32_t Choice, const Topology &Installed)
@@ -362,7 +422,7 @@
   Model Checked(Installed, accountsFor(*rc::gen::inRange(0U, 72U), Installed));
   const auto Steps = *rc::gen::container<
       std::vector<std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>>>(
-      rc::gen::tuple(rc::gen::inRange(0U, 10U), rc::gen::inRange(0U, 1000U),
+      rc::gen::tuple(rc::gen::inRange(0U, 15U), rc::gen::inRange(0U, 1000U),
                      rc::gen::inRange(0U, 1000U)));
   for (const auto &[Kind, Left, Right] : Steps)
     Checked.step(Kind, Left, Right);
@@ -382,6 +442,8 @@
   EXPECT_GT(Reached.Probes, 1000U);
   EXPECT_GT(Reached.ExactChecks, 100U);
   EXPECT_GT(Reached.Quarantines, 0U);
+  EXPECT_GT(Reached.AccountChanges, 100U);
+  EXPECT_GT(Reached.TopologyChanges, 100U);
 }
 
 // Documented baseline: an admission that compares only sums. It must break a
