--- a/Source/Api/ApiRouter.cpp
+++ b/Source/Api/ApiRouter.cpp
@@ -1,6 +1,8 @@
 #include "Api/ApiRouter.h"
 
 #include "Api/AccountCommands.h"
+#include "Api/JobCommands.h"
+#include "Api/JobQueries.h"
 #include "Api/RequestCommands.h"
 #include "Api/RequestQueries.h"
 #include "Api/StatusQueries.h"
@@ -43,7 +45,11 @@
 
   auto run(const std::function<ApiResponse()> &Command, const Respond &Done)
       -> void {
-    boost::asio::post(Threads, [Command, Done] { Done(Command()); });
+    post([Command, Done] { Done(Command()); });
+  }
+
+  auto post(std::function<void()> Command) -> void {
+    boost::asio::post(Threads, std::move(Command));
   }
 
 private:
@@ -52,15 +58,17 @@
 
 ApiRouter::ApiRouter(RequestCommands &Requests, RequestQueries &Keys,
                      AccountCommands &Accounts, StatusQueries &Status,
+                     JobCommands &Jobs, JobQueries &JobReads,
                      std::function<void()> Drain)
     : Requests(Requests), Keys(Keys), Accounts(Accounts), Status(Status),
-      Drain(std::move(Drain)),
+      Jobs(Jobs), JobReads(JobReads), Drain(std::move(Drain)),
       Blocking(std::make_unique<Pool>(BlockingThreads)) {}
 
 ApiRouter::~ApiRouter() = default;
 
 auto ApiRouter::handle(ApiRequest Request, Respond Done) -> void {
-  if (handleRequests(Request, Done) || handleConfiguration(Request, Done) ||
+  if (handleRequests(Request, Done) || handleJobs(Request, Done) ||
+      handleConfiguration(Request, Done) ||
       handleStatus(Request, Done))
     return;
   Done(notFound(Request));
@@ -79,6 +87,27 @@
   return false;
 }
 
+auto ApiRouter::handleJobs(const ApiRequest &Request, const Respond &Done)
+    -> bool {
+  const bool Read = Request.Method == "GET";
+  if (Request.Method == "POST" && isPath(Request, "jobs", 2)) {
+    Blocking->post([this, Request, Done] { Jobs.submit(Request.Body, Done); });
+  } else if (Read && isPath(Request, "jobs", 2)) {
+    auto Account = Request.Query.find("account");
+    std::string Name =
+        Account == Request.Query.end() ? std::string() : Account->second;
+    Blocking->run([this, Name] { return JobReads.list(Name); }, Done);
+  } else if (Read && isPath(Request, "jobs", 3)) {
+    Blocking->run([this, Request] { return JobReads.show(Request.Path[2]); },
+                  Done);
+  } else if (Request.Method == "DELETE" && isPath(Request, "jobs", 3)) {
+    Jobs.cancel(Request.Path[2], Done);
+  } else {
+    return false;
+  }
+  return true;
+}
+
 auto ApiRouter::handleConfiguration(const ApiRequest &Request,
                                     const Respond &Done) -> bool {
   bool Put = Request.Method == "PUT";
--- a/Source/Api/ApiRouter.h
+++ b/Source/Api/ApiRouter.h
@@ -9,6 +9,8 @@
 namespace jayramp {
 
 class AccountCommands;
+class JobCommands;
+class JobQueries;
 class RequestCommands;
 class RequestQueries;
 class StatusQueries;
@@ -22,6 +24,7 @@
   /// The references must outlive the router. \p Drain begins a planned stop.
   ApiRouter(RequestCommands &Requests, RequestQueries &Keys,
             AccountCommands &Accounts, StatusQueries &Status,
+            JobCommands &Jobs, JobQueries &JobReads,
             std::function<void()> Drain);
   /// Blocks until the commands in progress have ended.
   ~ApiRouter();
@@ -35,6 +38,7 @@
   class Pool;
 
   auto handleRequests(const ApiRequest &Request, const Respond &Done) -> bool;
+  auto handleJobs(const ApiRequest &Request, const Respond &Done) -> bool;
   auto handleConfiguration(const ApiRequest &Request, const Respond &Done)
       -> bool;
   auto handleStatus(const ApiRequest &Request, const Respond &Done) -> bool;
@@ -43,6 +47,8 @@
   RequestQueries &Keys;
   AccountCommands &Accounts;
   StatusQueries &Status;
+  JobCommands &Jobs;
+  JobQueries &JobReads;
   std::function<void()> Drain;
   std::unique_ptr<Pool> Blocking;
 };
--- /dev/null
+++ b/Source/Api/JobCommands.cpp
@@ -0,0 +1,202 @@
+#include "Api/JobCommands.h"
+
+#include "Api/FieldChecks.h"
+#include "Api/JobReports.h"
+#include "Configuration/Configuration.h"
+#include "Configuration/ConfigurationQueries.h"
+#include "Jobs/AccountPolicyMapping.h"
+#include "Jobs/JobBatch.h"
+#include "Jobs/JobScheduler.h"
+#include "Jobs/JobStore.h"
+#include "Jobs/Topology.h"
+#include "Schema/JsonMapping.h"
+
+#include "jayramp/v1/jayramp.pb.h"
+
+#include <chrono>
+#include <utility>
+
+namespace jayramp {
+
+namespace {
+
+// The published topology changes with the host list, a few times an hour.
+constexpr Milliseconds CheckerAge{2000};
+constexpr std::uint32_t RetryAfterMs = 1000;
+
+auto toPriority(v1::Priority Priority) -> JobPriority {
+  switch (Priority) {
+  case v1::URGENT:
+    return JobPriority::Urgent;
+  case v1::GUARANTEED:
+    return JobPriority::Guaranteed;
+  default:
+    return JobPriority::Surplus;
+  }
+}
+
+auto checkFields(const v1::SubmitJob &Job) -> Result<void> {
+  BOOST_OUTCOME_TRYV(checkName("account", Job.account()));
+  BOOST_OUTCOME_TRYV(checkName("key", Job.key()));
+  BOOST_OUTCOME_TRYV(checkRange("accelerators", Job.accelerators(), 1,
+                                Topology::LargestGang));
+  if (Job.priority() == v1::PRIORITY_UNSPECIFIED)
+    return Error::make(ErrorKind::InvalidArgument, "priority", "is missing",
+                       "send URGENT, GUARANTEED or SURPLUS");
+  return success();
+}
+
+auto toRow(const v1::SubmitJob &Job) -> JobRow {
+  JobRow Row;
+  Row.Specification = {.Id = JobStore::idOf(Job.account(), Job.key()),
+                       .Account = Job.account(),
+                       .Accelerators = Job.accelerators(),
+                       .Priority = toPriority(Job.priority()),
+                       .Adjacent = Job.adjacent(),
+                       .DeclaredRunTime = Milliseconds(
+                           static_cast<std::int64_t>(Job.declared_run_ms()))};
+  Row.Key = Job.key();
+  Row.Reason = toString(WaitReason::WaitingForCapacity);
+  Row.Detail = "the scheduler has not looked at the job yet";
+  Row.Remedy = "none needed; it is looked at within a second";
+  Row.SubmittedMs = std::chrono::duration_cast<Milliseconds>(
+                        std::chrono::system_clock::now().time_since_epoch())
+                        .count();
+  return Row;
+}
+
+auto cancelledRow(const JobRow &Job) -> std::optional<JobRow> {
+  if (Job.isFinal() || Job.CancelRequested)
+    return std::nullopt;
+  JobRow Changed = Job;
+  Changed.CancelRequested = true;
+  if (Job.State == JobRowState::Pending) {
+    Changed.State = JobRowState::Cancelled;
+    Changed.Reason = toString(WaitReason::Cancelled);
+    Changed.Detail = "cancelled by the caller";
+    Changed.Remedy = "submit it again under a new key";
+    Changed.Payload.clear();
+  }
+  return Changed;
+}
+
+auto cancelResponse(const std::string &Id, const JobEditResult &Result)
+    -> ApiResponse {
+  if (Result.Failure)
+    return ApiResponse::failure(Error::make(
+        ErrorKind::Unavailable, "table service", Result.Failure->detail(),
+        "repeat the call; cancelling twice has no further effect"));
+  if (!Result.Row)
+    return ApiResponse::failure(
+        Error::make(ErrorKind::NotFound, "id", "there is no job '" + Id + "'",
+                    "use the id that the submission returned"));
+  if (Result.Row->isFinal() && Result.Row->State != JobRowState::Cancelled)
+    return ApiResponse::failure(Error::make(ErrorKind::Conflict, "id",
+                                            "the job has already ended",
+                                            "read its report"));
+  return ApiResponse::json(200, toReport(*Result.Row));
+}
+
+} // namespace
+
+JobCommands::JobCommands(std::string HostName, JobStore &Store,
+                         JobBatch &Writes, const ConfigurationQueries &Settings,
+                         std::function<void()> RowsChanged)
+    : HostName(std::move(HostName)), Store(Store), Writes(Writes),
+      Settings(Settings), RowsChanged(std::move(RowsChanged)) {}
+
+JobCommands::~JobCommands() = default;
+
+auto JobCommands::submit(const std::string &Body, const Respond &Done)
+    -> void {
+  v1::SubmitJob Wanted;
+  auto Checked = parseJson(Body, Wanted);
+  if (Checked)
+    Checked = checkFields(Wanted);
+  if (Checked)
+    Checked = checkAccount(Settings, Wanted.account());
+  if (!Checked)
+    return Done(ApiResponse::failure(Checked.error()));
+  auto Row = toRow(Wanted);
+  const auto Account = Wanted.account();
+  const auto Key = Wanted.key();
+  auto Fits = checkFits(Row.Specification);
+  if (!Fits && Fits.error().kind() == ErrorKind::Rejected)
+    return Done(ApiResponse::failure(Fits.error()));
+  if (Fits)
+    Fits = Store.setPayload(Row, Wanted.payload());
+  if (!Fits) // An object without a row has no effect.
+    return Done(notRun(Account, Key,
+                       {JobEditResult::Effect::NotWritten, std::nullopt,
+                        Fits.error()}));
+  auto Change =
+      [Row](const std::optional<JobRow> &Known) -> std::optional<JobRow> {
+    return Known ? std::nullopt : std::optional<JobRow>(Row);
+  };
+  Writes.add(Row.Specification.Id, std::move(Change),
+             [this, Account, Key, Wanted = Row.Specification,
+              Done](const JobEditResult &Result) {
+               if (Result.Failure)
+                 return Done(notRun(Account, Key, Result));
+               if (!(Result.Row->Specification == Wanted))
+                 return Done(ApiResponse::failure(Error::make(
+                     ErrorKind::Conflict, "key",
+                     "another job was submitted under this key",
+                     "use a new key for a different job")));
+               const bool New = Result.Kind == JobEditResult::Effect::Written;
+               Done(ApiResponse::json(New ? 201 : 200, toReport(*Result.Row)));
+               RowsChanged();
+             });
+}
+
+auto JobCommands::cancel(const std::string &Id, const Respond &Done) -> void {
+  Writes.add(
+      Id,
+      [](const std::optional<JobRow> &Known) -> std::optional<JobRow> {
+        return Known ? cancelledRow(*Known) : std::nullopt;
+      },
+      [this, Id, Done](const JobEditResult &Result) {
+        Done(cancelResponse(Id, Result));
+        RowsChanged();
+      });
+}
+
+auto JobCommands::checkFits(const JobSpecification &Job) -> Result<void> {
+  std::lock_guard Lock(Mutex);
+  auto Current = Settings.current();
+  if (!Checker || Clock::now() >= CheckerUntil ||
+      CheckerVersion != Current->version()) {
+    BOOST_OUTCOME_TRY(Workers, Store.topology());
+    if (Workers.empty())
+      return success(); // No scheduler has published one yet; it checks later.
+    BOOST_OUTCOME_TRY(Installed, Topology::make(std::move(Workers)));
+    Checker = std::make_unique<JobScheduler>(JobScheduler::make(
+        std::move(Installed), toAccountPolicies(*Current)));
+    CheckerVersion = Current->version();
+    CheckerUntil = Clock::now() + CheckerAge;
+  }
+  return Checker->checkSubmission(Job);
+}
+
+auto JobCommands::notRun(const std::string &Account, const std::string &Key,
+                         const JobEditResult &Result) const -> ApiResponse {
+  v1::RequestOutcome Outcome;
+  Outcome.set_account(Account);
+  Outcome.set_key(Key);
+  Outcome.set_reason(v1::STORE_UNAVAILABLE);
+  Outcome.set_entry_host(HostName);
+  Outcome.set_retry_after_ms(RetryAfterMs);
+  if (Result.Failure)
+    Outcome.set_detail(Result.Failure->detail());
+  if (Result.Kind == JobEditResult::Effect::Unknown) {
+    Outcome.set_outcome(v1::UNKNOWN);
+    Outcome.set_remedy("repeat the call with the same key; the job is never "
+                       "submitted twice");
+  } else {
+    Outcome.set_outcome(v1::NOT_RUN);
+    Outcome.set_remedy("repeat the call when the table service is back");
+  }
+  return ApiResponse::json(503, Outcome);
+}
+
+} // namespace jayramp
--- a/Source/Daemon/EntryHost.cpp
+++ b/Source/Daemon/EntryHost.cpp
@@ -12,10 +12,12 @@
 #include "Configuration/ConfigurationCommands.h"
 #include "Configuration/ConfigurationQueries.h"
 #include "Configuration/ConfigurationStore.h"
+#include "Daemon/JobPlane.h"
 #include "Membership/MembershipRunner.h"
 #include "Membership/PeerTransport.h"
 #include "Membership/WakeSignal.h"
 #include "Platform/HttpHostList.h"
+#include "Platform/HttpObjectStore.h"
 #include "Platform/HttpTableService.h"
 #include "Platform/HttpWorkerClient.h"
 #include "Platform/TimerThread.h"
@@ -81,6 +83,7 @@
   TimerThread Timer;
   std::unique_ptr<HttpTableService> Tables;
   std::unique_ptr<HttpHostList> Hosts;
+  std::unique_ptr<HttpObjectStore> Objects;
   std::unique_ptr<HttpWorkerClient> WorkerCalls;
   std::unique_ptr<PeerTransport> Transport;
   ConfigurationStore Configurations;
@@ -96,6 +99,7 @@
   std::unique_ptr<RequestQueries> KeyReads;
   std::unique_ptr<AccountCommands> Accounts;
   std::unique_ptr<StatusQueries> Status;
+  std::unique_ptr<JobPlane> Jobs;
   std::unique_ptr<ApiRouter> Paths;
   std::unique_ptr<HttpServer> Server;
   WakeSignal MaintenanceWake;
@@ -109,6 +113,7 @@
   BOOST_OUTCOME_TRYV(openApi());
   Membership->start();
   Directory->start();
+  Jobs->start();
   Maintenance = std::thread([this] { maintain(); });
   return success();
 }
@@ -122,6 +127,10 @@
   BOOST_OUTCOME_TRY(MadeHosts, HttpHostList::create(Platform.HostListAddress.text(),
                                                 Platform.Timeout, Counters));
   Hosts = std::move(MadeHosts);
+  BOOST_OUTCOME_TRY(MadeObjects,
+                    HttpObjectStore::create(Platform.ObjectAddress.text(),
+                                            Platform.Timeout, Counters));
+  Objects = std::move(MadeObjects);
   BOOST_OUTCOME_TRY(MadeWorkerCalls, HttpWorkerClient::create(Counters));
   WorkerCalls = std::move(MadeWorkerCalls);
   return success();
@@ -191,7 +200,17 @@
   Status = std::make_unique<StatusQueries>(
       Settings.host().Name, *ConfigurationReads, *Membership, *Directory,
       *Slots, *Router, Counters, [this] { return Stopping.load(); });
+  Jobs = std::make_unique<JobPlane>(
+      Settings, JobPlane::Services{.Tables = *Tables,
+                                   .Objects = *Objects,
+                                   .Workers = *WorkerCalls,
+                                   .Membership = *Membership,
+                                   .Directory = *Directory,
+                                   .Configurations = Configurations,
+                                   .ConfigurationReads = *ConfigurationReads,
+                                   .Counters = Counters});
   Paths = std::make_unique<ApiRouter>(*Requests, *KeyReads, *Accounts, *Status,
+                                      Jobs->commands(), Jobs->queries(),
                                       [this] {
                                         Stopping.store(true);
                                         StopWake.wake();
@@ -274,6 +293,7 @@
   if (Server)
     Server->close();
   Paths.reset();
+  Jobs.reset();
   if (Directory)
     Directory->stop();
   if (Membership)
--- /dev/null
+++ b/Source/Daemon/JobPlane.cpp
@@ -0,0 +1,107 @@
+#include "Daemon/JobPlane.h"
+
+#include "Api/JobCommands.h"
+#include "Api/JobQueries.h"
+#include "Configuration/ConfigurationStore.h"
+#include "Jobs/AccountPolicyMapping.h"
+#include "Jobs/GangEnvironment.h"
+#include "Jobs/GangRunner.h"
+#include "Jobs/JobBatch.h"
+#include "Jobs/JobStore.h"
+#include "Membership/MembershipRunner.h"
+#include "Membership/ShardMap.h"
+#include "Requests/WorkerDirectory.h"
+#include "Settings/DaemonSettings.h"
+
+#include <utility>
+
+namespace jayramp {
+
+namespace {
+
+auto roleOf(const MembershipRunner &Membership, const std::string &HostName)
+    -> SchedulerRole {
+  auto Current = Membership.view();
+  SchedulerRole Role;
+  Role.ViewVersion = Current->version();
+  Role.Scheduler =
+      Current->contains(HostName, Membership.incarnation()) &&
+      ShardMap(*Current).scheduler() == HostName;
+  if (!Role.Scheduler)
+    return Role;
+  auto Decision = Membership.serving();
+  const auto *Permitted = std::get_if<ServingPermitted>(&Decision);
+  Role.MayAct = Permitted && Permitted->ViewVersion == Role.ViewVersion;
+  return Role;
+}
+
+auto listedWorkers(const WorkerDirectory &Directory)
+    -> std::vector<ListedWorker> {
+  std::vector<ListedWorker> Workers;
+  for (const auto &Known : Directory.workers())
+    Workers.push_back({Known.Listed.Name, Known.Listed.Address,
+                       Known.Listed.AvailabilityZone, Known.Listed.Rack,
+                       Known.Listed.Leaving || Known.Status.Leaving});
+  return Workers;
+}
+
+auto optionsOf(const DaemonSettings &Settings) -> GangRunner::Options {
+  GangRunner::Options Options;
+  Options.HostName = Settings.host().Name;
+  Options.SurplusLease = Settings.jobs().SurplusLease;
+  Options.Lease = Settings.jobs().Lease;
+  Options.Checkpoint = Settings.jobs().Checkpoint;
+  Options.Throttle = Settings.jobs().Throttle;
+  Options.Stop = Settings.jobs().Stop;
+  Options.RenewInterval = Settings.workers().Status;
+  return Options;
+}
+
+} // namespace
+
+class JobPlane::Parts {
+public:
+  Parts(const DaemonSettings &Settings, const Services &Given)
+      : Store(Given.Tables, Given.Objects),
+        Runner(optionsOf(Settings),
+               {.Role =
+                    [&Membership = Given.Membership,
+                     HostName = Settings.host().Name] {
+                      return roleOf(Membership, HostName);
+                    },
+                .Workers =
+                    [&Directory = Given.Directory] {
+                      return listedWorkers(Directory);
+                    },
+                .Accounts =
+                    [&Configurations = Given.Configurations] {
+                      return toAccountPolicies(*Configurations.current());
+                    }},
+               Store, Given.Workers, Given.Counters),
+        Writes(Store, Given.Counters),
+        Commands(Settings.host().Name, Store, Writes, Given.ConfigurationReads,
+                 [this] { Runner.wake(); }),
+        Queries(Store) {}
+
+  JobStore Store;
+  GangRunner Runner;
+  // Destroyed after Commands and Queries; its last answers use Runner.
+  JobBatch Writes;
+  JobCommands Commands;
+  JobQueries Queries;
+};
+
+JobPlane::JobPlane(const DaemonSettings &Settings, const Services &Given)
+    : Body(std::make_unique<Parts>(Settings, Given)) {}
+
+JobPlane::~JobPlane() = default;
+
+auto JobPlane::start() -> void { Body->Runner.start(); }
+
+auto JobPlane::stop() -> void { Body->Runner.stop(); }
+
+auto JobPlane::commands() -> JobCommands & { return Body->Commands; }
+
+auto JobPlane::queries() -> JobQueries & { return Body->Queries; }
+
+} // namespace jayramp
--- /dev/null
+++ b/Source/Jobs/WorkerCaller.cpp
@@ -0,0 +1,47 @@
+#include "Jobs/WorkerCaller.h"
+
+#include "Jobs/EventQueue.h"
+#include "Platform/WorkerClient.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/thread_pool.hpp>
+
+#include <utility>
+
+namespace jayramp {
+
+class WorkerCaller::Pool : public boost::asio::thread_pool {
+public:
+  using boost::asio::thread_pool::thread_pool;
+};
+
+WorkerCaller::WorkerCaller(WorkerClient &Workers, EventQueue &Events,
+                           Milliseconds Timeout, std::size_t Threads)
+    : Workers(Workers), Events(Events), Timeout(Timeout),
+      Threads(std::make_unique<Pool>(Threads)) {}
+
+WorkerCaller::~WorkerCaller() {
+  Threads->stop();
+  Threads->join();
+}
+
+auto WorkerCaller::control(std::string Address, TaskCall Call, ControlDone Done)
+    -> void {
+  boost::asio::post(*Threads, [this, Address = std::move(Address),
+                               Call = std::move(Call),
+                               Done = std::move(Done)] {
+    auto Answer = Workers.control(Address, Call, Timeout);
+    Events.post([Done, Answer = std::move(Answer)] { Done(Answer); });
+  });
+}
+
+auto WorkerCaller::status(std::string Address, std::uint64_t Epoch,
+                          StatusDone Done) -> void {
+  boost::asio::post(*Threads, [this, Address = std::move(Address), Epoch,
+                               Done = std::move(Done)] {
+    auto Answer = Workers.status(Address, Epoch, Timeout);
+    Events.post([Done, Answer = std::move(Answer)] { Done(Answer); });
+  });
+}
+
+} // namespace jayramp
