--- a/Source/Api/JobCommands.cpp
+++ b/Source/Api/JobCommands.cpp
@@ -56,7 +56,6 @@
                        .DeclaredRunTime = Milliseconds(
                            static_cast<std::int64_t>(Job.declared_run_ms()))};
   Row.Key = Job.key();
-  Row.Reason = toString(WaitReason::WaitingForCapacity);
   Row.Detail = "the scheduler has not looked at the job yet";
   Row.Remedy = "none needed; it is looked at within a second";
   Row.SubmittedMs = std::chrono::duration_cast<Milliseconds>(
--- a/Source/Jobs/GangEngine.cpp
+++ b/Source/Jobs/GangEngine.cpp
@@ -16,6 +16,8 @@
 constexpr Milliseconds DecisionInterval{1000};
 constexpr Milliseconds ExplanationInterval{2000};
 constexpr Milliseconds AskInterval{1000};
+// Rows that only change their reason must not delay a start.
+constexpr std::size_t ExplanationLimit = 64;
 // Workers that have not answered by then are placed by their published size.
 constexpr Milliseconds SurveyLimit{1000};
 constexpr Milliseconds RetryInterval{250};
@@ -518,6 +520,7 @@
 }
 
 auto GangEngine::explainWaits() -> void {
+  std::size_t Written = 0;
   for (const auto &Id : Rows.ids()) {
     const auto *Row = Rows.find(Id);
     const auto *Job = Scheduler->job(Id);
@@ -529,6 +532,8 @@
     const bool Displaced = Row->State == JobRowState::Reserved;
     if (Row->Reason == Reason && !Displaced)
       continue;
+    if (++Written > ExplanationLimit)
+      return;
     Rows.change(Id, [&](JobRow &Changed) {
       Changed.State = JobRowState::Pending;
       Changed.Placement.clear();
