--- a/Source/Daemon/EntryHost.cpp
+++ b/Source/Daemon/EntryHost.cpp
@@ -170,10 +170,9 @@
   Registry = std::make_unique<KeyRegistry>(std::move(MadeRegistry));
   Keys = std::make_unique<KeyCoordinator>(Host.Name, *Registry, *Membership,
                                           *Transport, Timer, Counters);
-  BOOST_OUTCOME_TRY(Ledger,
-                    SlotLedger::make(
-                        {.Connections = Settings.workers().Connections,
-                         .Seed = std::random_device{}()}));
+  BOOST_OUTCOME_TRY(
+      Ledger, SlotLedger::make({.Connections = Settings.workers().Connections,
+                                .Seed = std::random_device{}()}));
   BOOST_OUTCOME_TRY(Health, WorkerHealth::make({}));
   Slots = std::make_unique<SlotBroker>(Host.Name, std::move(Ledger),
                                        std::move(Health), *Membership,
@@ -216,12 +215,12 @@
                                    .Configurations = Configurations,
                                    .ConfigurationReads = *ConfigurationReads,
                                    .Counters = Counters});
-  Paths = std::make_unique<ApiRouter>(*Requests, *KeyReads, *Accounts, *Status,
-                                      Jobs->commands(), Jobs->queries(),
-                                      [this] {
-                                        Stopping.store(true);
-                                        StopWake.wake();
-                                      });
+  Paths =
+      std::make_unique<ApiRouter>(*Requests, *KeyReads, *Accounts, *Status,
+                                  Jobs->commands(), Jobs->queries(), [this] {
+                                    Stopping.store(true);
+                                    StopWake.wake();
+                                  });
   HttpServer::Options Options{
       .Address = Settings.api().Address.text(),
       .MaximumBodyBytes = Settings.api().MaximumBodyBytes,
--- a/Source/Daemon/JobPlane.cpp
+++ b/Source/Daemon/JobPlane.cpp
@@ -24,9 +24,8 @@
   auto Current = Membership.view();
   SchedulerRole Role;
   Role.ViewVersion = Current->version();
-  Role.Scheduler =
-      Current->contains(HostName, Membership.incarnation()) &&
-      ShardMap(*Current).scheduler() == HostName;
+  Role.Scheduler = Current->contains(HostName, Membership.incarnation()) &&
+                   ShardMap(*Current).scheduler() == HostName;
   if (!Role.Scheduler)
     return Role;
   auto Decision = Membership.serving();
--- a/Source/Jobs/GangEngine.cpp
+++ b/Source/Jobs/GangEngine.cpp
@@ -144,9 +144,8 @@
            {{"view", std::to_string(View)}});
   Counters.count("jayramp_scheduler_takeovers_total");
   if (!Calls)
-    Calls = std::make_unique<WorkerCaller>(Workers, Events,
-                                           Settings.CallTimeout,
-                                           Settings.WorkerThreads);
+    Calls = std::make_unique<WorkerCaller>(
+        Workers, Events, Settings.CallTimeout, Settings.WorkerThreads);
   Epoch = View;
   Current = Stage::Loading;
   Gangs.clear();
@@ -212,9 +211,8 @@
   }
   const bool Reserved = Row.State == JobRowState::Reserved;
   Added.Phase = GangPhase::Running;
-  auto &Target =
-      Gangs.insert_or_assign(Row.Specification.Id, std::move(Added))
-          .first->second;
+  auto &Target = Gangs.insert_or_assign(Row.Specification.Id, std::move(Added))
+                     .first->second;
   logGang("gang_adopted", Target, Reserved ? "release" : "renew");
   // How far the former scheduler came with the start is not known.
   if (Reserved)
@@ -302,10 +300,10 @@
     for (auto &Worker : Listed) {
       Names.insert(Worker.Name);
       auto &Entry = Directory[Worker.Name];
-      Changed = Changed || (Entry.Accelerators > 0 &&
-                            (Entry.Listed.Rack != Worker.Rack ||
-                             Entry.Listed.AvailabilityZone !=
-                                 Worker.AvailabilityZone));
+      Changed = Changed ||
+                (Entry.Accelerators > 0 &&
+                 (Entry.Listed.Rack != Worker.Rack ||
+                  Entry.Listed.AvailabilityZone != Worker.AvailabilityZone));
       Entry.Listed = std::move(Worker);
     }
     Changed = std::erase_if(Directory,
@@ -362,8 +360,8 @@
         Count == 0 && Known != PublishedCounts.end())
       Count = Known->second;
     if (Count > 0)
-      Described.push_back({Name, "", Entry.Listed.AvailabilityZone,
-                           Entry.Listed.Rack, Count});
+      Described.push_back(
+          {Name, "", Entry.Listed.AvailabilityZone, Entry.Listed.Rack, Count});
   }
   return Described;
 }
@@ -407,7 +405,8 @@
 
 auto GangEngine::addressOf(const std::string &Worker) const -> std::string {
   auto Found = Directory.find(Worker);
-  return Found == Directory.end() ? std::string() : Found->second.Listed.Address;
+  return Found == Directory.end() ? std::string()
+                                  : Found->second.Listed.Address;
 }
 
 // Rows.
--- a/Source/Requests/SlotLedger.cpp
+++ b/Source/Requests/SlotLedger.cpp
@@ -30,8 +30,7 @@
                        "set a limit above 0 ms");
   if (Policy.Connections < 2)
     return Error::make(ErrorKind::InvalidArgument, "Connections",
-                       "no connection is left for requests",
-                       "set at least 2");
+                       "no connection is left for requests", "set at least 2");
   return SlotLedger(Policy);
 }
 
--- a/Tests/EndToEnd/GangTest.cpp
+++ b/Tests/EndToEnd/GangTest.cpp
@@ -71,8 +71,8 @@
 
 auto reaches(const std::string &Address, const std::string &Id,
              v1::JobState State, Milliseconds Timeout) -> bool {
-  return eventually(
-      Timeout, [&] { return show(Address, Id).state() == State; });
+  return eventually(Timeout,
+                    [&] { return show(Address, Id).state() == State; });
 }
 
 auto controlWorkers(TestCluster &Cluster, int Count, const std::string &Json)
@@ -146,8 +146,8 @@
   auto Stranger = makeJob("nobody", "any", 1, v1::SURPLUS);
   EXPECT_EQ(post(Cluster.entryAddress(0), Stranger).Status, 404U);
   Cluster.platform().control(R"({"down":true})");
-  auto Answer = post(Cluster.entryAddress(0),
-                     makeJob("beta", "outage", 1, v1::SURPLUS));
+  auto Answer =
+      post(Cluster.entryAddress(0), makeJob("beta", "outage", 1, v1::SURPLUS));
   EXPECT_EQ(Answer.Status, 503U);
   v1::RequestOutcome Outcome;
   EXPECT_TRUE(parseJson(Answer.Body, Outcome).has_value()) << Answer.Body;
@@ -234,17 +234,17 @@
     EXPECT_TRUE(reaches(Cluster.entryAddress(0), Id, v1::JOB_CANCELLED,
                         Milliseconds(5000)));
   }
-  EXPECT_EQ(GangRecord::read(Cluster.workers(), 4)
-                .runningAccelerators(Running.id()),
-            0U);
+  EXPECT_EQ(
+      GangRecord::read(Cluster.workers(), 4).runningAccelerators(Running.id()),
+      0U);
 }
 
 // Guards against partial gangs, accelerators in two gangs and jobs that stay
 // reserved when the scheduler dies, pauses or loses the store at any moment.
 TEST(GangTest, faultsOfTheSchedulerLeaveNoPartialGang) {
   const char *Given = std::getenv("JAYRAMP_SEED");
-  const auto Seed = Given ? std::strtoul(Given, nullptr, 10)
-                          : std::random_device{}();
+  const auto Seed =
+      Given ? std::strtoul(Given, nullptr, 10) : std::random_device{}();
   std::cout << "JAYRAMP_SEED=" << Seed << "\n";
   std::mt19937 Random(static_cast<std::mt19937::result_type>(Seed));
   auto between = [&Random](int Low, int High) {
--- a/Tests/Unit/ApiPageTest.cpp
+++ b/Tests/Unit/ApiPageTest.cpp
@@ -91,12 +91,12 @@
   auto Page = readPage();
   for (const auto *Path :
        {"POST /v1/requests", "GET /v1/requests/{account}/{key}",
-        "DELETE /v1/requests/{account}/{key}",
-        "POST /v1/jobs", "GET /v1/jobs[?account=]", "GET /v1/jobs/{id}",
-        "DELETE /v1/jobs/{id}", "GET /v1/configuration",
-        "PUT /v1/configuration", "GET /v1/accounts/{name}",
-        "PUT /v1/accounts/{name}", "DELETE /v1/accounts/{name}",
-        "GET /v1/status", "GET /v1/ready", "GET /metrics", "POST /v1/drain"})
+        "DELETE /v1/requests/{account}/{key}", "POST /v1/jobs",
+        "GET /v1/jobs[?account=]", "GET /v1/jobs/{id}", "DELETE /v1/jobs/{id}",
+        "GET /v1/configuration", "PUT /v1/configuration",
+        "GET /v1/accounts/{name}", "PUT /v1/accounts/{name}",
+        "DELETE /v1/accounts/{name}", "GET /v1/status", "GET /v1/ready",
+        "GET /metrics", "POST /v1/drain"})
     EXPECT_NE(Page.find("| `" + std::string(Path) + "` |"), std::string::npos)
         << Path;
   std::istringstream Lines(Page.substr(0, Page.find("## Messages")));
