--- a/Tests/Model/Configuration.pml
+++ b/Tests/Model/Configuration.pml
@@ -77,13 +77,13 @@
 #endif
        /* Nobody's counter can change in an outage. */
        if
-#ifdef MUTANT_SILENCE_IN_OUTAGE
+#ifdef VARIANT_SILENCE_IN_OUTAGE
        :: true ->
 #else
        :: StoreUp ->
 #endif
           older(Silence)
-#ifndef MUTANT_SILENCE_IN_OUTAGE
+#ifndef VARIANT_SILENCE_IN_OUTAGE
        :: else -> Silence = 0
 #endif
        fi
@@ -321,7 +321,9 @@
     run Clock();
     run Environment();
     run Acceptance();
+#ifndef FROZEN_FOR_EVER
     run Serving();
+#endif
 #ifdef PEERS
     run Peers();
 #endif
--- a/Tests/Model/Dispatch.pml
+++ b/Tests/Model/Dispatch.pml
@@ -194,7 +194,9 @@
        Granted[H] = true
      }
   :: applyReplica(H, 1)
+#if SEQUENCES > 1
   :: applyReplica(H, 2)
+#endif
 #if SEQUENCES > 2
   :: applyReplica(H, 3)
 #endif
--- a/Tests/Model/Gang.pml
+++ b/Tests/Model/Gang.pml
@@ -63,7 +63,10 @@
 #define CALL_FAULTS 1
 #endif
 byte CallFaults = CALL_FAULTS;
-byte Deaths = 1; /* of a worker or of a scheduler */
+#ifndef DEATHS
+#define DEATHS 1
+#endif
+byte Deaths = DEATHS; /* of a worker or of a scheduler */
 
 /* Ghost variables. */
 byte Prepared[JOBS]; /* set of workers that prepared the current attempt */
@@ -207,9 +210,8 @@
        SchedulerAlive[Me] ->
        if
        :: COMMITS(Version) && JobState[Job] == PENDING ->
-#ifndef MUTANT_NO_VIEW_CHECK
+          /* A fenced scheduler's transaction has no effect. */
           assert(Version == StoreVersion);
-#endif
           JobState[Job] = RESERVED;
           State[Job] = RESERVED;
           Prepared[Job] = 0;
@@ -383,7 +385,10 @@
 end:
   do
   :: StoreVersion < MAXIMUM_VERSION - 1 -> StoreVersion++
-  :: !SchedulerAlive[SCHEDULER_OF(StoreVersion)] -> StoreVersion++
+  :: d_step {
+       !SchedulerAlive[SCHEDULER_OF(StoreVersion)] &&
+       SchedulerAlive[SCHEDULER_OF(StoreVersion + 1)] -> StoreVersion++
+     }
   :: d_step { Deaths > 0 -> Deaths--; SchedulerAlive[0] = false }
   :: d_step { Deaths > 0 -> Deaths--; SchedulerAlive[1] = false }
   :: d_step {
@@ -394,8 +399,22 @@
   od
 }
 
+#ifdef LIVENESS
+/* Time passes although nothing else happens. */
+bool Time;
+proctype Idle() {
+end:
+  do
+  :: Time = !Time
+  od
+}
+#endif
+
 init {
   atomic {
+#ifdef LIVENESS
+    run Idle();
+#endif
     run Network();
     run Environment();
     run LeaseClock(0);
