--- a/Source/Daemon/Main.cpp
+++ b/Source/Daemon/Main.cpp
@@ -38,7 +38,7 @@
   // Blocked before any thread starts, so that only the watcher receives them.
   sigset_t Signals = stopSignals();
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
-  jayramp::initializeHttpThreads();
+  jayramp::initializeHttpThreads(Settings.threads().Http);
   auto Started = jayramp::EntryHost::start(Settings);
   if (!Started) {
     jayramp::logEvent(jayramp::LogLevel::Error, "start_failed",
--- a/Source/Platform/HttpRuntime.cpp
+++ b/Source/Platform/HttpRuntime.cpp
@@ -9,11 +9,11 @@
 
 namespace jayramp {
 
-auto initializeHttpThreads() -> void {
+auto initializeHttpThreads(std::size_t ThreadCount) -> void {
   static std::once_flag Once;
-  // The default of 40 threads is several times what the entry hosts need.
-  constexpr std::size_t ThreadCount = 8;
-  std::call_once(Once, [] {
+  // Without this call cpprestsdk starts 40 threads, several times what the
+  // entry hosts need.
+  std::call_once(Once, [ThreadCount] {
     try {
       crossplat::threadpool::initialize_with_threads(ThreadCount);
     } catch (const std::runtime_error &) {
--- a/Tests/Unit/JsonMappingTest.cpp
+++ b/Tests/Unit/JsonMappingTest.cpp
@@ -25,6 +25,33 @@
   EXPECT_EQ(Parsed.error().place(), "deadline_ms");
 }
 
+// Guards against a misspelt field of a nested message that is reported without
+// its name.
+TEST(JsonMappingTest, namesAnUnknownNestedField) {
+  v1::ChangeConfiguration Change;
+  auto Parsed = parseJson(R"({"document":{"colour":1}})", Change);
+  ASSERT_FALSE(Parsed.has_value());
+  EXPECT_EQ(Parsed.error().place(), "document.colour");
+}
+
+// Guards against a string that is taken as true or false.
+TEST(JsonMappingTest, refusesAStringAsATruthValue) {
+  for (const auto *Text :
+       {R"({"idempotent":"yes"})", R"({"idempotent":"no"})",
+        R"({"idempotent" : "true"})", R"({"key":"a\"b","idempotent":"1"})",
+        R"({"idempotent":1})"}) {
+    v1::SubmitRequest Request;
+    auto Parsed = parseJson(Text, Request);
+    ASSERT_FALSE(Parsed.has_value()) << Text;
+    EXPECT_EQ(Parsed.error().place(), "idempotent") << Text;
+  }
+  v1::SubmitRequest Request;
+  // The text of a value is not a field name.
+  ASSERT_TRUE(parseJson(R"({"key":"idempotent","account":"x\\"})", Request));
+  ASSERT_TRUE(parseJson(R"({"idempotent":true,"key":"yes"})", Request));
+  EXPECT_TRUE(Request.idempotent());
+}
+
 // Guards against a negative number that wraps to a huge one.
 TEST(JsonMappingTest, refusesANegativeCount) {
   v1::SubmitJob Job;
