Cut the store of one entry host and freeze workers in GangTest

Cause: the store could only be taken away from all entry hosts at once. Change: TcpLink forwards one host's table service connections and can be cut.

--- a/Tests/EndToEnd/GangTest.cpp
+++ b/Tests/EndToEnd/GangTest.cpp
@@ -1,5 +1,6 @@
 #include "EndToEnd/GangRecord.h"
 #include "EndToEnd/HttpTestClient.h"
+#include "EndToEnd/TcpLink.h"
 #include "EndToEnd/TestCluster.h"
 #include "Schema/JsonMapping.h"
 
@@ -10,10 +11,13 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <fstream>
 #include <functional>
 #include <iostream>
 #include <map>
+#include <memory>
 #include <random>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -101,6 +105,20 @@
   return Found;
 }
 
+/// Gives an entry host a table service link of its own and restarts it.
+auto useLink(TestCluster &Cluster, std::size_t Host, const TcpLink &Link)
+    -> void {
+  std::stringstream Text;
+  Text << std::ifstream(Cluster.settingsPath(Host)).rdbuf();
+  auto Settings = Text.str();
+  const std::string Old = "table_address: " + Cluster.platformAddress();
+  auto Place = Settings.find(Old);
+  ASSERT_NE(Place, std::string::npos);
+  Settings.replace(Place, Old.size(), "table_address: " + Link.address());
+  std::ofstream(Cluster.settingsPath(Host)) << Settings;
+  Cluster.restart(Host);
+}
+
 const char *const Guaranteed16 =
     R"({"accounts":[{"name":"alpha","request_share":100,)"
     R"("guarantees":[{"accelerators":16,"count":1}]},)"
@@ -254,6 +272,11 @@
   Wanted.EntryHosts = 3;
   Wanted.Workers = 6;
   auto Cluster = TestCluster::start(Wanted);
+  std::vector<std::unique_ptr<TcpLink>> Links;
+  for (std::size_t Host = 0; Host < Cluster.entryHosts(); ++Host) {
+    Links.push_back(std::make_unique<TcpLink>(Cluster.platformAddress()));
+    useLink(Cluster, Host, *Links.back());
+  }
   controlWorkers(Cluster, 6, R"({"task_run_ms":2500})");
   Cluster.workers().control(R"({"ignore_checkpoint":true})", 1);
   std::map<std::string, std::uint32_t> Sizes;
@@ -280,10 +303,11 @@
     }
   };
   for (int Round = 0; Round < 6; ++Round) {
+    std::cout << "round " << Round << ": " << std::flush;
     submitSome(Round);
     std::this_thread::sleep_for(Milliseconds(between(0, 1500)));
     const auto Host = schedulerOf(Cluster);
-    switch (between(0, 2)) {
+    switch (between(0, 4)) {
     case 0:
       std::cout << "kill entry host " << Host << std::endl;
       Cluster.kill(Host);
@@ -296,6 +320,20 @@
       std::this_thread::sleep_for(Milliseconds(between(500, 7000)));
       Cluster.thaw(Host);
       break;
+    case 2:
+      std::cout << "cut the store of entry host " << Host << std::endl;
+      Links[Host]->setCut(true);
+      std::this_thread::sleep_for(Milliseconds(between(500, 7000)));
+      Links[Host]->setCut(false);
+      break;
+    case 3: {
+      const int Worker = between(0, 5);
+      std::cout << "freeze worker " << Worker << std::endl;
+      Cluster.workers().control(R"({"freeze":true})", Worker);
+      std::this_thread::sleep_for(Milliseconds(between(500, 7000)));
+      Cluster.workers().control(R"({"freeze":false})", Worker);
+      break;
+    }
     default:
       std::cout << "store down" << std::endl;
       Cluster.platform().control(R"({"down":true})");
