Keep the history of shards over skipped views

Cause: entry hosts that start together write several views within a second. A host that skipped one dropped the completeness of its shards, so nobody held them complete, and every claim of a new deployment was answered HISTORY_LOST for 300 s. Change: a host keeps what it held as home or backup of an earlier view (FormerHolding) and reports it. A home takes it for whole once every member has reported and no member that could have granted keys since is missing. The model test passes home and backup of each view and stays without violation.

--- a/Source/Requests/KeyRegistry.cpp
+++ b/Source/Requests/KeyRegistry.cpp
@@ -156,8 +156,7 @@
   auto Shared = std::make_shared<const std::set<std::string>>(Others);
   for (std::uint32_t Number = 0; Number < KeyShardCount; ++Number)
     Inner->with(Number, [&](KeyShard &Shard) {
-      Shard.adoptView(Roles.ViewVersion, Roles.Roles[Number], Shared,
-                      Roles.FirstOfDeployment, Now);
+      Shard.adoptView(Roles, Shared, Now);
     });
   Inner->View = Roles.ViewVersion;
   Inner->OwnIncarnation = Roles.OwnIncarnation;
