--- a/Source/Requests/KeyCoordinator.cpp
+++ b/Source/Requests/KeyCoordinator.cpp
@@ -416,16 +416,9 @@
   Roles.ViewVersion = Current->version();
   Roles.OwnIncarnation = Membership.incarnation();
   Roles.FirstOfDeployment = Current->version() == 1;
-  std::map<std::string, std::string> Incarnations;
-  for (const Member &Entry : Current->members()) {
+  for (const Member &Entry : Current->members())
     Roles.Members.insert(Entry.Incarnation);
-    Incarnations[Entry.Name] = Entry.Incarnation;
-  }
   for (std::uint32_t Shard = 0; Shard < KeyShardCount; ++Shard) {
-    if (!Next->home(Shard).empty())
-      Roles.Homes[Shard] = Incarnations[Next->home(Shard)];
-    if (!Next->backup(Shard).empty())
-      Roles.Backups[Shard] = Incarnations[Next->backup(Shard)];
     if (Next->home(Shard) == HostName)
       Roles.Roles[Shard] = ShardRole::Home;
     else if (Next->backup(Shard) == HostName)
@@ -466,12 +459,7 @@
     Part.mutable_transfer_shard()->set_shard(Shard);
   }
   Parts->back().mutable_transfer_shard()->set_complete(Export.Complete);
-  auto *LastPart = Parts->back().mutable_transfer_shard();
-  LastPart->set_incomplete(Export.Incomplete);
-  LastPart->set_former_view(Export.Former.View);
-  LastPart->set_former_dropped(Export.Former.Dropped);
-  for (const std::string &Witness : Export.Former.Witnesses)
-    LastPart->add_former_witnesses(Witness);
+  Parts->back().mutable_transfer_shard()->set_incomplete(Export.Incomplete);
   sendParts(Parts, 0, Target);
 }
 
@@ -508,12 +496,7 @@
                        .SenderIncarnation = Request.incarnation(),
                        .Records = {},
                        .Complete = Source.complete(),
-                       .Incomplete = Source.incomplete(),
-                       .Former = {.View = Source.former_view(),
-                                  .Witnesses = {},
-                                  .Dropped = Source.former_dropped()}};
-  for (const auto &Witness : Source.former_witnesses())
-    Transfer.Former.Witnesses.insert(Witness);
+                       .Incomplete = Source.incomplete()};
   for (const auto &Record : Source.records())
     Transfer.Records.push_back(readRecord(Record));
   return acknowledge(Registry.importShard(Transfer, Clock::now()));
--- a/Source/Requests/KeyRegistry.cpp
+++ b/Source/Requests/KeyRegistry.cpp
@@ -156,7 +156,8 @@
   auto Shared = std::make_shared<const std::set<std::string>>(Others);
   for (std::uint32_t Number = 0; Number < KeyShardCount; ++Number)
     Inner->with(Number, [&](KeyShard &Shard) {
-      Shard.adoptView(Roles, Shared, Now);
+      Shard.adoptView(Roles.ViewVersion, Roles.Roles[Number], Shared,
+                      Roles.FirstOfDeployment, Now);
     });
   Inner->View = Roles.ViewVersion;
   Inner->OwnIncarnation = Roles.OwnIncarnation;
--- a/Source/Requests/KeyRegistry.h
+++ b/Source/Requests/KeyRegistry.h
@@ -72,20 +72,18 @@
       -> std::vector<KeyRecord>;
 
   /// Adopts a view and its roles; versions that are not newer are ignored
-  /// (false). After skipped views a shard is complete again only once every
-  /// member has reported what it held and no later grant can exist; see
-  /// FormerHolding. Call holderLost() next, then send
+  /// (false). Skipped views lose the completeness of all shards, because other
+  /// hosts may have granted keys in them; a caller that knows the skipped
+  /// views adopts each in turn. Call holderLost() next, then send
   /// exportShard() of every shard to its home and backup.
   auto adoptView(const ShardRoles &Roles, TimePoint Now) -> bool;
 
   /// The records of a shard for its new home and backup, valid only in the
-  /// current view. Not complete: mark `Incomplete`, with the records of a
-  /// former holding.
+  /// current view. Not complete: no records, mark `Incomplete`.
   auto exportShard(std::uint32_t Shard, TimePoint Now) const -> ShardExport;
 
   /// Home or backup: merges the records; newer versions win. Once every other
-  /// member has sent a whole transfer and none was complete, the shard is
-  /// complete if the reported former holdings prove it, else its history is
+  /// member has sent a whole transfer and none was complete, the history is
   /// lost. Returns false if refused (another view, or role Neither).
   auto importShard(const ShardExport &Transfer, TimePoint Now) -> bool;
 
--- a/Source/Requests/KeyShard.cpp
+++ b/Source/Requests/KeyShard.cpp
@@ -321,53 +321,32 @@
   return Changed;
 }
 
-// A host that was home or backup of a view missed no grant of it, as a grant
-// needs both. Other hosts may have missed some.
-auto KeyShard::leaveView() -> void {
-  if (HomeOfView.empty()) {
-    Former = {};
-  } else if (Complete && Role != ShardRole::Neither) {
-    Former = {View, {}, false};
-    if (!OtherHolder.empty())
-      Former.Witnesses.insert(OtherHolder);
-  } else if (Former.View != 0) {
-    // The home of this view was sent the shard and may have granted keys.
-    Former.Witnesses.insert(HomeOfView);
-  }
-}
-
-auto KeyShard::adoptView(const ShardRoles &Roles, const Incarnations &NewOthers,
+auto KeyShard::adoptView(std::uint64_t ViewVersion, ShardRole NewRole,
+                         const Incarnations &NewOthers, bool FirstOfDeployment,
                          TimePoint Now) -> void {
-  ShardRole NewRole = Roles.Roles[Number];
   bool First = View == 0;
-  bool Consecutive = !First && Roles.ViewVersion == View + 1;
+  bool Consecutive = !First && ViewVersion == View + 1;
   bool StaysHome =
       Consecutive && Role == ShardRole::Home && NewRole == ShardRole::Home;
-  std::uint64_t FormerView = Former.View;
-  leaveView();
-  if (Former.View != FormerView)
-    FormerSince = Now;
+  // Grants of a view need both its home and its backup. A host that was one of
+  // them missed none; any other host may have missed some.
   if (!First && Role == ShardRole::Neither) {
-    if (Former.View == 0)
-      for (auto Position = Map.begin(); Position != Map.end();)
-        Position = erase(Position);
+    for (auto Position = Map.begin(); Position != Map.end();)
+      Position = erase(Position);
     Complete = false;
   }
   if (!First && !Consecutive)
     Complete = false;
   if (First)
-    Complete = Roles.FirstOfDeployment;
+    Complete = FirstOfDeployment;
   if (!StaysHome) {
     LostUntil.reset();
     // Another home may have granted them from the backup's copy.
     for (auto &[Index, Entry] : Map)
       Entry.Record = asGranted(std::move(Entry.Record));
   }
-  View = Roles.ViewVersion;
+  View = ViewVersion;
   Role = NewRole;
-  Own = Roles.OwnIncarnation;
-  HomeOfView = Roles.Homes[Number];
-  OtherHolder = Role == ShardRole::Home ? Roles.Backups[Number] : HomeOfView;
   Others = NewOthers;
   // Holders that joined with this view are unknown until holderLost().
   Live.reset();
@@ -376,46 +355,11 @@
   decideHistory(Now);
 }
 
-auto KeyShard::becomeComplete() -> void {
-  BecameComplete = BecameComplete || (!Complete && Role == ShardRole::Home);
-  Complete = true;
-  LostUntil.reset();
-  Former = {};
-}
-
-auto KeyShard::formerIsWhole() const -> bool {
-  std::uint64_t Newest = Former.View;
-  for (const auto &[Sender, Holding] : IncompleteFrom)
-    Newest = std::max(Newest, Holding.View);
-  if (Newest == 0)
-    return false;
-  bool Records = false;
-  bool Proven = true;
-  auto Check = [&](const FormerHolding &Holding) {
-    if (Holding.View != Newest)
-      return;
-    Records = Records || !Holding.Dropped;
-    for (const std::string &Witness : Holding.Witnesses)
-      Proven = Proven && (Witness == Own || Others->count(Witness) != 0);
-  };
-  Check(Former);
-  for (const auto &[Sender, Holding] : IncompleteFrom)
-    Check(Holding);
-  return Records && Proven;
-}
-
 auto KeyShard::decideHistory(TimePoint Now) -> void {
   if (Role != ShardRole::Home || Complete || LostUntil)
     return;
-  bool AllReported =
-      std::all_of(Others->begin(), Others->end(), [this](const auto &Other) {
-        return IncompleteFrom.count(Other) != 0;
-      });
-  if (!AllReported)
-    return;
-  if (formerIsWhole())
-    becomeComplete();
-  else
+  if (std::includes(IncompleteFrom.begin(), IncompleteFrom.end(),
+                    Others->begin(), Others->end()))
     LostUntil = Now + Limits.Retention;
 }
 
@@ -427,11 +371,8 @@
   Transfer.SenderIncarnation = Sender;
   Transfer.Complete = Complete;
   Transfer.Incomplete = !Complete;
-  if (!Complete) {
-    Transfer.Former = Former;
-    if (Former.View == 0 || Former.Dropped)
-      return Transfer;
-  }
+  if (!Complete)
+    return Transfer;
   for (const auto &[Index, Entry] : Map)
     Transfer.Records.push_back(snapshot(Entry, Now));
   return Transfer;
@@ -442,10 +383,13 @@
     return false;
   for (const KeyRecord &Record : Transfer.Records)
     merge(Record, Now);
-  if (Transfer.Complete)
-    becomeComplete();
+  if (Transfer.Complete) {
+    BecameComplete = BecameComplete || (!Complete && Role == ShardRole::Home);
+    Complete = true;
+    LostUntil.reset();
+  }
   if (Transfer.Incomplete)
-    IncompleteFrom[Transfer.SenderIncarnation] = Transfer.Former;
+    IncompleteFrom.insert(Transfer.SenderIncarnation);
   decideHistory(Now);
   return true;
 }
@@ -457,15 +401,10 @@
     Position = Expired ? erase(Position) : std::next(Position);
   }
   if (LostUntil && Now >= *LostUntil) {
-    becomeComplete();
+    LostUntil.reset();
+    Complete = true;
     BecameComplete = true;
   }
-  if (Role == ShardRole::Neither && !Complete && Former.View != 0 &&
-      !Former.Dropped && Now - FormerSince > Limits.Retention) {
-    for (auto Position = Map.begin(); Position != Map.end();)
-      Position = erase(Position);
-    Former.Dropped = true;
-  }
   return std::exchange(BecameComplete, false);
 }
 
--- a/Source/Requests/KeyShard.h
+++ b/Source/Requests/KeyShard.h
@@ -9,7 +9,6 @@
 #include "Requests/ShardExport.h"
 #include "Requests/ShardRoles.h"
 
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -42,7 +41,8 @@
   auto reassert(const KeyClaim &Claim, TimePoint Now) -> ClaimDecision;
   auto holderLost(const Incarnations &NewLive, TimePoint Now)
       -> std::vector<KeyRecord>;
-  auto adoptView(const ShardRoles &Roles, const Incarnations &NewOthers,
+  auto adoptView(std::uint64_t ViewVersion, ShardRole NewRole,
+                 const Incarnations &Others, bool FirstOfDeployment,
                  TimePoint Now) -> void;
   auto importShard(const ShardExport &Transfer, TimePoint Now) -> bool;
   /// Returns whether the shard became complete here as home since the last
@@ -80,9 +80,6 @@
   auto isLost(const KeyRecord &Record) const -> bool;
   auto merge(const KeyRecord &Incoming, TimePoint Now) -> bool;
   auto decideHistory(TimePoint Now) -> void;
-  auto leaveView() -> void;
-  auto formerIsWhole() const -> bool;
-  auto becomeComplete() -> void;
   auto createRecord(const KeyClaim &Claim, KeyState State, TimePoint Now)
       -> ClaimDecision;
 
@@ -96,12 +93,7 @@
   std::optional<TimePoint> LostUntil;
   Incarnations Others; ///< Members of the view without this host.
   Incarnations Live;   ///< Holders that may still report.
-  std::map<std::string, FormerHolding> IncompleteFrom; ///< By incarnation.
-  FormerHolding Former;
-  TimePoint FormerSince;
-  std::string Own;         ///< Incarnation of this host.
-  std::string HomeOfView;  ///< Incarnations of the current view.
-  std::string OtherHolder; ///< Backup if this host is home, and the reverse.
+  std::set<std::string> IncompleteFrom;
   std::uint64_t Sequence = 0;
   Records Map;
 };
--- a/Source/Requests/ShardExport.h
+++ b/Source/Requests/ShardExport.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "Requests/FormerHolding.h"
 #include "Requests/KeyRecord.h"
 
 #include <cstdint>
@@ -21,8 +20,6 @@
   /// The sender does not hold the shard complete. If neither mark is set, more
   /// messages follow.
   bool Incomplete = false;
-  /// With `Incomplete`: what the sender held earlier. The records are those.
-  FormerHolding Former;
 };
 
 } // namespace jayramp
--- a/Source/Requests/ShardRoles.h
+++ b/Source/Requests/ShardRoles.h
@@ -19,10 +19,6 @@
   std::set<std::string> Members;
   std::string OwnIncarnation;
   std::array<ShardRole, KeyShardCount> Roles{};
-  /// Incarnations of the home and backup of each shard; no backup: empty. If
-  /// the homes are empty, skipped views end the completeness of all shards.
-  std::array<std::string, KeyShardCount> Homes;
-  std::array<std::string, KeyShardCount> Backups;
   /// True only for the first view that was ever written to the table service:
   /// no key was claimed before, so empty shards are complete.
   bool FirstOfDeployment = false;
--- a/Tests/Unit/KeyRegistryModel.cpp
+++ b/Tests/Unit/KeyRegistryModel.cpp
@@ -1,7 +1,5 @@
 #include "KeyRegistryModel.h"
 
-#include <algorithm>
-
 namespace jayramp {
 
 namespace {
@@ -41,35 +39,25 @@
   Target.Adopted = 0;
 }
 
-auto KeyRegistryModel::rankedMembers(std::uint64_t Version,
-                                     std::uint32_t Shard) const
-    -> std::vector<std::size_t> {
+auto KeyRegistryModel::roleIn(std::uint64_t Version, std::uint32_t Shard,
+                              std::size_t Number) const -> ShardRole {
   // Any deterministic function of the members will do; like rendezvous
   // hashing, this one ranks the members by a hash.
+  const View &Known = Views[Version - 1];
   auto Score = [&](std::size_t Member) {
     std::uint64_t Hash = (Shard * 977U + Member * 131U + 7U) * 2654435761ULL;
     return (Hash >> 7U) % 1009U * HostCount + Member;
   };
-  std::vector<std::size_t> Ranked;
-  for (const auto &[Member, Incarnation] : Views[Version - 1].Members)
-    Ranked.push_back(Member);
-  std::sort(Ranked.begin(), Ranked.end(), [&](std::size_t A, std::size_t B) {
-    return Score(A) > Score(B);
-  });
-  return Ranked;
-}
-
-auto KeyRegistryModel::roleIn(std::uint64_t Version, std::uint32_t Shard,
-                              std::size_t Number) const -> ShardRole {
-  const View &Known = Views[Version - 1];
   auto Own = Known.Members.find(Number);
   if (Own == Known.Members.end() || Own->second != Hosts[Number].Incarnation)
     return ShardRole::Neither;
-  auto Ranked = rankedMembers(Version, Shard);
-  if (Ranked[0] == Number)
+  std::size_t Better = 0;
+  for (const auto &[Member, Incarnation] : Known.Members)
+    if (Score(Member) > Score(Number))
+      ++Better;
+  if (Better == 0)
     return ShardRole::Home;
-  return Ranked.size() > 1 && Ranked[1] == Number ? ShardRole::Backup
-                                                  : ShardRole::Neither;
+  return Better == 1 ? ShardRole::Backup : ShardRole::Neither;
 }
 
 auto KeyRegistryModel::hostWithRole(std::uint64_t Version, std::uint32_t Shard,
@@ -117,16 +105,11 @@
   Roles.FirstOfDeployment = Version == 1;
   for (const auto &[Member, Incarnation] : Known.Members)
     Roles.Members.insert(Incarnation);
-  for (std::uint32_t Shard = 0; Shard < KeyShardCount; ++Shard) {
+  for (std::uint32_t Shard = 0; Shard < KeyShardCount; ++Shard)
     Roles.Roles[Shard] = roleIn(Version, Shard, Number);
-    auto Ranked = rankedMembers(Version, Shard);
-    Roles.Homes[Shard] = Known.Members.at(Ranked[0]);
-    if (Ranked.size() > 1)
-      Roles.Backups[Shard] = Known.Members.at(Ranked[1]);
-  }
   if (Fault == Naive::KeepCompleteOverSkipped && Version > Target.Adopted + 1 &&
       Target.Adopted > 0) {
-    // Pretends to have been home throughout the skipped view, without proof.
+    // Pretends to have been home throughout the skipped view.
     ShardRoles Skipped = Roles;
     Skipped.ViewVersion = Version - 1;
     Skipped.Roles.fill(ShardRole::Home);
@@ -155,8 +138,6 @@
       Item.From = Number;
       Item.To = *To;
       Item.Transfer = Sender.Registry->exportShard(Shard, Now);
-      if (Fault == Naive::ForgetWitnesses)
-        Item.Transfer.Former.Witnesses.clear();
       send(Item);
     }
 }
--- a/Tests/Unit/KeyRegistryModel.h
+++ b/Tests/Unit/KeyRegistryModel.h
@@ -19,7 +19,6 @@
   GrantBeforeAcknowledgement, ///< The home grants before the backup stores.
   IgnoreViewVersion,          ///< Messages of other views are accepted.
   KeepCompleteOverSkipped,    ///< Skipped views do not end completeness.
-  ForgetWitnesses, ///< A former holding is taken for whole without proof.
 };
 
 /// Several hosts with KeyRegistry objects, and messages between them that are
@@ -76,8 +75,6 @@
   auto restart(std::size_t Number) -> void;
   auto changeView(std::uint32_t Choice) -> void;
   auto adopt(std::size_t Number, bool SkipOne) -> void;
-  auto rankedMembers(std::uint64_t Version, std::uint32_t Shard) const
-      -> std::vector<std::size_t>;
   auto roleIn(std::uint64_t Version, std::uint32_t Shard,
               std::size_t Number) const -> ShardRole;
   auto hostWithRole(std::uint64_t Version, std::uint32_t Shard,
