Settle a new view without waiting for the next heartbeat

Cause: a peer that adopts a view just after its reply is seen only with the next heartbeat, up to 500 ms later; 512 transfer messages of each host for each view change delayed the requests that waited for moved shards. Change: heartbeats are repeated from 5 ms on, doubling, until the view has settled; only complete shards whose owners change are sent at once, the rest 100 ms later. RollingRestartTest uses the grace period of the product and waits 1 s between two hosts.

--- a/Source/Membership/MembershipEngine.cpp
+++ b/Source/Membership/MembershipEngine.cpp
@@ -400,6 +400,11 @@
   return State.hasMajority(Clock::now());
 }
 
+auto MembershipEngine::settled() const -> bool {
+  std::lock_guard Lock(Mutex);
+  return State.settled(Clock::now());
+}
+
 auto MembershipEngine::serving() const -> ServingDecision {
   std::lock_guard Lock(Mutex);
   return State.serving(Store.version(), Clock::now());
--- a/Source/Membership/MembershipEngine.h
+++ b/Source/Membership/MembershipEngine.h
@@ -53,6 +53,8 @@
   auto self() const -> Member;
   auto contacts() const -> std::vector<PeerObservation>;
   auto hasMajority() const -> bool;
+  /// Whether the view has certainly replaced its predecessors.
+  auto settled() const -> bool;
   auto serving() const -> ServingDecision;
   auto reportFreeSlots(std::uint32_t Count) -> void { FreeSlots = Count; }
   auto requestLeaving() -> void;
--- a/Source/Membership/MembershipRunner.cpp
+++ b/Source/Membership/MembershipRunner.cpp
@@ -20,7 +20,7 @@
 // last heartbeat is seen, the silence limit, and one more interval.
 constexpr Milliseconds ReadInterval{400};
 // Wakes in quick succession cause one round of heartbeats.
-constexpr Milliseconds ShortestPeerInterval{20};
+constexpr Milliseconds ShortestPeerInterval{5};
 
 auto logStoreFailure(std::string_view Step, const Error &Failure) -> void {
   logEvent(LogLevel::Warning, "membership_store_failure",
@@ -136,10 +136,21 @@
 }
 
 auto MembershipRunner::Implementation::runPeers() -> void {
+  Milliseconds Interval = Timing.PeerInterval;
+  std::uint64_t LastVersion = 0;
   while (!PeerWake.ended()) {
     TimePoint Begin = Clock::now();
     Engine.sendHeartbeats();
-    if (PeerWake.waitUntil(Begin + Timing.PeerInterval))
+    // A peer may adopt the view just after its reply, of which nothing tells
+    // this host. Requests wait meanwhile, so it asks again soon.
+    std::uint64_t Version = Engine.view()->version();
+    if (Engine.settled())
+      Interval = Timing.PeerInterval;
+    else if (std::exchange(LastVersion, Version) != Version)
+      Interval = ShortestPeerInterval;
+    else
+      Interval = std::min(2 * Interval, Timing.PeerInterval);
+    if (PeerWake.waitUntil(Begin + Interval))
       std::this_thread::sleep_until(Begin + ShortestPeerInterval);
   }
 }
--- a/Source/Requests/KeyCoordinator.cpp
+++ b/Source/Requests/KeyCoordinator.cpp
@@ -28,6 +28,8 @@
 constexpr Milliseconds TransferTimeout{1000};
 // A report or transfer that was not acknowledged is repeated after this time.
 constexpr Milliseconds RepeatDelay{200};
+// The shards that move are complete at their new owners before this.
+constexpr Milliseconds RestDelay{100};
 // Keeps a transfer message well below the transport's message limit.
 constexpr std::size_t TransferBytes = 256U << 10U;
 
@@ -120,6 +122,7 @@
   auto repeatReport(const std::shared_ptr<const OutcomeReport> &Report) -> void;
   auto decideQuery(std::uint64_t ViewVersion, const std::string &Account,
                    const std::string &Key) const -> ClaimAnswer;
+  auto sendToOwners(std::uint32_t Shard, const ShardMap &Owners) -> void;
   auto sendShard(std::uint32_t Shard, const std::string &Target) -> void;
   auto sendParts(std::shared_ptr<std::vector<Envelope>> Parts, std::size_t Next,
                  const std::string &Target) -> void;
@@ -422,19 +425,36 @@
   for (const KeyRecord &Record :
        Registry.holderLost(Roles.Members, Clock::now()))
     replicate(Current->version(), Record, [](bool) {});
-  // Claims wait for the shards that move, so these go first. The rest serves
-  // to find out whether a history is lost.
+  // Claims wait for the shards that move, so these go at once. The rest serves
+  // to find out whether a history is lost, and to complete it after skipped
+  // views; sent at once, it delayed the requests of a rolling restart.
   auto Urgent = [&](std::uint32_t Shard) {
     return Registry.isComplete(Shard) &&
            (Earlier->home(Shard) != Next->home(Shard) ||
             Earlier->backup(Shard) != Next->backup(Shard));
   };
-  for (bool First : {true, false})
-    for (std::uint32_t Shard = 0; Shard < KeyShardCount; ++Shard)
-      for (const std::string &Target :
-           {Next->home(Shard), Next->backup(Shard)})
-        if (!Target.empty() && Target != HostName && Urgent(Shard) == First)
-          sendShard(Shard, Target);
+  std::vector<std::uint32_t> Rest;
+  for (std::uint32_t Shard = 0; Shard < KeyShardCount; ++Shard)
+    if (Urgent(Shard))
+      sendToOwners(Shard, *Next);
+    else
+      Rest.push_back(Shard);
+  std::weak_ptr<Implementation> Weak = weak_from_this();
+  Timer.schedule(Clock::now() + RestDelay, [Weak, Next, Rest] {
+    auto Self = Weak.lock();
+    if (!Self || Self->map() != Next)
+      return;
+    for (std::uint32_t Shard : Rest)
+      Self->sendToOwners(Shard, *Next);
+  });
+}
+
+auto KeyCoordinator::Implementation::sendToOwners(std::uint32_t Shard,
+                                                  const ShardMap &Owners)
+    -> void {
+  for (const std::string &Target : {Owners.home(Shard), Owners.backup(Shard)})
+    if (!Target.empty() && Target != HostName)
+      sendShard(Shard, Target);
 }
 
 auto KeyCoordinator::Implementation::sendShard(std::uint32_t Shard,
--- a/Source/Requests/RequestRouter.cpp
+++ b/Source/Requests/RequestRouter.cpp
@@ -41,7 +41,7 @@
 constexpr std::uint32_t RetryAfterRebalancingMs = 500;
 // A change of view with every member alive settles within one exchange of
 // heartbeats; a takeover is complete within 4 s.
-constexpr Milliseconds SettlementPoll{10};
+constexpr Milliseconds SettlementPoll{2};
 constexpr Milliseconds LongestSettlement{4000};
 
 auto retryReason(const AttemptOutcome &Result) -> v1::Reason {
--- a/Tests/EndToEnd/RollingRestartTest.cpp
+++ b/Tests/EndToEnd/RollingRestartTest.cpp
@@ -25,6 +25,8 @@
   TestCluster::Options Wanted;
   Wanted.EntryHosts = 6;
   Wanted.Workers = 24;
+  // The grace period of the product, not the short one of other tests.
+  Wanted.Settings = {{"stop.grace_ms", "1000"}};
   auto Cluster = TestCluster::start(Wanted);
   RequestLoad::Options Callers{.Callers = 8,
                                .Payload = R"({"run_ms":20,"answer_bytes":100})",
@@ -44,10 +46,16 @@
     Cluster.startEntry(Host);
     Cluster.waitReady(Host, std::chrono::seconds(10));
     Cluster.waitMembers(Host, Wanted.EntryHosts, std::chrono::seconds(10));
-    std::cout << "host " << Host << ": stopped in "
+    TimePoint Ready = Clock::now();
+    // An operator looks at a replaced host before going on to the next.
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    std::cout << "host " << Host << ": from "
+              << std::chrono::duration_cast<Milliseconds>(Begin - RollBegin)
+                     .count()
+              << " ms, stopped in "
               << std::chrono::duration_cast<Milliseconds>(Ended - Begin).count()
               << " ms, ready after "
-              << std::chrono::duration_cast<Milliseconds>(Clock::now() - Ended)
+              << std::chrono::duration_cast<Milliseconds>(Ready - Ended)
                      .count()
               << " ms\n";
   }
