--- a/Tests/Unit/CannedListener.h
+++ b/Tests/Unit/CannedListener.h
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <string>
+#include <string_view>
 #include <thread>
 
 namespace jayramp {
@@ -59,10 +60,13 @@
     auto End = Text.find("\r\n\r\n");
     if (End == std::string::npos)
       return false;
-    auto Length = Text.find("Content-Length: ");
+    // The space after the colon is optional; cpprestsdk sends none.
+    constexpr std::string_view Name = "Content-Length:";
+    auto Length = Text.find(Name);
     if (Length == std::string::npos || Length > End)
       return true;
-    return Text.size() >= End + 4 + std::stoul(Text.substr(Length + 16));
+    return Text.size() >=
+           End + 4 + std::stoul(Text.substr(Length + Name.size()));
   }
 
   auto serve() -> void {
