Finish a start that a former scheduler left between row and start

Change: a task that a renewal finds prepared makes the scheduler start the gang on all workers again. Conclusion: each row state has a way on after a takeover.

--- a/Source/Api/ApiRouter.cpp
+++ b/Source/Api/ApiRouter.cpp
@@ -68,8 +68,7 @@
 
 auto ApiRouter::handle(ApiRequest Request, Respond Done) -> void {
   if (handleRequests(Request, Done) || handleJobs(Request, Done) ||
-      handleConfiguration(Request, Done) ||
-      handleStatus(Request, Done))
+      handleConfiguration(Request, Done) || handleStatus(Request, Done))
     return;
   Done(notFound(Request));
 }
--- a/Source/Api/ApiRouter.h
+++ b/Source/Api/ApiRouter.h
@@ -23,9 +23,8 @@
 
   /// The references must outlive the router. \p Drain begins a planned stop.
   ApiRouter(RequestCommands &Requests, RequestQueries &Keys,
-            AccountCommands &Accounts, StatusQueries &Status,
-            JobCommands &Jobs, JobQueries &JobReads,
-            std::function<void()> Drain);
+            AccountCommands &Accounts, StatusQueries &Status, JobCommands &Jobs,
+            JobQueries &JobReads, std::function<void()> Drain);
   /// Blocks until the commands in progress have ended.
   ~ApiRouter();
   ApiRouter(const ApiRouter &) = delete;
--- a/Source/Api/JobCommands.cpp
+++ b/Source/Api/JobCommands.cpp
@@ -38,8 +38,8 @@
 auto checkFields(const v1::SubmitJob &Job) -> Result<void> {
   BOOST_OUTCOME_TRYV(checkName("account", Job.account()));
   BOOST_OUTCOME_TRYV(checkName("key", Job.key()));
-  BOOST_OUTCOME_TRYV(checkRange("accelerators", Job.accelerators(), 1,
-                                Topology::LargestGang));
+  BOOST_OUTCOME_TRYV(
+      checkRange("accelerators", Job.accelerators(), 1, Topology::LargestGang));
   if (Job.priority() == v1::PRIORITY_UNSPECIFIED)
     return Error::make(ErrorKind::InvalidArgument, "priority", "is missing",
                        "send URGENT, GUARANTEED or SURPLUS");
@@ -106,8 +106,7 @@
 
 JobCommands::~JobCommands() = default;
 
-auto JobCommands::submit(const std::string &Body, const Respond &Done)
-    -> void {
+auto JobCommands::submit(const std::string &Body, const Respond &Done) -> void {
   v1::SubmitJob Wanted;
   auto Checked = parseJson(Body, Wanted);
   if (Checked)
@@ -126,9 +125,9 @@
   if (Fits)
     Fits = Store.setPayload(Row, Wanted.payload());
   if (!Fits) // An object without a row has no effect.
-    return Done(notRun(Account, Key,
-                       {JobEditResult::Effect::NotWritten, std::nullopt,
-                        Fits.error()}));
+    return Done(notRun(
+        Account, Key,
+        {JobEditResult::Effect::NotWritten, std::nullopt, Fits.error()}));
   auto Change =
       [Row](const std::optional<JobRow> &Known) -> std::optional<JobRow> {
     return Known ? std::nullopt : std::optional<JobRow>(Row);
@@ -139,10 +138,10 @@
                if (Result.Failure)
                  return Done(notRun(Account, Key, Result));
                if (!(Result.Row->Specification == Wanted))
-                 return Done(ApiResponse::failure(Error::make(
-                     ErrorKind::Conflict, "key",
-                     "another job was submitted under this key",
-                     "use a new key for a different job")));
+                 return Done(ApiResponse::failure(
+                     Error::make(ErrorKind::Conflict, "key",
+                                 "another job was submitted under this key",
+                                 "use a new key for a different job")));
                const bool New = Result.Kind == JobEditResult::Effect::Written;
                Done(ApiResponse::json(New ? 201 : 200, toReport(*Result.Row)));
                RowsChanged();
@@ -170,8 +169,8 @@
     if (Workers.empty())
       return success(); // No scheduler has published one yet; it checks later.
     BOOST_OUTCOME_TRY(Installed, Topology::make(std::move(Workers)));
-    Checker = std::make_unique<JobScheduler>(JobScheduler::make(
-        std::move(Installed), toAccountPolicies(*Current)));
+    Checker = std::make_unique<JobScheduler>(
+        JobScheduler::make(std::move(Installed), toAccountPolicies(*Current)));
     CheckerVersion = Current->version();
     CheckerUntil = Clock::now() + CheckerAge;
   }
--- a/Source/Jobs/GangEngine.cpp
+++ b/Source/Jobs/GangEngine.cpp
@@ -145,9 +145,8 @@
            {{"view", std::to_string(View)}});
   Counters.count("jayramp_scheduler_takeovers_total");
   if (!Calls)
-    Calls = std::make_unique<WorkerCaller>(Workers, Events,
-                                           Settings.CallTimeout,
-                                           Settings.WorkerThreads);
+    Calls = std::make_unique<WorkerCaller>(
+        Workers, Events, Settings.CallTimeout, Settings.WorkerThreads);
   Epoch = View;
   Current = Stage::Loading;
   Gangs.clear();
@@ -214,9 +213,8 @@
   }
   const bool Reserved = Row.State == JobRowState::Reserved;
   Added.Phase = GangPhase::Running;
-  auto &Target =
-      Gangs.insert_or_assign(Row.Specification.Id, std::move(Added))
-          .first->second;
+  auto &Target = Gangs.insert_or_assign(Row.Specification.Id, std::move(Added))
+                     .first->second;
   logGang("gang_adopted", Target, Reserved ? "release" : "renew");
   // How far the former scheduler came with the start is not known.
   if (Reserved)
@@ -321,10 +319,10 @@
   for (auto &Worker : Listed) {
     Names.insert(Worker.Name);
     auto &Entry = Directory[Worker.Name];
-    Changed = Changed ||
-              (Entry.Accelerators > 0 &&
-               (Entry.Listed.Rack != Worker.Rack ||
-                Entry.Listed.AvailabilityZone != Worker.AvailabilityZone));
+    Changed =
+        Changed || (Entry.Accelerators > 0 &&
+                    (Entry.Listed.Rack != Worker.Rack ||
+                     Entry.Listed.AvailabilityZone != Worker.AvailabilityZone));
     Entry.Listed = std::move(Worker);
   }
   Changed = std::erase_if(Directory,
@@ -376,8 +374,8 @@
         Count == 0 && Known != PublishedCounts.end())
       Count = Known->second;
     if (Count > 0)
-      Described.push_back({Name, "", Entry.Listed.AvailabilityZone,
-                           Entry.Listed.Rack, Count});
+      Described.push_back(
+          {Name, "", Entry.Listed.AvailabilityZone, Entry.Listed.Rack, Count});
   }
   return Described;
 }
@@ -416,7 +414,8 @@
 
 auto GangEngine::addressOf(const std::string &Worker) const -> std::string {
   auto Found = Directory.find(Worker);
-  return Found == Directory.end() ? std::string() : Found->second.Listed.Address;
+  return Found == Directory.end() ? std::string()
+                                  : Found->second.Listed.Address;
 }
 
 // Rows.
--- a/Source/Jobs/GangSteps.cpp
+++ b/Source/Jobs/GangSteps.cpp
@@ -133,14 +133,14 @@
     }
     ++Target.Outstanding;
     Member.LeaseUntil = Clock::now() + Settings.CallTimeout + Target.Lease;
-    Calls->control(
-        Address, {Verb, Epoch, {order(Target, Worker)}},
-        [this, Started = Generation, Job = Target.Job, Task = Target.Task,
-         Worker = Worker, Verb, Expected = std::string(Expected)](
-            const Result<std::vector<TaskStatus>> &Answer) {
-          if (Started == Generation)
-            stepAnswered(Job, Task, Worker, Verb, Expected, Answer);
-        });
+    Calls->control(Address, {Verb, Epoch, {order(Target, Worker)}},
+                   [this, Started = Generation, Job = Target.Job,
+                    Task = Target.Task, Worker = Worker, Verb,
+                    Expected = std::string(Expected)](
+                       const Result<std::vector<TaskStatus>> &Answer) {
+                     if (Started == Generation)
+                       stepAnswered(Job, Task, Worker, Verb, Expected, Answer);
+                   });
   }
 }
 
@@ -242,9 +242,8 @@
   else if (Now >= Target.StepEnd) {
     if (Target.Step == StopStep::LeaseEnd)
       return true;
-    enterStopStep(Target,
-                  static_cast<StopStep>(static_cast<int>(Target.Step) + 1),
-                  Now);
+    enterStopStep(
+        Target, static_cast<StopStep>(static_cast<int>(Target.Step) + 1), Now);
   }
   // A call of the start that is still under way could overtake a stop.
   if (Now >= Target.NextOrder && Target.Outstanding == 0)
@@ -266,13 +265,13 @@
     if (Member.Ended || Address.empty())
       continue;
     ++Target.Outstanding;
-    Calls->control(Address, {Verb, Epoch, {order(Target, Worker)}},
-                   [this, Started = Generation, Job = Target.Job,
-                    Task = Target.Task, Worker = Worker](
-                       const Result<std::vector<TaskStatus>> &Answer) {
-                     if (Started == Generation)
-                       stopAnswered(Job, Task, Worker, Answer);
-                   });
+    Calls->control(
+        Address, {Verb, Epoch, {order(Target, Worker)}},
+        [this, Started = Generation, Job = Target.Job, Task = Target.Task,
+         Worker = Worker](const Result<std::vector<TaskStatus>> &Answer) {
+          if (Started == Generation)
+            stopAnswered(Job, Task, Worker, Answer);
+        });
   }
 }
 
@@ -302,9 +301,9 @@
   Counters.observe("jayramp_gang_stop_seconds", {}, Now - Target.StopBegan);
   Counters.count("jayramp_gang_stops_total");
   logGang("gang_stopped", Target,
-          std::to_string(std::chrono::duration_cast<Milliseconds>(
-                             Now - Target.StopBegan)
-                             .count()) +
+          std::to_string(
+              std::chrono::duration_cast<Milliseconds>(Now - Target.StopBegan)
+                  .count()) +
               " ms");
   Gangs.erase(Job);
   const JobRecord *Known = Scheduler ? Scheduler->job(Job) : nullptr;
@@ -333,11 +332,10 @@
   // member by more than a lease.
   const auto Limit = Settings.RenewInterval + Settings.CallTimeout +
                      Settings.RenewInterval / 10;
-  return std::all_of(Target.Members.begin(), Target.Members.end(),
-                     [&](const auto &Entry) {
-                       return Entry.second.Ended ||
-                              Now - Entry.second.LastAlive <= Limit;
-                     });
+  return std::all_of(
+      Target.Members.begin(), Target.Members.end(), [&](const auto &Entry) {
+        return Entry.second.Ended || Now - Entry.second.LastAlive <= Limit;
+      });
 }
 
 auto GangEngine::renewRound(TimePoint Now) -> void {
@@ -347,8 +345,7 @@
     if (Target.Phase != GangPhase::Running)
       continue;
     if (const auto *Known = Scheduler ? Scheduler->job(Job) : nullptr)
-      Target.Lease =
-          Known->Guaranteed ? Settings.Lease : Settings.SurplusLease;
+      Target.Lease = Known->Guaranteed ? Settings.Lease : Settings.SurplusLease;
     const bool Whole = isWhole(Target, Now);
     if (!Whole)
       Counters.count("jayramp_gang_renewals_withheld_total");
@@ -375,14 +372,12 @@
   for (const auto &Each : Orders)
     if (auto *Target = findGang(Each.Job, Each.Task)) {
       auto &Member = Target->Members.at(Worker);
-      Member.LeaseUntil =
-          std::max(Member.LeaseUntil,
-                   Clock::now() + Settings.CallTimeout + Each.Lease);
+      Member.LeaseUntil = std::max(
+          Member.LeaseUntil, Clock::now() + Settings.CallTimeout + Each.Lease);
     }
-  Calls->control(Found->second.Listed.Address,
-                 {TaskVerb::Renew, Epoch, Orders},
-                 [this, Started = Generation, Worker, Orders](
-                     const Result<std::vector<TaskStatus>> &Answer) {
+  Calls->control(Found->second.Listed.Address, {TaskVerb::Renew, Epoch, Orders},
+                 [this, Started = Generation, Worker,
+                  Orders](const Result<std::vector<TaskStatus>> &Answer) {
                    if (Started == Generation)
                      renewed(Worker, Orders, Answer);
                  });
@@ -436,6 +431,14 @@
   Member.LastAlive = Clock::now();
   Member.State = State;
   Member.Ended = isEnded(State);
+  if (State == "prepared") {
+    // The former scheduler ended between the row and the start. Starting the
+    // rest makes the gang whole; a failure stops it.
+    logGang("gang_start_repeated", Target, Worker);
+    Target.Phase = GangPhase::Confirming;
+    Target.StepEnd = Clock::now() + StartLimit;
+    return;
+  }
   if (!Member.Ended)
     return;
   if (State == "stopped") {
--- a/Source/Jobs/JobBatch.cpp
+++ b/Source/Jobs/JobBatch.cpp
@@ -162,8 +162,8 @@
     }
   }
 
-  static auto finish(const std::vector<Item> &Items,
-                     JobEditResult::Effect Kind, const Error &Failure) -> void {
+  static auto finish(const std::vector<Item> &Items, JobEditResult::Effect Kind,
+                     const Error &Failure) -> void {
     for (const auto &Next : Items)
       Next.Then({Kind, std::nullopt, Failure});
   }
--- a/Source/Jobs/JobRow.h
+++ b/Source/Jobs/JobRow.h
@@ -37,8 +37,8 @@
   std::uint32_t Failures = 0;
   std::int64_t SubmittedMs = 0; ///< Unix time; only for the order of jobs.
   std::int64_t StartedMs = 0;
-  std::string Payload;    ///< Up to 16 KiB.
-  std::string PayloadKey; ///< Object that holds a larger payload, or empty.
+  std::string Payload;       ///< Up to 16 KiB.
+  std::string PayloadKey;    ///< Object that holds a larger payload, or empty.
   std::uint64_t Version = 0; ///< Of the table row; not part of its text.
 
   auto isFinal() const -> bool { return State >= JobRowState::Succeeded; }
--- a/Source/Jobs/JobRowMapping.cpp
+++ b/Source/Jobs/JobRowMapping.cpp
@@ -89,8 +89,8 @@
   Json["accelerators"] = value(Job.Specification.Accelerators);
   Json["priority"] = value(static_cast<int>(Job.Specification.Priority));
   Json["adjacent"] = value(Job.Specification.Adjacent);
-  Json["declared_run_ms"] =
-      value(static_cast<std::int64_t>(Job.Specification.DeclaredRunTime.count()));
+  Json["declared_run_ms"] = value(
+      static_cast<std::int64_t>(Job.Specification.DeclaredRunTime.count()));
   Json["key"] = value(Job.Key);
   Json["state"] = value(static_cast<int>(Job.State));
   Json["reason"] = value(Job.Reason);
--- a/Source/Jobs/JobRowWriter.cpp
+++ b/Source/Jobs/JobRowWriter.cpp
@@ -62,8 +62,7 @@
       [&Id](const JobRow &Row) { return Row.Specification.Id == Id; });
 }
 
-auto JobRowWriter::storedVersion(const std::string &Id) const
-    -> std::uint64_t {
+auto JobRowWriter::storedVersion(const std::string &Id) const -> std::uint64_t {
   auto Found = Rows.find(Id);
   return Found == Rows.end() ? 0 : Found->second.Stored.Version;
 }
--- a/Source/Jobs/JobStore.cpp
+++ b/Source/Jobs/JobStore.cpp
@@ -140,11 +140,10 @@
   if (Row && Row->Value == Text)
     return success();
   BOOST_OUTCOME_TRY(
-      Outcome,
-      Tables.commit({makeIdentifier(),
-                     viewCheck(ViewVersion),
-                     {{TopologyTable, TopologyKey, Row ? Row->Version : 0,
-                       std::move(Text)}}}));
+      Outcome, Tables.commit({makeIdentifier(),
+                              viewCheck(ViewVersion),
+                              {{TopologyTable, TopologyKey,
+                                Row ? Row->Version : 0, std::move(Text)}}}));
   if (std::holds_alternative<Conflicted>(Outcome))
     return Error::make(ErrorKind::Conflict, "topology/workers",
                        "another scheduler has written it",
--- a/Source/Jobs/WorkerCaller.cpp
+++ b/Source/Jobs/WorkerCaller.cpp
@@ -28,8 +28,7 @@
 auto WorkerCaller::control(std::string Address, TaskCall Call, ControlDone Done)
     -> void {
   boost::asio::post(*Threads, [this, Address = std::move(Address),
-                               Call = std::move(Call),
-                               Done = std::move(Done)] {
+                               Call = std::move(Call), Done = std::move(Done)] {
     auto Answer = Workers.control(Address, Call, Timeout);
     Events.post([Done, Answer = std::move(Answer)] { Done(Answer); });
   });
--- a/Tests/EndToEnd/GangRecord.cpp
+++ b/Tests/EndToEnd/GangRecord.cpp
@@ -49,8 +49,8 @@
     Partial = std::max(Partial, Time);
     if (Time <= Longest.count())
       continue;
-    Found += "attempt " + Name + " ran in part for " + std::to_string(Time) +
-             " ms:";
+    Found +=
+        "attempt " + Name + " ran in part for " + std::to_string(Time) + " ms:";
     for (const auto &Each : Attempt)
       Found += " worker " + std::to_string(Each.Worker) + " " +
                std::to_string(Each.Start) + ".." + std::to_string(Each.End) +
@@ -62,14 +62,15 @@
     for (auto Index : Each.Accelerators)
       Users[{Each.Worker, Index}].push_back(Each);
   for (auto &[Place, List] : Users) {
-    std::sort(List.begin(), List.end(), [](const auto &Left, const auto &Right) {
-      return Left.Start < Right.Start;
-    });
+    std::sort(List.begin(), List.end(),
+              [](const auto &Left, const auto &Right) {
+                return Left.Start < Right.Start;
+              });
     for (std::size_t Next = 1; Next < List.size(); ++Next)
       if (List[Next - 1].End == 0 || List[Next - 1].End > List[Next].Start)
         Found += "accelerator " + std::to_string(Place.second) + " of worker " +
-                 std::to_string(Place.first) + " is in " +
-                 List[Next - 1].Name + " and " + List[Next].Name + "\n";
+                 std::to_string(Place.first) + " is in " + List[Next - 1].Name +
+                 " and " + List[Next].Name + "\n";
   }
   return Found;
 }
--- a/Tests/EndToEnd/GangTest.cpp
+++ b/Tests/EndToEnd/GangTest.cpp
@@ -75,8 +75,8 @@
 
 auto reaches(const std::string &Address, const std::string &Id,
              v1::JobState State, Milliseconds Timeout) -> bool {
-  return eventually(
-      Timeout, [&] { return show(Address, Id).state() == State; });
+  return eventually(Timeout,
+                    [&] { return show(Address, Id).state() == State; });
 }
 
 auto controlWorkers(TestCluster &Cluster, int Count, const std::string &Json)
@@ -164,8 +164,8 @@
   auto Stranger = makeJob("nobody", "any", 1, v1::SURPLUS);
   EXPECT_EQ(post(Cluster.entryAddress(0), Stranger).Status, 404U);
   Cluster.platform().control(R"({"down":true})");
-  auto Answer = post(Cluster.entryAddress(0),
-                     makeJob("beta", "outage", 1, v1::SURPLUS));
+  auto Answer =
+      post(Cluster.entryAddress(0), makeJob("beta", "outage", 1, v1::SURPLUS));
   EXPECT_EQ(Answer.Status, 503U);
   v1::RequestOutcome Outcome;
   EXPECT_TRUE(parseJson(Answer.Body, Outcome).has_value()) << Answer.Body;
@@ -252,9 +252,9 @@
     EXPECT_TRUE(reaches(Cluster.entryAddress(0), Id, v1::JOB_CANCELLED,
                         Milliseconds(5000)));
   }
-  EXPECT_EQ(GangRecord::read(Cluster.workers(), 4)
-                .runningAccelerators(Running.id()),
-            0U);
+  EXPECT_EQ(
+      GangRecord::read(Cluster.workers(), 4).runningAccelerators(Running.id()),
+      0U);
 }
 
 // Guards against a planned stop that interrupts the gangs of the scheduler.
@@ -268,8 +268,7 @@
   const auto Host = schedulerOf(Cluster);
   EXPECT_EQ(Cluster.stop(Host, Milliseconds(10000)), 0);
   const auto Other = Cluster.entryAddress(1 - Host);
-  EXPECT_TRUE(
-      reaches(Other, Report.id(), v1::SUCCEEDED, Milliseconds(15000)));
+  EXPECT_TRUE(reaches(Other, Report.id(), v1::SUCCEEDED, Milliseconds(15000)));
   EXPECT_EQ(show(Other, Report.id()).attempt(), 1U);
 }
 
@@ -277,8 +276,8 @@
 // reserved when the scheduler dies, pauses or loses the store at any moment.
 TEST(GangTest, faultsOfTheSchedulerLeaveNoPartialGang) {
   const char *Given = std::getenv("JAYRAMP_SEED");
-  const auto Seed = Given ? std::strtoul(Given, nullptr, 10)
-                          : std::random_device{}();
+  const auto Seed =
+      Given ? std::strtoul(Given, nullptr, 10) : std::random_device{}();
   std::cout << "JAYRAMP_SEED=" << Seed << "\n";
   std::mt19937 Random(static_cast<std::mt19937::result_type>(Seed));
   auto between = [&Random](int Low, int High) {
--- a/Tests/EndToEnd/TcpLink.cpp
+++ b/Tests/EndToEnd/TcpLink.cpp
@@ -7,9 +7,9 @@
 
 #include <array>
 #include <future>
-#include <vector>
 #include <thread>
 #include <utility>
+#include <vector>
 
 namespace jayramp {
 
@@ -97,14 +97,14 @@
 private:
   auto accept() -> void {
     auto Next = std::make_shared<Pair>(Context);
-    Listener.async_accept(
-        Next->Near, [this, Next](boost::system::error_code Failure) {
-          if (Failure)
-            return;
-          if (!IsCut)
-            connect(Next);
-          accept();
-        });
+    Listener.async_accept(Next->Near,
+                          [this, Next](boost::system::error_code Failure) {
+                            if (Failure)
+                              return;
+                            if (!IsCut)
+                              connect(Next);
+                            accept();
+                          });
   }
 
   auto connect(const std::shared_ptr<Pair> &Next) -> void {
--- a/Tests/Unit/FakeWorkerClient.h
+++ b/Tests/Unit/FakeWorkerClient.h
@@ -85,8 +85,7 @@
   auto running(const std::string &Job) -> std::size_t {
     std::size_t Count = 0;
     for (const auto &Each : tasks())
-      Count += Each.Order.Job == Job && Each.live() &&
-                       Each.State != "prepared"
+      Count += Each.Order.Job == Job && Each.live() && Each.State != "prepared"
                    ? 1
                    : 0;
     return Count;
@@ -111,8 +110,8 @@
     Done(AttemptNotSent{"not used"});
   }
 
-  auto status(const std::string &Worker, std::uint64_t Announced,
-              Milliseconds) -> Result<WorkerStatus> override {
+  auto status(const std::string &Worker, std::uint64_t Announced, Milliseconds)
+      -> Result<WorkerStatus> override {
     std::lock_guard Lock(Mutex);
     if (Unreachable.contains(Worker))
       return unreachable(Worker);
--- a/Tests/Unit/GangRunnerTest.cpp
+++ b/Tests/Unit/GangRunnerTest.cpp
@@ -95,12 +95,10 @@
   auto submit(const std::string &Id, std::uint32_t Size,
               JobPriority Priority = JobPriority::Surplus) -> void {
     JobRow Row;
-    Row.Specification = {Id,
-                         Priority == JobPriority::Surplus ? "beta" : "alpha",
-                         Size,
-                         Priority,
-                         false,
-                         Milliseconds(0)};
+    Row.Specification = {
+        Id,    Priority == JobPriority::Surplus ? "beta" : "alpha",
+        Size,  Priority,
+        false, Milliseconds(0)};
     Row.SubmittedMs = ++Submitted;
     ASSERT_TRUE(Reader.write("submit-" + Id, {Row}, 0));
   }
@@ -143,8 +141,7 @@
   std::function<void(GangRunnerTest &)> Inject;
 };
 
-struct GangStepTest : GangRunnerTest,
-                      ::testing::WithParamInterface<Failure> {};
+struct GangStepTest : GangRunnerTest, ::testing::WithParamInterface<Failure> {};
 
 // Guards against a failed step that leaves a part of the gang behind or the
 // job reserved for ever.
@@ -272,9 +269,8 @@
   submit("first", 2);
   ASSERT_TRUE(reaches("first", JobRowState::Started));
   Workers.raiseEpoch(View + 1);
-  ASSERT_TRUE(eventually([&] {
-    return Counters.counter("jayramp_scheduler_fenced_total") == 1;
-  }));
+  ASSERT_TRUE(eventually(
+      [&] { return Counters.counter("jayramp_scheduler_fenced_total") == 1; }));
   submit("second", 2);
   std::this_thread::sleep_for(Milliseconds(400));
   EXPECT_EQ(row("second").State, JobRowState::Pending);
@@ -312,15 +308,15 @@
 // during the start.
 TEST_F(GangRunnerTest, newSchedulerReleasesReservedGangs) {
   JobRow Row;
-  Row.Specification = {"job",  "beta", 4, JobPriority::Surplus,
+  Row.Specification = {"job", "beta",         4, JobPriority::Surplus,
                        false, Milliseconds(0)};
   Row.State = JobRowState::Reserved;
   Row.Attempt = 1;
   Row.Epoch = View;
   Row.Placement = {{"w0", 0, -1}, {"w0", 1, -1}, {"w1", 0, -1}, {"w1", 1, -1}};
   ASSERT_TRUE(Reader.write("old", {Row}, 0));
-  const TaskOrder Order{"job.1." + std::to_string(View), "job", {0, 1},
-                        Milliseconds(5000)};
+  const TaskOrder Order{
+      "job.1." + std::to_string(View), "job", {0, 1}, Milliseconds(5000)};
   ASSERT_TRUE(Workers.control("w0", {TaskVerb::Prepare, View, {Order}},
                               Milliseconds(50)));
   ASSERT_TRUE(Workers.control("w0", {TaskVerb::Start, View, {Order}},
@@ -331,6 +327,34 @@
   EXPECT_TRUE(eventually([&] { return Workers.running("job") == 2; }));
 }
 
+// Guards against prepared tasks that are renewed for ever because the scheduler
+// died after the row and before the start.
+TEST_F(GangRunnerTest, newSchedulerFinishesAStartThatWasCutOff) {
+  JobRow Row;
+  Row.Specification = {"job", "beta", 4, JobPriority::Surplus,
+                       false, Milliseconds(0)};
+  Row.State = JobRowState::Started;
+  Row.Attempt = 1;
+  Row.Epoch = View;
+  Row.Placement = {{"w0", 0, -1}, {"w0", 1, -1}, {"w1", 0, -1}, {"w1", 1, -1}};
+  ASSERT_TRUE(Reader.write("old", {Row}, 0));
+  const TaskOrder Order{
+      "job.1." + std::to_string(View), "job", {0, 1}, Milliseconds(1000)};
+  for (const char *Worker : {"w0", "w1"})
+    ASSERT_TRUE(Workers.control(Worker, {TaskVerb::Prepare, View, {Order}},
+                                Milliseconds(50)));
+  ASSERT_TRUE(Workers.control("w0", {TaskVerb::Start, View, {Order}},
+                              Milliseconds(50)));
+  writeView();
+  auto Host = startHost("b");
+  ASSERT_TRUE(eventually([&] { return Workers.running("job") == 2; }));
+  std::this_thread::sleep_for(Milliseconds(600));
+  EXPECT_EQ(Workers.running("job"), 2U);
+  EXPECT_EQ(row("job").Attempt, 1U);
+  Workers.finishAll();
+  EXPECT_TRUE(reaches("job", JobRowState::Succeeded));
+}
+
 // Guards against an outage that ends running gangs, and against starts that no
 // row records.
 TEST_F(GangRunnerTest, outageKeepsGangsAndReservesNothing) {
@@ -363,10 +387,10 @@
   submit("urgent", 8, JobPriority::Urgent);
   ASSERT_TRUE(eventually([&] { return Workers.running("urgent") == 4; }));
   EXPECT_LE(Clock::now() - Begin, Milliseconds(520));
-  const std::vector<TaskVerb> Expected{
-      TaskVerb::Prepare,  TaskVerb::Start, TaskVerb::Checkpoint,
-      TaskVerb::Throttle, TaskVerb::Stop,  TaskVerb::Prepare,
-      TaskVerb::Start};
+  const std::vector<TaskVerb> Expected{TaskVerb::Prepare,    TaskVerb::Start,
+                                       TaskVerb::Checkpoint, TaskVerb::Throttle,
+                                       TaskVerb::Stop,       TaskVerb::Prepare,
+                                       TaskVerb::Start};
   EXPECT_EQ(Workers.verbs("w0"), Expected);
   EXPECT_TRUE(reaches("surplus", JobRowState::Pending));
 }
@@ -378,9 +402,9 @@
   ASSERT_TRUE(eventually([&] { return Workers.running("surplus") == 4; }));
   submit("urgent", 8, JobPriority::Urgent);
   ASSERT_TRUE(eventually([&] { return Workers.running("urgent") == 4; }));
-  const std::vector<TaskVerb> Expected{
-      TaskVerb::Prepare, TaskVerb::Start,   TaskVerb::Checkpoint,
-      TaskVerb::Stop,    TaskVerb::Prepare, TaskVerb::Start};
+  const std::vector<TaskVerb> Expected{TaskVerb::Prepare,    TaskVerb::Start,
+                                       TaskVerb::Checkpoint, TaskVerb::Stop,
+                                       TaskVerb::Prepare,    TaskVerb::Start};
   EXPECT_EQ(Workers.verbs("w0"), Expected);
 }
 
--- a/Tests/Unit/JobStoreTest.cpp
+++ b/Tests/Unit/JobStoreTest.cpp
@@ -10,8 +10,8 @@
 
 auto makeRow(const std::string &Id) -> JobRow {
   JobRow Row;
-  Row.Specification = {Id,   "alpha", 12,
-                       JobPriority::Urgent, true, Milliseconds(77)};
+  Row.Specification = {Id,   "alpha",         12, JobPriority::Urgent,
+                       true, Milliseconds(77)};
   Row.Key = "key";
   Row.State = JobRowState::Started;
   Row.Reason = "RECLAIMING";
