Test waves of cancellations and clear the reason of started jobs

Cause: a job started after a reclaim kept the reason RECLAIMING. Change: the reason is cleared with STARTED; GangTest cancels 960 jobs at once.

--- a/Source/Jobs/GangSteps.cpp
+++ b/Source/Jobs/GangSteps.cpp
@@ -98,6 +98,9 @@
     Rows.change(Target.Job, [](JobRow &Row) {
       Row.State = JobRowState::Started;
       Row.StartedMs = unixNow();
+      Row.Reason.clear();
+      Row.Detail.clear();
+      Row.Remedy.clear();
     });
     return;
   case GangPhase::Confirming:
--- a/Tests/EndToEnd/GangTest.cpp
+++ b/Tests/EndToEnd/GangTest.cpp
@@ -10,6 +10,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <atomic>
 #include <cstdlib>
 #include <fstream>
 #include <functional>
@@ -257,6 +258,70 @@
       0U);
 }
 
+// Guards against a wave of cancellations that exceeds the store's budget or
+// leaves jobs behind.
+TEST(GangTest, cancelWaveSharesTransactions) {
+  auto Cluster = TestCluster::start(smallCluster());
+  auto Running = submit(Cluster.entryAddress(0),
+                        makeJob("beta", "running", 16, v1::SURPLUS));
+  EXPECT_TRUE(reaches(Cluster.entryAddress(0), Running.id(), v1::STARTED,
+                      Milliseconds(5000)));
+  constexpr int Callers = 32;
+  constexpr int JobsEach = 30;
+  std::vector<std::vector<std::string>> Ids(Callers);
+  auto inParallel = [](const std::function<void(int)> &Work) {
+    std::vector<std::thread> Threads;
+    for (int Caller = 0; Caller < Callers; ++Caller)
+      Threads.emplace_back(Work, Caller);
+    for (auto &Each : Threads)
+      Each.join();
+  };
+  auto commits = [&Cluster] {
+    return Cluster.platform()
+        .record()
+        .at("writes")
+        .at("commit")
+        .as_number()
+        .to_int64();
+  };
+  inParallel([&](int Caller) {
+    for (int Job = 0; Job < JobsEach; ++Job) {
+      auto Key = std::to_string(Caller) + "-" + std::to_string(Job);
+      auto Answer = post(Cluster.entryAddress(Caller % 2),
+                         makeJob("beta", Key, 16, v1::SURPLUS));
+      if (Answer.Status == 201)
+        Ids[static_cast<std::size_t>(Caller)].push_back(
+            parseReport(Answer.Body).id());
+    }
+  });
+  const auto Before = commits();
+  const auto Begin = Clock::now();
+  std::atomic<int> Cancelled{0};
+  inParallel([&](int Caller) {
+    for (const auto &Id : Ids[static_cast<std::size_t>(Caller)])
+      Cancelled += HttpTestClient(Cluster.entryAddress(Caller % 2))
+                               .call("DELETE", "/v1/jobs/" + Id)
+                               .Status == 200
+                       ? 1
+                       : 0;
+  });
+  const auto Took =
+      std::chrono::duration_cast<Milliseconds>(Clock::now() - Begin).count();
+  const auto Used = commits() - Before;
+  std::cout << "cancelled " << Cancelled << " jobs in " << Took << " ms with "
+            << Used << " transactions\n";
+  EXPECT_EQ(Cancelled, Callers * JobsEach);
+  EXPECT_LE(Used, Callers * JobsEach / 4);
+  auto Answer = HttpTestClient(Cluster.entryAddress(0))
+                    .call("GET", "/v1/jobs?account=beta");
+  v1::JobList List;
+  ASSERT_TRUE(parseJson(Answer.Body, List).has_value());
+  int Left = 0;
+  for (const auto &Job : List.jobs())
+    Left += Job.state() == v1::JOB_CANCELLED ? 0 : 1;
+  EXPECT_EQ(Left, 1); // The one that runs.
+}
+
 // Guards against a planned stop that interrupts the gangs of the scheduler.
 TEST(GangTest, plannedStopOfTheSchedulerHandsRunningGangsOver) {
   auto Cluster = TestCluster::start(smallCluster());
--- a/Tests/Unit/GangRunnerTest.cpp
+++ b/Tests/Unit/GangRunnerTest.cpp
@@ -331,7 +331,7 @@
 // died after the row and before the start.
 TEST_F(GangRunnerTest, newSchedulerFinishesAStartThatWasCutOff) {
   JobRow Row;
-  Row.Specification = {"job", "beta", 4, JobPriority::Surplus,
+  Row.Specification = {"job", "beta",         4, JobPriority::Surplus,
                        false, Milliseconds(0)};
   Row.State = JobRowState::Started;
   Row.Attempt = 1;
