--- a/Source/Daemon/EntryHost.cpp
+++ b/Source/Daemon/EntryHost.cpp
@@ -28,6 +28,7 @@
 #include "Requests/WorkerDirectory.h"
 #include "Settings/DaemonSettings.h"
 
+#include <algorithm>
 #include <atomic>
 #include <random>
 #include <thread>
@@ -40,6 +41,10 @@
 constexpr Milliseconds EvictionInterval{1000};
 constexpr Milliseconds StopPollInterval{10};
 constexpr Milliseconds HandoverTimeout{5000};
+// With a store that takes a second to answer, a change of the configuration
+// would otherwise never learn that it was written. Two attempts fit into the 4
+// s in which a change has to be in effect.
+constexpr Milliseconds ConfigurationTimeout{1500};
 
 auto timingOf(const DaemonSettings &Settings) -> MembershipTiming {
   MembershipTiming Timing;
@@ -82,6 +87,7 @@
   Metrics Counters;
   TimerThread Timer;
   std::unique_ptr<HttpTableService> Tables;
+  std::unique_ptr<HttpTableService> ConfigurationTables;
   std::unique_ptr<HttpHostList> Hosts;
   std::unique_ptr<HttpObjectStore> Objects;
   std::unique_ptr<HttpWorkerClient> WorkerCalls;
@@ -124,8 +130,15 @@
                     HttpTableService::create(Platform.TableAddress.text(),
                                              Platform.Timeout, Counters));
   Tables = std::move(MadeTables);
-  BOOST_OUTCOME_TRY(MadeHosts, HttpHostList::create(Platform.HostListAddress.text(),
-                                                Platform.Timeout, Counters));
+  BOOST_OUTCOME_TRY(
+      MadeConfigurationTables,
+      HttpTableService::create(Platform.TableAddress.text(),
+                               std::max(Platform.Timeout, ConfigurationTimeout),
+                               Counters));
+  ConfigurationTables = std::move(MadeConfigurationTables);
+  BOOST_OUTCOME_TRY(MadeHosts,
+                    HttpHostList::create(Platform.HostListAddress.text(),
+                                         Platform.Timeout, Counters));
   Hosts = std::move(MadeHosts);
   BOOST_OUTCOME_TRY(MadeObjects,
                     HttpObjectStore::create(Platform.ObjectAddress.text(),
@@ -139,19 +152,22 @@
 auto EntryHost::Parts::openPeers() -> Result<void> {
   const auto &Host = Settings.host();
   std::string Incarnation = makeIdentifier();
-  BOOST_OUTCOME_TRY(MadeTransport, PeerTransport::make(Host.Name, Incarnation,
-                                     Settings.peer().Address.text(), Counters));
+  BOOST_OUTCOME_TRY(MadeTransport,
+                    PeerTransport::make(Host.Name, Incarnation,
+                                        Settings.peer().Address.text(),
+                                        Counters));
   Transport = std::move(MadeTransport);
   Member Self{.Name = Host.Name,
               .Incarnation = Incarnation,
               .ApiAddress = Settings.api().Advertise.text(),
               .PeerAddress = Settings.peer().Advertise.text(),
               .AvailabilityZone = Host.AvailabilityZone};
-  BOOST_OUTCOME_TRY(MadeMembership, MembershipRunner::make(Self, timingOf(Settings), *Tables,
-                                         *Transport, Configurations, Counters));
+  BOOST_OUTCOME_TRY(MadeMembership, MembershipRunner::make(
+                                        Self, timingOf(Settings), *Tables,
+                                        *Transport, Configurations, Counters));
   Membership = std::move(MadeMembership);
   ConfigurationChanges = std::make_unique<ConfigurationCommands>(
-      *Tables, Configurations, *Membership, *Transport, Counters);
+      *ConfigurationTables, Configurations, *Membership, *Transport, Counters);
   ConfigurationReads =
       std::make_unique<ConfigurationQueries>(Configurations, *Membership);
   return success();
@@ -159,14 +175,16 @@
 
 auto EntryHost::Parts::openRequests() -> Result<void> {
   const auto &Host = Settings.host();
-  BOOST_OUTCOME_TRY(MadeRegistry,
+  BOOST_OUTCOME_TRY(
+      MadeRegistry,
       KeyRegistry::make({.MaxRecords = Settings.requests().MaximumKeys,
                          .Retention = Settings.requests().KeyRetention}));
   Registry = std::make_unique<KeyRegistry>(std::move(MadeRegistry));
   Keys = std::make_unique<KeyCoordinator>(Host.Name, *Registry, *Membership,
                                           *Transport, Timer, Counters);
-  BOOST_OUTCOME_TRY(Ledger,
-                    SlotLedger::make({.Seed = std::random_device{}()}));
+  BOOST_OUTCOME_TRY(
+      Ledger, SlotLedger::make({.Connections = Settings.workers().Connections,
+                                .Seed = std::random_device{}()}));
   BOOST_OUTCOME_TRY(Health, WorkerHealth::make({}));
   Slots = std::make_unique<SlotBroker>(Host.Name, std::move(Ledger),
                                        std::move(Health), *Membership,
@@ -209,12 +227,12 @@
                                    .Configurations = Configurations,
                                    .ConfigurationReads = *ConfigurationReads,
                                    .Counters = Counters});
-  Paths = std::make_unique<ApiRouter>(*Requests, *KeyReads, *Accounts, *Status,
-                                      Jobs->commands(), Jobs->queries(),
-                                      [this] {
-                                        Stopping.store(true);
-                                        StopWake.wake();
-                                      });
+  Paths =
+      std::make_unique<ApiRouter>(*Requests, *KeyReads, *Accounts, *Status,
+                                  Jobs->commands(), Jobs->queries(), [this] {
+                                    Stopping.store(true);
+                                    StopWake.wake();
+                                  });
   HttpServer::Options Options{
       .Address = Settings.api().Address.text(),
       .MaximumBodyBytes = Settings.api().MaximumBodyBytes,
@@ -237,6 +255,7 @@
     Live.insert(Entry.Incarnation);
   Slots->adoptView(Current->version(), Live);
   Keys->adoptView(Current);
+  Router->reassertClaims();
   Directory->adoptView(std::make_shared<const ShardMap>(*Current));
 }
 
--- a/Source/Platform/HttpChannel.cpp
+++ b/Source/Platform/HttpChannel.cpp
@@ -81,6 +81,21 @@
   web::http::client::http_client Http;
 };
 
+/// Runs a continuation at once on the thread that completed its task. The
+/// default hands it to another thread of the pool, which costs a wake-up.
+class InlineScheduler final : public pplx::scheduler_interface {
+public:
+  auto schedule(pplx::TaskProc_t Procedure, void *Argument) -> void override {
+    Procedure(Argument);
+  }
+};
+
+auto inlineContinuation() -> pplx::task_options {
+  static const std::shared_ptr<pplx::scheduler_interface> Scheduler =
+      std::make_shared<InlineScheduler>();
+  return {pplx::scheduler_ptr(Scheduler)};
+}
+
 /// True if cpprestsdk reports that it never had a connection. Its error codes
 /// do not tell: it maps a refused connect and a broken write to one code.
 auto connectFailed(const std::string &Message) -> bool {
@@ -172,6 +187,7 @@
   std::uint64_t NextNumber = 0;
   bool Closed = false;
   TimerThread Timers;
+  TimerThread Cancellations;
 };
 
 auto HttpChannel::Core::clientOf(const HttpCall &Call)
@@ -244,10 +260,12 @@
   try {
     Started->Connection->http()
         .request(*Request, Started->Cancellation.get_token())
-        .then([Self = shared_from_this(),
-               Started](const pplx::task<web::http::http_response> &Arrived) {
-          Self->receive(Started, Arrived);
-        });
+        .then(
+            [Self = shared_from_this(),
+             Started](const pplx::task<web::http::http_response> &Arrived) {
+              Self->receive(Started, Arrived);
+            },
+            inlineContinuation());
   } catch (const std::exception &Failure) {
     fail(Started, Failure.what());
   }
@@ -278,7 +296,8 @@
                             std::string(Bytes.begin(), Bytes.end())};
           if (!Self->end(Started, std::move(Answer)))
             Self->countLateAnswer();
-        });
+        },
+        inlineContinuation());
   } catch (...) {
     fail(Started, describe(std::current_exception()));
   }
@@ -291,8 +310,10 @@
     std::lock_guard Lock(Mutex);
     if (!Closed) {
       Registry.count("http_timeouts_total", Label);
-      Timers.schedule(Clock::now() + LateAnswerGrace,
-                      [Late] { Late->Cancellation.cancel(); });
+      // Cancellation takes locks of the library, so it must not hold up the
+      // timer that ends calls in time.
+      Cancellations.schedule(Clock::now() + LateAnswerGrace,
+                             [Late] { Late->Cancellation.cancel(); });
     }
   }
   dropClient(*Late);
@@ -343,6 +364,7 @@
     Remaining = InProgress;
   }
   Timers.stop();
+  Cancellations.stop();
   for (const auto &[Number, Open] : Remaining) {
     end(Open, HttpBroken{"the channel was closed", Open->AnswerStarted, false});
     Open->Cancellation.cancel();
--- a/Source/Requests/SlotLedger.cpp
+++ b/Source/Requests/SlotLedger.cpp
@@ -2,12 +2,16 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace jayramp {
 
 namespace {
 
 constexpr double LatencyWeight = 0.2; ///< Of the newest answer.
+// Most that one answer counts, times the latency so far: a long request that
+// was declared short says nothing about the worker.
+constexpr double LargestStep = 5.0;
 
 // Share of comparisons that a worker on trial wins regardless of its load. At
 // low load an idle healthy worker would otherwise always be preferred.
@@ -28,9 +32,21 @@
     return Error::make(ErrorKind::InvalidArgument, "ShortLimit",
                        "every request would count as long",
                        "set a limit above 0 ms");
+  if (Policy.Connections < 2)
+    return Error::make(ErrorKind::InvalidArgument, "Connections",
+                       "no connection is left for requests", "set at least 2");
   return SlotLedger(Policy);
 }
 
+auto SlotLedger::setLongLimits(std::uint32_t LongPercent,
+                               Milliseconds ShortLimit) -> bool {
+  if (LongPercent > 100 || ShortLimit <= Milliseconds(0))
+    return false;
+  Policy.LongPercent = LongPercent;
+  Policy.ShortLimit = ShortLimit;
+  return true;
+}
+
 auto SlotLedger::longLimit(std::uint32_t Slots) const -> std::uint32_t {
   if (Policy.LongPercent == 0 || Slots == 0)
     return 0;
@@ -86,9 +102,14 @@
   Worker &Entry = Position->second;
   if (Entry.Known && Status.RequestedAt <= Entry.LastStatus)
     return false;
-  Entry.Slots = Status.Slots;
+  Entry.Slots = std::min(Status.Slots, Policy.Connections - 1);
   Entry.Leaving = Status.Leaving;
   Entry.LastStatus = Status.RequestedAt;
+  // An idle worker is measured anew from time to time. Its last latency would
+  // otherwise keep a worker that was slow from ever being chosen again.
+  if (!std::exchange(Entry.Measured, false) && Entry.Granted == 0)
+    Entry.LatencyMs =
+        Entry.LatencyMs > 0 ? std::max(1.0, Entry.LatencyMs / 2) : 0;
   if (!Entry.Known) {
     Entry.Known = true;
     Entry.Foreign = Status.SlotsUsed;
@@ -202,6 +223,9 @@
     --Entry.Long;
   if (Latency) {
     auto Measured = std::max(1.0, static_cast<double>(Latency->count()));
+    if (Entry.LatencyMs > 0)
+      Measured = std::min(Measured, LargestStep * Entry.LatencyMs);
+    Entry.Measured = true;
     Entry.LatencyMs =
         Entry.LatencyMs > 0
             ? Entry.LatencyMs + LatencyWeight * (Measured - Entry.LatencyMs)
--- a/Source/Requests/SlotLedger.h
+++ b/Source/Requests/SlotLedger.h
@@ -32,6 +32,11 @@
 
   static auto make(SlotPolicy Policy) -> Result<SlotLedger>;
 
+  /// Changes the limits of long work; grants in use stay. False, without a
+  /// change, if a value is out of range.
+  auto setLongLimits(std::uint32_t LongPercent, Milliseconds ShortLimit)
+      -> bool;
+
   /// Takes over a worker. It gets no work before its first status. Repeats
   /// only update the address.
   auto addWorker(std::string_view Worker, std::string_view Address) -> void;
@@ -54,7 +59,7 @@
   auto grant(const SlotAsk &Ask, const ShareOf &Share,
              std::string_view Excluded, TimePoint Now) -> SlotDecision;
 
-  /// Ends a grant; \p Latency is of the worker's answer, if it gave one.
+  /// Ends a grant; \p Latency is of the worker's answer to short work.
   /// Nothing if the grant is not known (released before).
   auto release(std::string_view GrantId, std::optional<Milliseconds> Latency)
       -> std::optional<SlotGrant>;
@@ -87,6 +92,7 @@
     bool Known = false; ///< A status arrived since the takeover.
     bool Leaving = false;
     double LatencyMs = 0.0; ///< Moving average; 0 before the first answer.
+    bool Measured = false;  ///< LatencyMs is newer than the last status.
     TimePoint LastStatus;
     TimePoint ForeignSince; ///< Older statuses do not lower Foreign.
   };
