Step the gang engine less often while all gangs run

Cause: the scheduler woke 40 times a second without need. Change: 10 steps a second unless a gang starts, stops or a takeover runs.

--- a/Source/Jobs/GangEngine.cpp
+++ b/Source/Jobs/GangEngine.cpp
@@ -12,7 +12,10 @@
 namespace {
 
 constexpr Milliseconds IdleInterval{200};
-constexpr Milliseconds ActingInterval{25};
+// Results of calls arrive as events; only the bounds of a start, a stop or a
+// survey need short steps.
+constexpr Milliseconds TransitionInterval{25};
+constexpr Milliseconds ActingInterval{100};
 constexpr Milliseconds DecisionInterval{1000};
 // The lists of 770 workers are too large to be copied in every step.
 constexpr Milliseconds ListingInterval{500};
@@ -106,7 +109,12 @@
   }
   if (FencedEpoch != Epoch)
     flush();
-  return Now + ActingInterval;
+  const bool Steady =
+      Current == Stage::Acting &&
+      std::all_of(Gangs.begin(), Gangs.end(), [](const auto &Entry) {
+        return Entry.second.Phase == GangPhase::Running;
+      });
+  return Now + (Steady ? ActingInterval : TransitionInterval);
 }
 
 // Role and takeover.
@@ -296,7 +304,8 @@
 
 auto GangEngine::refreshWorkers(TimePoint Now) -> void {
   if (Now >= NextListing) {
-    NextListing = Now + (Directory.empty() ? ActingInterval : ListingInterval);
+    NextListing =
+        Now + (Directory.empty() ? TransitionInterval : ListingInterval);
     readDirectory();
   }
   for (const auto &[Name, Entry] : Directory)
