--- a/Source/Jobs/GangSteps.cpp
+++ b/Source/Jobs/GangSteps.cpp
@@ -98,6 +98,9 @@
     Rows.change(Target.Job, [](JobRow &Row) {
       Row.State = JobRowState::Started;
       Row.StartedMs = unixNow();
+      Row.Reason.clear();
+      Row.Detail.clear();
+      Row.Remedy.clear();
     });
     return;
   case GangPhase::Confirming:
@@ -431,6 +434,14 @@
   Member.LastAlive = Clock::now();
   Member.State = State;
   Member.Ended = isEnded(State);
+  if (State == "prepared") {
+    // The former scheduler ended between the row and the start. Starting the
+    // rest makes the gang whole; a failure stops it.
+    logGang("gang_start_repeated", Target, Worker);
+    Target.Phase = GangPhase::Confirming;
+    Target.StepEnd = Clock::now() + StartLimit;
+    return;
+  }
   if (!Member.Ended)
     return;
   if (State == "stopped") {
--- a/Tests/Unit/GangRunnerTest.cpp
+++ b/Tests/Unit/GangRunnerTest.cpp
@@ -327,6 +327,34 @@
   EXPECT_TRUE(eventually([&] { return Workers.running("job") == 2; }));
 }
 
+// Guards against prepared tasks that are renewed for ever because the scheduler
+// died after the row and before the start.
+TEST_F(GangRunnerTest, newSchedulerFinishesAStartThatWasCutOff) {
+  JobRow Row;
+  Row.Specification = {"job", "beta",         4, JobPriority::Surplus,
+                       false, Milliseconds(0)};
+  Row.State = JobRowState::Started;
+  Row.Attempt = 1;
+  Row.Epoch = View;
+  Row.Placement = {{"w0", 0, -1}, {"w0", 1, -1}, {"w1", 0, -1}, {"w1", 1, -1}};
+  ASSERT_TRUE(Reader.write("old", {Row}, 0));
+  const TaskOrder Order{
+      "job.1." + std::to_string(View), "job", {0, 1}, Milliseconds(1000)};
+  for (const char *Worker : {"w0", "w1"})
+    ASSERT_TRUE(Workers.control(Worker, {TaskVerb::Prepare, View, {Order}},
+                                Milliseconds(50)));
+  ASSERT_TRUE(Workers.control("w0", {TaskVerb::Start, View, {Order}},
+                              Milliseconds(50)));
+  writeView();
+  auto Host = startHost("b");
+  ASSERT_TRUE(eventually([&] { return Workers.running("job") == 2; }));
+  std::this_thread::sleep_for(Milliseconds(600));
+  EXPECT_EQ(Workers.running("job"), 2U);
+  EXPECT_EQ(row("job").Attempt, 1U);
+  Workers.finishAll();
+  EXPECT_TRUE(reaches("job", JobRowState::Succeeded));
+}
+
 // Guards against an outage that ends running gangs, and against starts that no
 // row records.
 TEST_F(GangRunnerTest, outageKeepsGangsAndReservesNothing) {
