--- a/Source/Daemon/EntryHost.cpp
+++ b/Source/Daemon/EntryHost.cpp
@@ -40,9 +40,9 @@
 constexpr Milliseconds StopPollInterval{10};
 constexpr Milliseconds HandoverTimeout{5000};
 // With a store that takes a second to answer, a change of the configuration
-// would otherwise never learn that it was written. Two attempts fit into the 4 s
-// in which a change has to be in effect.
-constexpr Milliseconds ConfigurationTimeout{1500};
+// would otherwise never learn that it was written. A call makes two attempts in
+// this time, which fit into the 4 s in which a change has to be in effect.
+constexpr Milliseconds ConfigurationTimeout{3000};
 
 auto timingOf(const DaemonSettings &Settings) -> MembershipTiming {
   MembershipTiming Timing;
@@ -131,8 +131,9 @@
                                std::max(Platform.Timeout, ConfigurationTimeout),
                                Counters));
   ConfigurationTables = std::move(MadeConfigurationTables);
-  BOOST_OUTCOME_TRY(MadeHosts, HttpHostList::create(Platform.HostListAddress.text(),
-                                                Platform.Timeout, Counters));
+  BOOST_OUTCOME_TRY(MadeHosts,
+                    HttpHostList::create(Platform.HostListAddress.text(),
+                                         Platform.Timeout, Counters));
   Hosts = std::move(MadeHosts);
   BOOST_OUTCOME_TRY(MadeWorkerCalls, HttpWorkerClient::create(Counters));
   WorkerCalls = std::move(MadeWorkerCalls);
@@ -142,16 +143,19 @@
 auto EntryHost::Parts::openPeers() -> Result<void> {
   const auto &Host = Settings.host();
   std::string Incarnation = makeIdentifier();
-  BOOST_OUTCOME_TRY(MadeTransport, PeerTransport::make(Host.Name, Incarnation,
-                                     Settings.peer().Address.text(), Counters));
+  BOOST_OUTCOME_TRY(MadeTransport,
+                    PeerTransport::make(Host.Name, Incarnation,
+                                        Settings.peer().Address.text(),
+                                        Counters));
   Transport = std::move(MadeTransport);
   Member Self{.Name = Host.Name,
               .Incarnation = Incarnation,
               .ApiAddress = Settings.api().Advertise.text(),
               .PeerAddress = Settings.peer().Advertise.text(),
               .AvailabilityZone = Host.AvailabilityZone};
-  BOOST_OUTCOME_TRY(MadeMembership, MembershipRunner::make(Self, timingOf(Settings), *Tables,
-                                         *Transport, Configurations, Counters));
+  BOOST_OUTCOME_TRY(MadeMembership, MembershipRunner::make(
+                                        Self, timingOf(Settings), *Tables,
+                                        *Transport, Configurations, Counters));
   Membership = std::move(MadeMembership);
   ConfigurationChanges = std::make_unique<ConfigurationCommands>(
       *ConfigurationTables, Configurations, *Membership, *Transport, Counters);
@@ -162,14 +166,14 @@
 
 auto EntryHost::Parts::openRequests() -> Result<void> {
   const auto &Host = Settings.host();
-  BOOST_OUTCOME_TRY(MadeRegistry,
+  BOOST_OUTCOME_TRY(
+      MadeRegistry,
       KeyRegistry::make({.MaxRecords = Settings.requests().MaximumKeys,
                          .Retention = Settings.requests().KeyRetention}));
   Registry = std::make_unique<KeyRegistry>(std::move(MadeRegistry));
   Keys = std::make_unique<KeyCoordinator>(Host.Name, *Registry, *Membership,
                                           *Transport, Timer, Counters);
-  BOOST_OUTCOME_TRY(Ledger,
-                    SlotLedger::make({.Seed = std::random_device{}()}));
+  BOOST_OUTCOME_TRY(Ledger, SlotLedger::make({.Seed = std::random_device{}()}));
   BOOST_OUTCOME_TRY(Health, WorkerHealth::make({}));
   Slots = std::make_unique<SlotBroker>(Host.Name, std::move(Ledger),
                                        std::move(Health), *Membership,
--- a/Source/Requests/RequestRouter.cpp
+++ b/Source/Requests/RequestRouter.cpp
@@ -42,6 +42,7 @@
 // A change of view with every member alive settles within one exchange of
 // heartbeats; a takeover is complete within 4 s.
 constexpr Milliseconds SettlementPoll{2};
+constexpr Milliseconds FencedDelay{20};
 constexpr Milliseconds LongestSettlement{4000};
 
 auto retryReason(const AttemptOutcome &Result) -> v1::Reason {
@@ -492,8 +493,11 @@
   Milliseconds Delay{0};
   if (Allowed) {
     std::lock_guard Lock(QueueMutex);
-    Allowed = Retries.takeRetry();
-    Delay = Retries.backoff(1);
+    // The worker did no work for a call of an older view, and every request is
+    // refused so until this host has adopted the newer one: the budget would be
+    // used up without need.
+    Allowed = Reason == v1::FENCED || Retries.takeRetry();
+    Delay = Reason == v1::FENCED ? FencedDelay : Retries.backoff(1);
   }
   if (Allowed) {
     Counters.count("jayramp_retries_total", reasonLabel(Reason));
--- a/Tests/EndToEnd/ConfigurationSpreadTest.cpp
+++ b/Tests/EndToEnd/ConfigurationSpreadTest.cpp
@@ -87,10 +87,9 @@
   }
 
   auto note(std::size_t Host, const value &Report) -> void {
-    std::uint64_t Version =
-        Report.has_field("version")
-            ? std::stoull(Report.at("version").as_string())
-            : 0;
+    std::uint64_t Version = Report.has_field("version")
+                                ? std::stoull(Report.at("version").as_string())
+                                : 0;
     std::lock_guard Lock(Mutex);
     ++Reads;
     Observed &Seen = Hosts[Host];
@@ -112,8 +111,7 @@
 auto changeText(std::uint64_t Expected, int Share) -> std::string {
   return R"({"expected_version":")" + std::to_string(Expected) +
          R"(","document":{"accounts":[{"name":"alpha","request_share":)" +
-         std::to_string(Share) +
-         R"(},{"name":"beta","request_share":100}]}})";
+         std::to_string(Share) + R"(},{"name":"beta","request_share":100}]}})";
 }
 
 auto currentVersion(const TestCluster &Cluster, std::size_t Host)
@@ -177,10 +175,9 @@
       while (!(Seen = Watch.seenAt(Other, Version)) &&
              Clock::now() - Begin < seconds(15))
         std::this_thread::sleep_for(Milliseconds(5));
-      long Took = static_cast<long>(
-          std::chrono::duration_cast<Milliseconds>(
-              Seen.value_or(Clock::now()) - Begin)
-              .count());
+      long Took = static_cast<long>(std::chrono::duration_cast<Milliseconds>(
+                                        Seen.value_or(Clock::now()) - Begin)
+                                        .count());
       Longest = std::max(Longest, Took);
     }
     Times.push_back(Longest);
@@ -227,9 +224,8 @@
     auto First = Change(static_cast<std::size_t>(Race) % 8, 200 + Race);
     auto Second = Change(static_cast<std::size_t>(Race + 3) % 8, 300 + Race);
     std::vector<HttpTestClient::Answer> Answers{First.get(), Second.get()};
-    std::sort(Answers.begin(), Answers.end(), [](const auto &A, const auto &B) {
-      return A.Status < B.Status;
-    });
+    std::sort(Answers.begin(), Answers.end(),
+              [](const auto &A, const auto &B) { return A.Status < B.Status; });
     EXPECT_EQ(Answers[0].Status, 200U) << Answers[0].Body;
     EXPECT_EQ(Answers[1].Status, 409U) << Answers[1].Body;
     auto Lost = value::parse(Answers[1].Body);
--- a/Tests/EndToEnd/RequestLoad.cpp
+++ b/Tests/EndToEnd/RequestLoad.cpp
@@ -26,8 +26,7 @@
   Request.set_key(Key);
   Request.set_idempotent(Wanted.Idempotent);
   Request.set_work_class(v1::SHORT);
-  Request.set_deadline_ms(
-      static_cast<std::uint32_t>(Wanted.Deadline.count()));
+  Request.set_deadline_ms(static_cast<std::uint32_t>(Wanted.Deadline.count()));
   Request.set_payload(Wanted.Payload);
   try {
     auto Answer = Client.call("POST", "/v1/requests", renderJson(Request),
@@ -167,8 +166,8 @@
   if (Times.empty())
     return Milliseconds(0);
   std::sort(Times.begin(), Times.end());
-  return Times[static_cast<std::size_t>(
-      Share * static_cast<double>(Times.size() - 1))];
+  return Times[static_cast<std::size_t>(Share *
+                                        static_cast<double>(Times.size() - 1))];
 }
 
 auto doubledExecutions(TestCluster &Cluster, std::size_t Workers)
--- a/Tests/EndToEnd/RollingRestartTest.cpp
+++ b/Tests/EndToEnd/RollingRestartTest.cpp
@@ -49,15 +49,14 @@
     TimePoint Ready = Clock::now();
     // An operator looks at a replaced host before going on to the next.
     std::this_thread::sleep_for(std::chrono::seconds(1));
-    std::cout << "host " << Host << ": from "
-              << std::chrono::duration_cast<Milliseconds>(Begin - RollBegin)
-                     .count()
-              << " ms, stopped in "
-              << std::chrono::duration_cast<Milliseconds>(Ended - Begin).count()
-              << " ms, ready after "
-              << std::chrono::duration_cast<Milliseconds>(Ready - Ended)
-                     .count()
-              << " ms\n";
+    std::cout
+        << "host " << Host << ": from "
+        << std::chrono::duration_cast<Milliseconds>(Begin - RollBegin).count()
+        << " ms, stopped in "
+        << std::chrono::duration_cast<Milliseconds>(Ended - Begin).count()
+        << " ms, ready after "
+        << std::chrono::duration_cast<Milliseconds>(Ready - Ended).count()
+        << " ms\n";
   }
   auto Requests = Load.stop();
   std::vector<RequestLoad::Sent> Steady;
--- a/Tests/EndToEnd/TakeoverTest.cpp
+++ b/Tests/EndToEnd/TakeoverTest.cpp
@@ -60,8 +60,8 @@
       return false;
     for (const auto &Worker : Report.at("workers").as_array())
       if (Worker.has_string_field("owner") &&
-          Worker.at("owner").as_string() == Name &&
-          Worker.has_field("slots") && Worker.at("state").as_string() == "LIVE")
+          Worker.at("owner").as_string() == Name && Worker.has_field("slots") &&
+          Worker.at("state").as_string() == "LIVE")
         Live.insert(Worker.at("name").as_string());
   }
   return Live.size() == Workers;
@@ -112,11 +112,10 @@
   Wanted.WorkerArguments = {"--slots", "2"};
   auto Cluster = TestCluster::start(Wanted);
   // More callers than the 12 slots keep every slot busy.
-  RequestLoad Load(Cluster,
-                   {.Callers = 24,
-                    .Pause = Milliseconds(0),
-                    .Payload = R"({"run_ms":30,"answer_bytes":20})",
-                    .KeyPrefix = "freeze"});
+  RequestLoad Load(Cluster, {.Callers = 24,
+                             .Pause = Milliseconds(0),
+                             .Payload = R"({"run_ms":30,"answer_bytes":20})",
+                             .KeyPrefix = "freeze"});
   std::this_thread::sleep_for(seconds(2));
   Load.use(1, false);
   Cluster.freeze(1);
@@ -255,8 +254,7 @@
 TEST(TakeoverTest, lostAnswersCauseNoSecondViewChange) {
   auto Wanted = threeHosts();
   auto Cluster = TestCluster::start(Wanted);
-  auto Before = std::stoull(
-      status(Cluster, 0).at("view_version").as_string());
+  auto Before = std::stoull(status(Cluster, 0).at("view_version").as_string());
   Cluster.platform().control(R"({"reset_record":true})");
   Cluster.platform().control(R"({"lose_answers":0.5})");
   Cluster.kill(1);
