--- a/Source/Membership/View.cpp
+++ b/Source/Membership/View.cpp
@@ -140,7 +140,7 @@
       Predecessors.push_back(
           {names(Entry.at("names")), names(Entry.at("released"))});
     std::vector<EarlierView> Recent;
-    // Rows of versions of the program before 0.1 have no such field.
+    // Rows that were written before the field existed lack it.
     if (Object.has_field("recent"))
       for (const auto &Entry : Object.at("recent").as_array())
         Recent.push_back(parseEarlier(Entry));
--- a/Source/Requests/RequestRouter.cpp
+++ b/Source/Requests/RequestRouter.cpp
@@ -42,7 +42,7 @@
 // A change of view with every member alive settles within one exchange of
 // heartbeats; a takeover is complete within 4 s.
 constexpr Milliseconds SettlementPoll{2};
-constexpr Milliseconds FencedDelay{20};
+constexpr Milliseconds FencedDelay{10};
 constexpr Milliseconds LongestSettlement{4000};
 
 auto retryReason(const AttemptOutcome &Result) -> v1::Reason {
@@ -268,8 +268,10 @@
     Entry->SeenInProgress = Reason == v1::KEY_IN_PROGRESS;
     if (NewId)
       Entry->ClaimId = makeIdentifier();
-    Delay = std::min(FirstClaimDelay * (1 << std::min(Entry->ClaimTries, 4U)),
-                     LongestClaimDelay);
+    // Grows slowly: most moved shards are ready within four repeats.
+    Delay =
+        std::min(FirstClaimDelay * (1 << std::min(Entry->ClaimTries / 4, 6U)),
+                 LongestClaimDelay);
     ++Entry->ClaimTries;
   }
   Counters.count("jayramp_retries_total", reasonLabel(Reason));
--- a/Tests/EndToEnd/ConfigurationSpreadTest.cpp
+++ b/Tests/EndToEnd/ConfigurationSpreadTest.cpp
@@ -52,7 +52,7 @@
     std::lock_guard Lock(Mutex);
     return Reversals;
   }
-  /// Answers of hosts that are ready with an older version than before.
+  /// Answers that were looked at.
   auto reads() -> std::size_t {
     std::lock_guard Lock(Mutex);
     return Reads;
