--- a/Source/Daemon/EntryHost.cpp
+++ b/Source/Daemon/EntryHost.cpp
@@ -42,9 +42,9 @@
 constexpr Milliseconds StopPollInterval{10};
 constexpr Milliseconds HandoverTimeout{5000};
 // With a store that takes a second to answer, a change of the configuration
-// would otherwise never learn that it was written. Two attempts fit into the 4
-// s in which a change has to be in effect.
-constexpr Milliseconds ConfigurationTimeout{1500};
+// would otherwise never learn that it was written. A call makes two attempts in
+// this time, which fit into the 4 s in which a change has to be in effect.
+constexpr Milliseconds ConfigurationTimeout{3000};
 
 auto timingOf(const DaemonSettings &Settings) -> MembershipTiming {
   MembershipTiming Timing;
