Start no request that its deadline would cut off

Requests were started with less time left than they run, which wasted slots, and their broken attempts counted as failures of healthy workers. Change: a request leaves the queue at its deadline less the expected run time of its flow; an attempt that the deadline ended counts against the worker only after 3 times its expected run time.

--- a/Source/Requests/RequestRouter.cpp
+++ b/Source/Requests/RequestRouter.cpp
@@ -35,6 +35,9 @@
 constexpr Milliseconds LongestClaimDelay{200};
 // Delay before a peer that reported free slots is asked again.
 constexpr Milliseconds PeerAskDelay{20};
+// An attempt without an answer for this many times its expected run time counts
+// against the worker, whatever its deadline.
+constexpr int SilentFactor = 3;
 constexpr Milliseconds ReassertDelay{200};
 // Values of fields that the configuration leaves at 0; see jayramp.proto.
 constexpr std::uint32_t DefaultShortLimitMs = 250;
@@ -127,6 +130,8 @@
   auto withdraw(const Pending &Entry) -> bool;
   auto reassert(const Pending &Entry, std::uint64_t Round) -> void;
   auto pumpOnce() -> void;
+  auto expectedRun(const Pending &Entry) -> Milliseconds;
+  auto expectedRunLocked(const PendingRequest &Entry) const -> Milliseconds;
   auto dispatchRefusal(const Pending &Entry) -> std::optional<std::string>;
   auto claim(const Pending &Entry) -> void;
   auto onClaim(const Pending &Entry, const ClaimAnswer &Answer) -> void;
@@ -317,11 +322,17 @@
     Entry->Class = Classes.classify(Entry->Request.account(), Declared);
     Entry->QueuedAt = Now;
     Entry->WaitReason = v1::DEADLINE_EXCEEDED;
+    // After this time a slot would be wasted on it. A request that never had
+    // enough time is tried, as the expectation may be wrong.
+    auto LatestStart =
+        Entry->Deadline - expectedRunLocked(*Entry);
+    if (LatestStart <= Entry->AcceptedAt)
+      LatestStart = Entry->Deadline;
     Decision = Queue.push(
         {.Id = Entry->Id,
          .Account = Entry->Request.account(),
          .Class = Entry->Class,
-         .Deadline = Entry->Deadline,
+         .Deadline = LatestStart,
          .Cost = Classes.expectedCost(Entry->Request.account(), Declared)},
         Now);
   }
@@ -455,6 +466,19 @@
   return "this entry host left the view after it was granted the key";
 }
 
+auto RequestRouter::Implementation::expectedRun(const Pending &Entry)
+    -> Milliseconds {
+  std::lock_guard Lock(QueueMutex);
+  return expectedRunLocked(*Entry);
+}
+
+auto RequestRouter::Implementation::expectedRunLocked(
+    const PendingRequest &Entry) const -> Milliseconds {
+  return std::chrono::duration_cast<Milliseconds>(
+      std::chrono::duration<double>(Classes.expectedCost(
+          Entry.Request.account(), declaredClass(Entry.Request))));
+}
+
 auto RequestRouter::Implementation::dispatch(const Pending &Entry,
                                              const SlotGrant &Grant) -> void {
   if (auto Refusal = dispatchRefusal(Entry)) {
@@ -510,9 +534,14 @@
   bool Answered = std::holds_alternative<AttemptAnswered>(Result);
   bool Failed = std::holds_alternative<AttemptFailed>(Result);
   bool Refused = std::holds_alternative<AttemptRefused>(Result);
+  // An attempt that the caller's deadline ended early tells nothing of the
+  // worker; at a load peak it would open the circuits of healthy workers.
+  bool CutByDeadline = std::holds_alternative<AttemptBroken>(Result) &&
+                       Clock::now() >= Entry->Deadline &&
+                       Latency < SilentFactor * expectedRun(Entry);
   SlotUse Use{.Latency = std::nullopt,
               .Answered = Answered,
-              .Failed = !Answered && !Refused,
+              .Failed = !Answered && !Refused && !CutByDeadline,
               .Refused = Refused};
   // The class at the time of the grant: past the short limit a slow worker and
   // a long request cannot be told apart.
