--- a/Source/Requests/KeyCoordinator.cpp
+++ b/Source/Requests/KeyCoordinator.cpp
@@ -364,13 +364,13 @@
     KeyRecord Record = Recorded->Record;
     auto Self = shared_from_this();
     std::uint64_t ViewVersion = Report.ViewVersion;
-    return replicate(
-        ViewVersion, Record, [Self, ViewVersion, Record, Done](bool Stored) {
-          if (Stored)
-            Self->Registry.replicationAcknowledged(ViewVersion, Record,
-                                                   Clock::now());
-          Done(Stored);
-        });
+    return replicate(ViewVersion, Record,
+                     [Self, ViewVersion, Record, Done](bool Stored) {
+                       if (Stored)
+                         Self->Registry.replicationAcknowledged(
+                             ViewVersion, Record, Clock::now());
+                       Done(Stored);
+                     });
   }
   bool Repeat = std::holds_alternative<ReportNotReady>(Decision) ||
                 std::holds_alternative<ReportWrongView>(Decision);
--- a/Source/Requests/KeyRegistry.cpp
+++ b/Source/Requests/KeyRegistry.cpp
@@ -155,9 +155,8 @@
   Others.erase(Roles.OwnIncarnation);
   auto Shared = std::make_shared<const std::set<std::string>>(Others);
   for (std::uint32_t Number = 0; Number < KeyShardCount; ++Number)
-    Inner->with(Number, [&](KeyShard &Shard) {
-      Shard.adoptView(Roles, Shared, Now);
-    });
+    Inner->with(Number,
+                [&](KeyShard &Shard) { Shard.adoptView(Roles, Shared, Now); });
   Inner->View = Roles.ViewVersion;
   Inner->OwnIncarnation = Roles.OwnIncarnation;
   return true;
--- a/Source/Requests/PendingRequest.h
+++ b/Source/Requests/PendingRequest.h
@@ -34,7 +34,7 @@
   std::string ClaimId;
   bool Finished = false;
   v1::RequestOutcome Outcome; ///< Set shortly after Finished.
-  bool Granted = false;        ///< This host holds the claim of the key.
+  bool Granted = false;       ///< This host holds the claim of the key.
   /// Incarnation of this host that the claim was granted to.
   std::string HolderIncarnation;
   bool ClaimSent = false;      ///< The home may hold a claim of this request.
--- a/Source/Requests/RequestRouter.cpp
+++ b/Source/Requests/RequestRouter.cpp
@@ -324,8 +324,7 @@
     Entry->WaitReason = v1::DEADLINE_EXCEEDED;
     // After this time a slot would be wasted on it. A request that never had
     // enough time is tried, as the expectation may be wrong.
-    auto LatestStart =
-        Entry->Deadline - expectedRunLocked(*Entry);
+    auto LatestStart = Entry->Deadline - expectedRunLocked(*Entry);
     if (LatestStart <= Entry->AcceptedAt)
       LatestStart = Entry->Deadline;
     Decision = Queue.push(
--- a/Source/Requests/SlotBroker.h
+++ b/Source/Requests/SlotBroker.h
@@ -29,8 +29,8 @@
   /// the worker.
   std::optional<Milliseconds> Latency;
   bool Answered = false; ///< The worker gave a whole answer.
-  bool Failed = false;  ///< The worker failed the attempt or did not answer.
-  bool Refused = false; ///< The worker refused before the start.
+  bool Failed = false;   ///< The worker failed the attempt or did not answer.
+  bool Refused = false;  ///< The worker refused before the start.
 };
 
 /// Slots for the requests of this host: those of the workers that it owns, and
--- a/Source/Requests/SlotLedger.cpp
+++ b/Source/Requests/SlotLedger.cpp
@@ -34,8 +34,7 @@
                        "set a limit above 0 ms");
   if (Policy.Connections < 2)
     return Error::make(ErrorKind::InvalidArgument, "Connections",
-                       "no connection is left for requests",
-                       "set at least 2");
+                       "no connection is left for requests", "set at least 2");
   return SlotLedger(Policy);
 }
 
@@ -109,7 +108,8 @@
   // An idle worker is measured anew from time to time. Its last latency would
   // otherwise keep a worker that was slow from ever being chosen again.
   if (!std::exchange(Entry.Measured, false) && Entry.Granted == 0)
-    Entry.LatencyMs = Entry.LatencyMs > 0 ? std::max(1.0, Entry.LatencyMs / 2) : 0;
+    Entry.LatencyMs =
+        Entry.LatencyMs > 0 ? std::max(1.0, Entry.LatencyMs / 2) : 0;
   if (!Entry.Known) {
     Entry.Known = true;
     Entry.Foreign = Status.SlotsUsed;
--- a/Source/Requests/WorkerHealth.cpp
+++ b/Source/Requests/WorkerHealth.cpp
@@ -7,11 +7,11 @@
 
 namespace {
 
-constexpr double LatencyWeight = 0.2;        ///< Of the newest answer.
+constexpr double LatencyWeight = 0.2; ///< Of the newest answer.
 // Most that one answer counts, times the latency so far. A long request that
 // was declared short would otherwise eject a healthy worker at once.
 constexpr double LargestStep = 5.0;
-constexpr double SmallestLatency = 1.0; ///< Milliseconds.
+constexpr double SmallestLatency = 1.0;      ///< Milliseconds.
 constexpr double MinimumLatencySamples = 10; ///< Below it no ejection.
 constexpr double TrialShare = 0.01;          ///< One slot, until taken.
 
--- a/Tests/EndToEnd/AtMostOnceTest.cpp
+++ b/Tests/EndToEnd/AtMostOnceTest.cpp
@@ -35,7 +35,6 @@
   bool Answered = false;
 };
 
-
 class Load {
 public:
   Load(TestCluster &Cluster, unsigned Seed) : Cluster(Cluster), Seed(Seed) {
--- a/Tests/EndToEnd/HeadOfLineTest.cpp
+++ b/Tests/EndToEnd/HeadOfLineTest.cpp
@@ -34,8 +34,8 @@
 constexpr Milliseconds WarmUp{3000};
 
 /// Sends a request and returns whether it was answered.
-using Send = std::function<bool(std::size_t Thread, std::size_t Index,
-                                bool IsLong)>;
+using Send =
+    std::function<bool(std::size_t Thread, std::size_t Index, bool IsLong)>;
 
 struct PhaseResult {
   std::vector<double> ShortMs;
@@ -192,8 +192,8 @@
   Send Routed = [&](std::size_t Thread, std::size_t Index, bool IsLong) {
     std::string Key =
         Phase + (IsLong ? "-long-" : "-short-") + std::to_string(Index);
-    auto Outcome = submitRequest(
-        Clients[Thread], makeWork(Key, IsLong, Index), Deadline * 2);
+    auto Outcome = submitRequest(Clients[Thread], makeWork(Key, IsLong, Index),
+                                 Deadline * 2);
     return Outcome && Outcome->outcome() == v1::ANSWERED;
   };
   auto Alone = runPhase(Seed, false, Routed);
@@ -202,8 +202,8 @@
   PhaseResult Fifo;
   {
     FifoDispatcher Dispatcher(Cluster);
-    Fifo = runPhase(
-        Seed, true, [&](std::size_t, std::size_t Index, bool IsLong) {
+    Fifo =
+        runPhase(Seed, true, [&](std::size_t, std::size_t Index, bool IsLong) {
           return Dispatcher.call(makeWork("fifo", IsLong, Index));
         });
   }
--- a/Tests/EndToEnd/LoadPeakTest.cpp
+++ b/Tests/EndToEnd/LoadPeakTest.cpp
@@ -74,21 +74,21 @@
   auto Since = [Start](TimePoint At) {
     return std::chrono::duration<double, std::milli>(At - Start).count();
   };
-  runOpenLoad(
-      Arrivals, Threads, Start,
-      [&](std::size_t Thread, std::size_t Index, TimePoint Due) {
-        Sample &Target = Samples[Index];
-        Target.Account = Index % Accounts.size();
-        auto Request = makeTestRequest("k" + std::to_string(Index), true, Run,
-                                       RequestDeadline);
-        Request.set_account(Accounts[Target.Account]);
-        Target.DueMs = Since(Due);
-        Target.SentMs = Since(Clock::now());
-        auto Outcome = submitRequest(Clients[Thread], Request, Patience);
-        Target.EndMs = Since(Clock::now());
-        Target.HasOutcome = Outcome.has_value();
-        Target.Answered = Outcome && Outcome->outcome() == v1::ANSWERED;
-      });
+  runOpenLoad(Arrivals, Threads, Start,
+              [&](std::size_t Thread, std::size_t Index, TimePoint Due) {
+                Sample &Target = Samples[Index];
+                Target.Account = Index % Accounts.size();
+                auto Request = makeTestRequest("k" + std::to_string(Index),
+                                               true, Run, RequestDeadline);
+                Request.set_account(Accounts[Target.Account]);
+                Target.DueMs = Since(Due);
+                Target.SentMs = Since(Clock::now());
+                auto Outcome =
+                    submitRequest(Clients[Thread], Request, Patience);
+                Target.EndMs = Since(Clock::now());
+                Target.HasOutcome = Outcome.has_value();
+                Target.Answered = Outcome && Outcome->outcome() == v1::ANSWERED;
+              });
   return Samples;
 }
 
@@ -145,8 +145,9 @@
     double Share =
         answeredBetween(Samples, PeakBegin + Settling, PeakEnd, Index) /
         std::max(1.0, All);
-    std::cout << "account=" << Accounts[Index] << " guaranteed="
-              << Shares[Index] << " held=" << Share << std::endl;
+    std::cout << "account=" << Accounts[Index]
+              << " guaranteed=" << Shares[Index] << " held=" << Share
+              << std::endl;
     EXPECT_GE(Share, 0.9 * Shares[Index]) << Accounts[Index];
   }
   EXPECT_GE(Goodput, 0.9 * Capacity);
@@ -172,8 +173,7 @@
   constexpr Milliseconds Begin{1000};
   constexpr Milliseconds End{5000};
   auto Arrivals = peakArrivals(Random, Begin, End, End);
-  auto Samples =
-      runLoad(Cluster, Arrivals, Milliseconds(600000), Deadline);
+  auto Samples = runLoad(Cluster, Arrivals, Milliseconds(600000), Deadline);
   double Window = (End - Begin - Settling).count() / 1000.0;
   double Goodput = answeredBetween(Samples, Begin + Settling, End) / Window;
   std::cout << "baseline_goodput=" << Goodput << "/s of " << Capacity << "/s"
--- a/Tests/EndToEnd/OpenLoad.cpp
+++ b/Tests/EndToEnd/OpenLoad.cpp
@@ -55,8 +55,8 @@
 
 auto seedOfRun() -> unsigned {
   const char *Given = std::getenv("JAYRAMP_SEED");
-  unsigned Seed = Given ? static_cast<unsigned>(std::stoul(Given))
-                        : std::random_device{}();
+  unsigned Seed =
+      Given ? static_cast<unsigned>(std::stoul(Given)) : std::random_device{}();
   std::cout << "seed=" << Seed << std::endl;
   return Seed;
 }
--- a/Tests/EndToEnd/OpenLoad.h
+++ b/Tests/EndToEnd/OpenLoad.h
@@ -12,7 +12,8 @@
 /// Arrival times of a Poisson process with \p PerSecond arrivals, from
 /// \p Begin to \p End after the start of the load.
 auto poissonArrivals(std::mt19937 &Random, double PerSecond, Milliseconds Begin,
-                     Milliseconds End) -> std::vector<std::chrono::microseconds>;
+                     Milliseconds End)
+    -> std::vector<std::chrono::microseconds>;
 
 /// Calls \p Action(thread, index, due) for each arrival at its time, from
 /// \p Threads threads, and returns when all calls have returned. Times measured
--- a/Tests/EndToEnd/WorkerFaultTest.cpp
+++ b/Tests/EndToEnd/WorkerFaultTest.cpp
@@ -84,8 +84,8 @@
     std::this_thread::sleep_for(ReturnTime);
     double Before = shareOfFirst(Begin - 1500, Begin);
     double During = shareOfFirst(Begin + LossTime.count(), End);
-    double After = shareOfFirst(End + ReturnTime.count() - 2000,
-                                End + ReturnTime.count());
+    double After =
+        shareOfFirst(End + ReturnTime.count() - 2000, End + ReturnTime.count());
     std::cout << "share_before=" << Before << " share_during=" << During
               << " share_after=" << After << std::endl;
     EXPECT_GT(Before, 0.1);
--- a/Tests/Unit/KeyRegistryModel.cpp
+++ b/Tests/Unit/KeyRegistryModel.cpp
@@ -53,9 +53,8 @@
   std::vector<std::size_t> Ranked;
   for (const auto &[Member, Incarnation] : Views[Version - 1].Members)
     Ranked.push_back(Member);
-  std::sort(Ranked.begin(), Ranked.end(), [&](std::size_t A, std::size_t B) {
-    return Score(A) > Score(B);
-  });
+  std::sort(Ranked.begin(), Ranked.end(),
+            [&](std::size_t A, std::size_t B) { return Score(A) > Score(B); });
   return Ranked;
 }
 
