--- a/Source/Requests/RequestRouter.cpp
+++ b/Source/Requests/RequestRouter.cpp
@@ -13,15 +13,14 @@
 #include "Requests/KeyCoordinator.h"
 #include "Requests/OutcomeMapping.h"
 #include "Requests/PendingRequest.h"
+#include "Requests/PendingTable.h"
 #include "Requests/RetryBudget.h"
 #include "Requests/SlotBroker.h"
 #include "Requests/WorkClassPolicy.h"
 
 #include <algorithm>
-#include <array>
 #include <atomic>
 #include <random>
-#include <unordered_map>
 #include <utility>
 
 namespace jayramp {
@@ -30,7 +29,6 @@
 
 using Pending = std::shared_ptr<PendingRequest>;
 
-constexpr std::size_t PendingShards = 16;
 // A planned change of view moves a shard within some 10 ms. With 20 ms here the
 // p99 of a rolling restart was three times that of the steady state.
 constexpr Milliseconds FirstClaimDelay{5};
@@ -67,10 +65,6 @@
   return v1::WORKER_FAILED;
 }
 
-auto nameOf(const v1::SubmitRequest &Request) -> std::string {
-  return Request.account() + '\0' + Request.key();
-}
-
 /// Whether a home has to be told again about a claim that it should hold.
 auto repeatsReassert(peer::v1::ClaimDecision Decision) -> bool {
   return Decision == peer::v1::CLAIM_DECISION_UNSPECIFIED ||
@@ -117,23 +111,6 @@
   std::atomic<std::size_t> Count{0};
 
 private:
-  struct PendingShard {
-    std::mutex Mutex;
-    std::unordered_map<std::uint64_t, Pending> Map;
-  };
-
-  struct NameShard {
-    std::mutex Mutex;
-    std::unordered_multimap<std::string, Pending> Map;
-  };
-
-  auto namesOf(const std::string &Name) -> NameShard & {
-    return Names[std::hash<std::string>()(Name) % PendingShards];
-  }
-  auto shardOf(std::uint64_t Id) -> PendingShard & {
-    return Shards[Id % PendingShards];
-  }
-  auto find(std::uint64_t Id) -> Pending;
   auto withdraw(const Pending &Entry) -> bool;
   auto reassert(const Pending &Entry, std::uint64_t Round) -> void;
   auto pumpOnce() -> void;
@@ -170,8 +147,7 @@
   TimerThread &Timer;
   Metrics &Counters;
   std::atomic<std::uint64_t> NextId{1};
-  std::array<PendingShard, PendingShards> Shards;
-  std::array<NameShard, PendingShards> Names; ///< By account and key.
+  PendingTable Table;
   std::atomic<std::uint64_t> ReassertRound{0};
   std::mutex QueueMutex; ///< Guards Queue, Classes and Retries.
   FairQueue Queue;
@@ -190,30 +166,13 @@
   });
 }
 
-auto RequestRouter::Implementation::find(std::uint64_t Id) -> Pending {
-  PendingShard &Shard = shardOf(Id);
-  std::lock_guard Lock(Shard.Mutex);
-  auto Found = Shard.Map.find(Id);
-  return Found == Shard.Map.end() ? nullptr : Found->second;
-}
-
 auto RequestRouter::Implementation::submit(const v1::SubmitRequest &Request,
                                            Done Respond) -> void {
   auto Entry = std::make_shared<PendingRequest>(
       NextId.fetch_add(1), Request, std::move(Respond), Clock::now());
   Entry->ClaimId = makeIdentifier();
   ++Count;
-  {
-    PendingShard &Shard = shardOf(Entry->Id);
-    std::lock_guard Lock(Shard.Mutex);
-    Shard.Map.emplace(Entry->Id, Entry);
-  }
-  {
-    std::string Name = nameOf(Request);
-    NameShard &Shard = namesOf(Name);
-    std::lock_guard Lock(Shard.Mutex);
-    Shard.Map.emplace(std::move(Name), Entry);
-  }
+  Table.insert(Entry);
   later(Milliseconds(Request.deadline_ms()),
         [Entry](Implementation &Self) { Self.onDeadline(Entry); });
   admit(Entry, Clock::now() + LongestSettlement);
@@ -426,7 +385,7 @@
       }
     }
     const SlotGrant &Grant = std::get<SlotGrant>(Decision);
-    if (auto Entry = find(Next.Id))
+    if (auto Entry = Table.find(Next.Id))
       dispatch(Entry, Grant);
     else
       Slots.release(Grant, {});
@@ -474,7 +433,7 @@
     }
     if (!Next)
       return Slots.release(Grant, {});
-    if (auto Entry = find(Next->Id))
+    if (auto Entry = Table.find(Next->Id))
       return dispatch(Entry, Grant);
   }
 }
@@ -660,15 +619,7 @@
                                            const std::string &Key,
                                            const Done &Respond)
     -> Result<void> {
-  std::string Name = Account + '\0' + Key;
-  std::vector<Pending> Found;
-  {
-    NameShard &Shard = namesOf(Name);
-    std::lock_guard Lock(Shard.Mutex);
-    auto [Begin, End] = Shard.Map.equal_range(Name);
-    for (auto Position = Begin; Position != End; ++Position)
-      Found.push_back(Position->second);
-  }
+  std::vector<Pending> Found = Table.findAll(Account, Key);
   if (Found.empty())
     return Error::make(ErrorKind::NotFound, "key",
                        "no request with key " + Key + " waits on this host",
@@ -693,14 +644,7 @@
 
 auto RequestRouter::Implementation::reassertClaims() -> void {
   std::uint64_t Round = ++ReassertRound;
-  std::vector<Pending> Open;
-  for (PendingShard &Shard : Shards) {
-    std::lock_guard Lock(Shard.Mutex);
-    for (const auto &[Id, Entry] : Shard.Map)
-      if (!Entry->Request.idempotent())
-        Open.push_back(Entry);
-  }
-  for (const Pending &Entry : Open)
+  for (const Pending &Entry : Table.nonIdempotent())
     reassert(Entry, Round);
 }
 
@@ -783,20 +727,7 @@
   if (Report)
     Keys.report(Entry->Request.account(), Entry->Request.key(), ClaimId,
                 Released, Released ? std::string() : retainedBytes(Outcome));
-  {
-    PendingShard &Shard = shardOf(Entry->Id);
-    std::lock_guard Lock(Shard.Mutex);
-    Shard.Map.erase(Entry->Id);
-  }
-  {
-    std::string Name = nameOf(Entry->Request);
-    NameShard &Shard = namesOf(Name);
-    std::lock_guard Lock(Shard.Mutex);
-    auto [Begin, End] = Shard.Map.equal_range(Name);
-    Shard.Map.erase(std::find_if(Begin, End, [&Entry](const auto &Item) {
-      return Item.second == Entry;
-    }));
-  }
+  Table.erase(Entry);
   Counters.count("jayramp_requests_total",
                  "outcome=\"" + v1::Outcome_Name(Outcome.outcome()) + "\"");
   if (Released)
