Put the queue with its policies into RequestQueue

Cause: RequestRouter mixed the queue, the observed run times, the retry budget and their lock with the steps of a request. Change: RequestQueue holds them under its own lock; ConfigurationDefaults has the values of unset fields. No behaviour changes.

--- a/Source/Requests/RequestRouter.cpp
+++ b/Source/Requests/RequestRouter.cpp
@@ -9,18 +9,16 @@
 #include "Platform/TimerThread.h"
 #include "Platform/WorkerClient.h"
 #include "Requests/ClaimAnswer.h"
-#include "Requests/FairQueue.h"
+#include "Requests/ConfigurationDefaults.h"
 #include "Requests/KeyCoordinator.h"
 #include "Requests/OutcomeMapping.h"
 #include "Requests/PendingRequest.h"
 #include "Requests/PendingTable.h"
-#include "Requests/RetryBudget.h"
+#include "Requests/RequestQueue.h"
 #include "Requests/SlotBroker.h"
-#include "Requests/WorkClassPolicy.h"
 
 #include <algorithm>
 #include <atomic>
-#include <random>
 #include <utility>
 
 namespace jayramp {
@@ -39,11 +37,6 @@
 // against the worker, whatever its deadline.
 constexpr int SilentFactor = 3;
 constexpr Milliseconds ReassertDelay{200};
-// Values of fields that the configuration leaves at 0; see jayramp.proto.
-constexpr std::uint32_t DefaultShortLimitMs = 250;
-constexpr std::uint32_t DefaultLongPercent = 50;
-constexpr std::uint32_t DefaultQueueLimit = 1000;
-constexpr std::uint32_t DefaultRetryPercent = 10;
 constexpr std::uint32_t RetryAfterRefusalMs = 1000;
 constexpr std::uint32_t RetryAfterRebalancingMs = 500;
 // A change of view with every member alive settles within one exchange of
@@ -77,15 +70,6 @@
   return "reason=\"" + v1::Reason_Name(Reason) + "\"";
 }
 
-auto declaredClass(const v1::SubmitRequest &Request)
-    -> std::optional<WorkClass> {
-  if (Request.work_class() == v1::SHORT)
-    return WorkClass::Short;
-  if (Request.work_class() == v1::LONG)
-    return WorkClass::Long;
-  return std::nullopt;
-}
-
 } // namespace
 
 class RequestRouter::Implementation
@@ -96,9 +80,7 @@
                  TimerThread &Timer, Metrics &Counters)
       : Settings(Settings), Membership(Membership), Keys(Keys), Slots(Slots),
         Workers(Workers), Timer(Timer), Counters(Counters),
-        Queue(FairQueue::make({.MaxEntries = Settings.MaximumQueue}).value()),
-        Classes(WorkClassPolicy::make(Milliseconds(250)).value()),
-        Retries(RetryBudget::make({.Seed = std::random_device{}()}).value()) {}
+        Queue(Settings.MaximumQueue) {}
 
   auto submit(const v1::SubmitRequest &Request, Done Respond) -> void;
   auto cancel(const std::string &Account, const std::string &Key,
@@ -114,8 +96,6 @@
   auto withdraw(const Pending &Entry) -> bool;
   auto reassert(const Pending &Entry, std::uint64_t Round) -> void;
   auto pumpOnce() -> void;
-  auto expectedRun(const Pending &Entry) -> Milliseconds;
-  auto expectedRunLocked(const PendingRequest &Entry) const -> Milliseconds;
   auto dispatchRefusal(const Pending &Entry) -> std::optional<std::string>;
   auto claim(const Pending &Entry) -> void;
   auto onClaim(const Pending &Entry, const ClaimAnswer &Answer) -> void;
@@ -149,10 +129,7 @@
   std::atomic<std::uint64_t> NextId{1};
   PendingTable Table;
   std::atomic<std::uint64_t> ReassertRound{0};
-  std::mutex QueueMutex; ///< Guards Queue, Classes and Retries.
-  FairQueue Queue;
-  WorkClassPolicy Classes;
-  RetryBudget Retries;
+  RequestQueue Queue;
   std::atomic<bool> AskScheduled{false};
 };
 
@@ -302,25 +279,11 @@
   PushDecision Decision;
   TimePoint Now = Clock::now();
   {
-    std::scoped_lock Lock(Entry->Mutex, QueueMutex);
+    std::lock_guard Lock(Entry->Mutex);
     if (Entry->Finished)
       return;
-    auto Declared = declaredClass(Entry->Request);
-    Entry->Class = Classes.classify(Entry->Request.account(), Declared);
-    Entry->QueuedAt = Now;
     Entry->WaitReason = v1::DEADLINE_EXCEEDED;
-    // After this time a slot would be wasted on it. A request that never had
-    // enough time is tried, as the expectation may be wrong.
-    auto LatestStart = Entry->Deadline - expectedRunLocked(*Entry);
-    if (LatestStart <= Entry->AcceptedAt)
-      LatestStart = Entry->Deadline;
-    Decision = Queue.push(
-        {.Id = Entry->Id,
-         .Account = Entry->Request.account(),
-         .Class = Entry->Class,
-         .Deadline = LatestStart,
-         .Cost = Classes.expectedCost(Entry->Request.account(), Declared)},
-        Now);
+    Decision = Queue.push(*Entry, Now);
   }
   if (std::holds_alternative<PushQueued>(Decision))
     return pump();
@@ -363,48 +326,21 @@
 }
 
 auto RequestRouter::Implementation::pumpOnce() -> void {
-  while (true) {
-    QueueEntry Next;
-    SlotDecision Decision;
-    std::size_t Waiting = 0;
-    {
-      std::lock_guard Lock(QueueMutex);
-      Waiting = Queue.size();
-      if (Waiting == 0)
-        return;
-      auto Popped = Queue.pop(true, Clock::now());
-      if (!Popped)
-        return;
-      Next = *Popped;
-      Decision = Slots.acquire(Next.Class, {});
-      if (!std::holds_alternative<SlotGrant>(Decision)) {
-        Queue.pushFront(Next);
-        // Long work that waits for its share must not hide short work, which
-        // pop() always takes first.
-        break;
-      }
-    }
-    const SlotGrant &Grant = std::get<SlotGrant>(Decision);
-    if (auto Entry = Table.find(Next.Id))
-      dispatch(Entry, Grant);
+  while (auto Next = Queue.take([this](const QueueEntry &Waiting) {
+    return Slots.acquire(Waiting.Class, {});
+  })) {
+    if (auto Entry = Table.find(Next->Entry.Id))
+      dispatch(Entry, Next->Grant);
     else
-      Slots.release(Grant, {});
-  }
-  std::size_t Waiting = 0;
-  {
-    std::lock_guard Lock(QueueMutex);
-    Waiting = Queue.size();
+      Slots.release(Next->Grant, {});
   }
+  std::size_t Waiting = Queue.size();
   if (Waiting > 0)
     askPeers(Waiting);
 }
 
 auto RequestRouter::Implementation::askPeers(std::size_t Waiting) -> void {
-  bool ShortWaits = false;
-  {
-    std::lock_guard Lock(QueueMutex);
-    ShortWaits = Queue.size(WorkClass::Short) > 0;
-  }
+  bool ShortWaits = Queue.size(WorkClass::Short) > 0;
   auto Self = shared_from_this();
   Slots.acquireFromPeer(Waiting,
                         ShortWaits ? WorkClass::Short : WorkClass::Long,
@@ -426,11 +362,7 @@
 
 auto RequestRouter::Implementation::useGrant(const SlotGrant &Grant) -> void {
   while (true) {
-    std::optional<QueueEntry> Next;
-    {
-      std::lock_guard Lock(QueueMutex);
-      Next = Queue.pop(Grant.Class == WorkClass::Long, Clock::now());
-    }
+    auto Next = Queue.takeFor(Grant);
     if (!Next)
       return Slots.release(Grant, {});
     if (auto Entry = Table.find(Next->Id))
@@ -455,19 +387,6 @@
   return "this entry host left the view after it was granted the key";
 }
 
-auto RequestRouter::Implementation::expectedRun(const Pending &Entry)
-    -> Milliseconds {
-  std::lock_guard Lock(QueueMutex);
-  return expectedRunLocked(*Entry);
-}
-
-auto RequestRouter::Implementation::expectedRunLocked(
-    const PendingRequest &Entry) const -> Milliseconds {
-  return std::chrono::duration_cast<Milliseconds>(
-      std::chrono::duration<double>(Classes.expectedCost(
-          Entry.Request.account(), declaredClass(Entry.Request))));
-}
-
 auto RequestRouter::Implementation::dispatch(const Pending &Entry,
                                              const SlotGrant &Grant) -> void {
   if (auto Refusal = dispatchRefusal(Entry)) {
@@ -490,10 +409,8 @@
   }
   if (!Number)
     return Slots.release(Grant, {});
-  if (*Number == 1) {
-    std::lock_guard Lock(QueueMutex);
-    Retries.recordFirstAttempt();
-  }
+  if (*Number == 1)
+    Queue.recordFirstAttempt();
   Counters.observe("jayramp_queue_seconds",
                    "class=\"" + std::string(toString(Entry->Class)) + "\"",
                    Now - Entry->QueuedAt);
@@ -525,9 +442,10 @@
   bool Refused = std::holds_alternative<AttemptRefused>(Result);
   // An attempt that the caller's deadline ended early tells nothing of the
   // worker; at a load peak it would open the circuits of healthy workers.
-  bool CutByDeadline = std::holds_alternative<AttemptBroken>(Result) &&
-                       Clock::now() >= Entry->Deadline &&
-                       Latency < SilentFactor * expectedRun(Entry);
+  bool CutByDeadline =
+      std::holds_alternative<AttemptBroken>(Result) &&
+      Clock::now() >= Entry->Deadline &&
+      Latency < SilentFactor * Queue.expectedRun(Entry->Request);
   SlotUse Use{.Latency = std::nullopt,
               .Answered = Answered,
               .Failed = !Answered && !Refused && !CutByDeadline,
@@ -536,11 +454,8 @@
   // a long request cannot be told apart.
   if (Answered && Grant.Class == WorkClass::Short)
     Use.Latency = Latency;
-  if (Answered || Failed) {
-    std::lock_guard Lock(QueueMutex);
-    Classes.observe(Entry->Request.account(), declaredClass(Entry->Request),
-                    Latency);
-  }
+  if (Answered || Failed)
+    Queue.observe(Entry->Request, Latency);
   const auto *Refusal = std::get_if<AttemptRefused>(&Result);
   if (Refusal && Refusal->Reason == "leaving")
     Slots.markLeaving(Grant.Worker);
@@ -569,19 +484,16 @@
 auto RequestRouter::Implementation::retryOrClose(const Pending &Entry,
                                                  const std::string &Detail,
                                                  v1::Reason Reason) -> void {
-  bool Allowed = Clock::now() < Entry->Deadline;
-  Milliseconds Delay{0};
-  if (Allowed) {
-    std::lock_guard Lock(QueueMutex);
-    // The worker did no work for a call of an older view, and every request is
-    // refused so until this host has adopted the newer one: the budget would be
-    // used up without need.
-    Allowed = Reason == v1::FENCED || Retries.takeRetry();
-    Delay = Reason == v1::FENCED ? FencedDelay : Retries.backoff(1);
-  }
-  if (Allowed) {
+  std::optional<Milliseconds> Delay;
+  // The worker did no work for a call of an older view, and every request is
+  // refused so until this host has adopted the newer one: the budget would be
+  // used up without need.
+  if (Clock::now() < Entry->Deadline)
+    Delay = Reason == v1::FENCED ? FencedDelay : Queue.takeRetry();
+  if (Delay) {
     Counters.count("jayramp_retries_total", reasonLabel(Reason));
-    return later(Delay, [Entry](Implementation &Self) { Self.enqueue(Entry); });
+    return later(*Delay,
+                 [Entry](Implementation &Self) { Self.enqueue(Entry); });
   }
   RequestOutcome Closed;
   {
@@ -602,10 +514,7 @@
     // From here on no attempt can start.
     Closed = Entry->Tracker.close("the caller cancelled it");
   }
-  {
-    std::lock_guard Lock(QueueMutex);
-    Queue.cancel(Entry->Id);
-  }
+  Queue.cancel(Entry->Id);
   finish(Entry, InProgress
                     ? makeOutcome(v1::UNKNOWN, v1::KEY_IN_PROGRESS,
                                   "cancelled; another request with this key "
@@ -673,11 +582,8 @@
 }
 
 auto RequestRouter::Implementation::onDeadline(const Pending &Entry) -> void {
-  {
-    std::lock_guard Lock(QueueMutex);
-    Queue.cancel(Entry->Id);
-    Queue.expire(Clock::now());
-  }
+  Queue.cancel(Entry->Id);
+  Queue.expire();
   RequestOutcome Closed;
   v1::Reason Reason = v1::DEADLINE_EXCEEDED;
   bool InProgress = false;
@@ -750,20 +656,11 @@
 
 auto RequestRouter::Implementation::apply(const Configuration &Newer) -> void {
   const auto &Document = Newer.document();
-  auto OrDefault = [](std::uint32_t Value, std::uint32_t Default) {
-    return Value == 0 ? Default : Value;
-  };
-  Milliseconds ShortLimit(
-      OrDefault(Document.short_limit_ms(), DefaultShortLimitMs));
   Slots.setLongLimits(
-      OrDefault(Document.long_slot_percent(), DefaultLongPercent), ShortLimit);
-  std::lock_guard Lock(QueueMutex);
-  for (const auto &Account : Document.accounts())
-    Queue.setShare(Account.name(), std::max(1U, Account.request_share()));
-  Classes.setShortLimit(ShortLimit);
-  Queue.setAccountLimit(OrDefault(Document.queue_limit(), DefaultQueueLimit));
-  Retries.setShare(
-      OrDefault(Document.retry_budget_percent(), DefaultRetryPercent) / 100.0);
+      valueOrDefault(Document.long_slot_percent(), DefaultLongPercent),
+      Milliseconds(
+          valueOrDefault(Document.short_limit_ms(), DefaultShortLimitMs)));
+  Queue.apply(Document);
 }
 
 RequestRouter::RequestRouter(Options Settings, MembershipRunner &Membership,
