--- a/Source/Requests/KeyCoordinator.cpp
+++ b/Source/Requests/KeyCoordinator.cpp
@@ -9,6 +9,7 @@
 #include "Platform/TimerThread.h"
 #include "Requests/ClaimAnswer.h"
 #include "Requests/KeyRecordMapping.h"
+#include "Requests/ShardTransfer.h"
 
 #include "jayramp/peer/v1/peer.pb.h"
 
@@ -25,13 +26,10 @@
 constexpr Milliseconds ClaimTimeout{400};
 constexpr Milliseconds ReplicationTimeout{200};
 constexpr Milliseconds ReportTimeout{400};
-constexpr Milliseconds TransferTimeout{1000};
 // A report or transfer that was not acknowledged is repeated after this time.
 constexpr Milliseconds RepeatDelay{200};
 // The shards that move are complete at their new owners before this.
 constexpr Milliseconds RestDelay{100};
-// Keeps a transfer message well below the transport's message limit.
-constexpr std::size_t TransferBytes = 256U << 10U;
 
 auto acknowledge(bool Ok, const std::string &Reason = {}) -> Envelope {
   Envelope Reply;
@@ -91,7 +89,9 @@
                  TimerThread &Timer, Metrics &Counters)
       : HostName(std::move(HostName)), Registry(Registry),
         Membership(Membership), Transport(Transport), Timer(Timer),
-        Counters(Counters) {}
+        Counters(Counters),
+        Transfers(std::make_shared<ShardTransfer>(Registry, Transport, Timer)) {
+  }
 
   auto registerHandlers() -> void;
   auto claim(const std::string &Account, const std::string &Key,
@@ -123,11 +123,7 @@
   auto decideQuery(std::uint64_t ViewVersion, const std::string &Account,
                    const std::string &Key) const -> ClaimAnswer;
   auto sendToOwners(std::uint32_t Shard, const ShardMap &Owners) -> void;
-  auto sendShard(std::uint32_t Shard, const std::string &Target) -> void;
-  auto sendParts(std::shared_ptr<std::vector<Envelope>> Parts, std::size_t Next,
-                 const std::string &Target) -> void;
   auto handleReplicate(const Envelope &Request) -> Envelope;
-  auto handleTransfer(const Envelope &Request) -> Envelope;
 
   std::string HostName;
   KeyRegistry &Registry;
@@ -135,6 +131,7 @@
   PeerTransport &Transport;
   TimerThread &Timer;
   Metrics &Counters;
+  std::shared_ptr<ShardTransfer> Transfers;
   mutable std::mutex MapMutex; ///< Guards Map.
   std::shared_ptr<const ShardMap> Map = std::make_shared<const ShardMap>();
   std::atomic<std::size_t> Reports{0};
@@ -208,7 +205,7 @@
   Add(PeerMessageType::TransferShard,
       [Weak](const Envelope &Request, const PeerReply &Reply) {
         if (auto Self = Weak.lock())
-          Reply(Self->handleTransfer(Request));
+          Reply(acknowledge(Self->Transfers->receive(Request)));
       });
 }
 
@@ -460,76 +457,7 @@
     -> void {
   for (const std::string &Target : {Owners.home(Shard), Owners.backup(Shard)})
     if (!Target.empty() && Target != HostName)
-      sendShard(Shard, Target);
-}
-
-auto KeyCoordinator::Implementation::sendShard(std::uint32_t Shard,
-                                               const std::string &Target)
-    -> void {
-  ShardExport Export = Registry.exportShard(Shard, Clock::now());
-  auto Parts = std::make_shared<std::vector<Envelope>>(1);
-  std::size_t Bytes = 0;
-  for (const KeyRecord &Record : Export.Records) {
-    if (Bytes > TransferBytes) {
-      Parts->emplace_back();
-      Bytes = 0;
-    }
-    auto *Written = Parts->back().mutable_transfer_shard()->add_records();
-    writeRecord(Record, *Written);
-    Bytes += Written->ByteSizeLong();
-  }
-  for (Envelope &Part : *Parts) {
-    Part.set_view_version(Export.ViewVersion);
-    Part.mutable_transfer_shard()->set_shard(Shard);
-    Part.mutable_transfer_shard()->set_known_through(Export.KnownThrough);
-  }
-  Parts->back().mutable_transfer_shard()->set_complete(Export.Complete);
-  Parts->back().mutable_transfer_shard()->set_incomplete(Export.Incomplete);
-  for (std::uint64_t Idle : Export.IdleViews)
-    Parts->back().mutable_transfer_shard()->add_idle_views(Idle);
-  sendParts(Parts, 0, Target);
-}
-
-// Sends one part after the other: only the last carries the mark, and it must
-// not arrive before the others.
-auto KeyCoordinator::Implementation::sendParts(
-    std::shared_ptr<std::vector<Envelope>> Parts, std::size_t Next,
-    const std::string &Target) -> void {
-  if (Next >= Parts->size() ||
-      (*Parts)[Next].view_version() != Registry.viewVersion())
-    return;
-  std::weak_ptr<Implementation> Weak = weak_from_this();
-  Transport.call(
-      Target, (*Parts)[Next], TransferTimeout,
-      [Weak, Parts, Next, Target](const PeerTransport::Answer &Answer) {
-        auto Self = Weak.lock();
-        if (!Self)
-          return;
-        if (Answer && Answer.value()->acknowledged().ok())
-          return Self->sendParts(Parts, Next + 1, Target);
-        Self->Timer.schedule(Clock::now() + RepeatDelay,
-                             [Weak, Parts, Next, Target] {
-                               if (auto Again = Weak.lock())
-                                 Again->sendParts(Parts, Next, Target);
-                             });
-      });
-}
-
-auto KeyCoordinator::Implementation::handleTransfer(const Envelope &Request)
-    -> Envelope {
-  const auto &Source = Request.transfer_shard();
-  ShardExport Transfer{
-      .ViewVersion = Request.view_version(),
-      .Shard = Source.shard(),
-      .SenderIncarnation = Request.incarnation(),
-      .Records = {},
-      .Complete = Source.complete(),
-      .Incomplete = Source.incomplete(),
-      .KnownThrough = Source.known_through(),
-      .IdleViews = {Source.idle_views().begin(), Source.idle_views().end()}};
-  for (const auto &Record : Source.records())
-    Transfer.Records.push_back(readRecord(Record));
-  return acknowledge(Registry.importShard(Transfer, Clock::now()));
+      Transfers->send(Shard, Target);
 }
 
 auto KeyCoordinator::Implementation::evict() -> void {
@@ -537,7 +465,7 @@
   for (std::uint32_t Shard : Registry.evict(Clock::now())) {
     const std::string &Backup = Current->backup(Shard);
     if (!Backup.empty() && Backup != HostName)
-      sendShard(Shard, Backup);
+      Transfers->send(Shard, Backup);
   }
   Counters.gauge("jayramp_key_records", "",
                  static_cast<double>(Registry.recordCount()));
