--- a/Tests/EndToEnd/GangTest.cpp
+++ b/Tests/EndToEnd/GangTest.cpp
@@ -269,14 +269,14 @@
   constexpr int Callers = 32;
   constexpr int JobsEach = 30;
   std::vector<std::vector<std::string>> Ids(Callers);
-  auto inParallel = [](const std::function<void(int)> &Work) {
+  auto InParallel = [](const std::function<void(int)> &Work) {
     std::vector<std::thread> Threads;
     for (int Caller = 0; Caller < Callers; ++Caller)
       Threads.emplace_back(Work, Caller);
     for (auto &Each : Threads)
       Each.join();
   };
-  auto commits = [&Cluster] {
+  auto Commits = [&Cluster] {
     return Cluster.platform()
         .record()
         .at("writes")
@@ -284,7 +284,7 @@
         .as_number()
         .to_int64();
   };
-  inParallel([&](int Caller) {
+  InParallel([&](int Caller) {
     for (int Job = 0; Job < JobsEach; ++Job) {
       auto Key = std::to_string(Caller) + "-" + std::to_string(Job);
       auto Answer = post(Cluster.entryAddress(Caller % 2),
@@ -294,10 +294,10 @@
             parseReport(Answer.Body).id());
     }
   });
-  const auto Before = commits();
+  const auto Before = Commits();
   const auto Begin = Clock::now();
   std::atomic<int> Cancelled{0};
-  inParallel([&](int Caller) {
+  InParallel([&](int Caller) {
     for (const auto &Id : Ids[static_cast<std::size_t>(Caller)])
       Cancelled += HttpTestClient(Cluster.entryAddress(Caller % 2))
                                .call("DELETE", "/v1/jobs/" + Id)
@@ -307,7 +307,7 @@
   });
   const auto Took =
       std::chrono::duration_cast<Milliseconds>(Clock::now() - Begin).count();
-  const auto Used = commits() - Before;
+  const auto Used = Commits() - Before;
   std::cout << "cancelled " << Cancelled << " jobs in " << Took << " ms with "
             << Used << " transactions\n";
   EXPECT_EQ(Cancelled, Callers * JobsEach);
@@ -345,7 +345,7 @@
       Given ? std::strtoul(Given, nullptr, 10) : std::random_device{}();
   std::cout << "JAYRAMP_SEED=" << Seed << "\n";
   std::mt19937 Random(static_cast<std::mt19937::result_type>(Seed));
-  auto between = [&Random](int Low, int High) {
+  auto Between = [&Random](int Low, int High) {
     return std::uniform_int_distribution<int>(Low, High)(Random);
   };
   auto Wanted = smallCluster();
@@ -361,21 +361,21 @@
   // tasks outlast a surplus lease.
   for (int Worker = 0; Worker < 6; ++Worker)
     Cluster.workers().control(R"({"task_run_ms":5000,"delay_ms":)" +
-                                  std::to_string(between(0, 250)) + "}",
+                                  std::to_string(Between(0, 250)) + "}",
                               Worker);
   Cluster.workers().control(R"({"ignore_checkpoint":true})", 1);
   std::map<std::string, std::uint32_t> Sizes;
-  auto submitSome = [&](int Round) {
+  auto SubmitSome = [&](int Round) {
     for (int Job = 0; Job < 3; ++Job) {
       const bool Urgent = Job == 2;
-      const auto Size = static_cast<std::uint32_t>(between(5, 12));
+      const auto Size = static_cast<std::uint32_t>(Between(5, 12));
       auto Next = makeJob(Urgent ? "alpha" : "beta",
                           std::to_string(Round) + "-" + std::to_string(Job),
                           Size, Urgent ? v1::URGENT : v1::SURPLUS);
       eventually(Milliseconds(20000), [&] {
         try {
           auto Answer = post(
-              Cluster.entryAddress(static_cast<std::size_t>(between(0, 2))),
+              Cluster.entryAddress(static_cast<std::size_t>(Between(0, 2))),
               Next);
           if (Answer.Status != 200 && Answer.Status != 201)
             return false;
@@ -389,44 +389,44 @@
   };
   for (int Round = 0; Round < 6; ++Round) {
     std::cout << "round " << Round << ": " << std::flush;
-    submitSome(Round);
-    std::this_thread::sleep_for(Milliseconds(between(0, 1000)));
+    SubmitSome(Round);
+    std::this_thread::sleep_for(Milliseconds(Between(0, 1000)));
     const auto Host = schedulerOf(Cluster);
-    switch (between(0, 4)) {
+    switch (Between(0, 4)) {
     case 0:
       std::cout << "kill entry host " << Host << std::endl;
       Cluster.kill(Host);
-      std::this_thread::sleep_for(Milliseconds(between(0, 4000)));
+      std::this_thread::sleep_for(Milliseconds(Between(0, 4000)));
       Cluster.startEntry(Host);
       break;
     case 1:
       std::cout << "pause entry host " << Host << std::endl;
       Cluster.freeze(Host);
-      std::this_thread::sleep_for(Milliseconds(between(500, 7000)));
+      std::this_thread::sleep_for(Milliseconds(Between(500, 7000)));
       Cluster.thaw(Host);
       break;
     case 2:
       std::cout << "cut the store of entry host " << Host << std::endl;
       Links[Host]->setCut(true);
-      std::this_thread::sleep_for(Milliseconds(between(500, 7000)));
+      std::this_thread::sleep_for(Milliseconds(Between(500, 7000)));
       Links[Host]->setCut(false);
       break;
     case 3: {
-      const int Worker = between(0, 5);
+      const int Worker = Between(0, 5);
       std::cout << "freeze worker " << Worker << std::endl;
       Cluster.workers().control(R"({"freeze":true})", Worker);
-      std::this_thread::sleep_for(Milliseconds(between(500, 7000)));
+      std::this_thread::sleep_for(Milliseconds(Between(500, 7000)));
       Cluster.workers().control(R"({"freeze":false})", Worker);
       break;
     }
     default:
       std::cout << "store down" << std::endl;
       Cluster.platform().control(R"({"down":true})");
-      std::this_thread::sleep_for(Milliseconds(between(500, 5000)));
+      std::this_thread::sleep_for(Milliseconds(Between(500, 5000)));
       Cluster.platform().control(R"({"down":false})");
       break;
     }
-    std::this_thread::sleep_for(Milliseconds(between(0, 3000)));
+    std::this_thread::sleep_for(Milliseconds(Between(0, 3000)));
   }
   EXPECT_EQ(Sizes.size(), 18U);
   for (std::size_t Host = 0; Host < 3; ++Host)
