Let requests with a slot wait while a view settles

Change: a request whose dispatch is refused for settlement releases its slot and is queued again; other refusals keep their own reason.

--- a/Source/Requests/RequestRouter.cpp
+++ b/Source/Requests/RequestRouter.cpp
@@ -66,6 +66,12 @@
          Decision == peer::v1::CLAIM_WRONG_VIEW;
 }
 
+auto reasonOf(ServingRefusal Refusal) -> v1::Reason {
+  v1::Reason Reason = v1::STALE_VIEW;
+  v1::Reason_Parse(std::string(toString(Refusal)), &Reason);
+  return Reason;
+}
+
 auto reasonLabel(v1::Reason Reason) -> std::string {
   return "reason=\"" + v1::Reason_Name(Reason) + "\"";
 }
@@ -96,7 +102,9 @@
   auto withdraw(const Pending &Entry) -> bool;
   auto reassert(const Pending &Entry, std::uint64_t Round) -> void;
   auto pumpOnce() -> void;
-  auto dispatchRefusal(const Pending &Entry) -> std::optional<std::string>;
+  auto dispatchRefusal(const Pending &Entry) -> std::optional<ServingRefused>;
+  auto refuseDispatch(const Pending &Entry, const ServingRefused &Refusal)
+      -> void;
   auto claim(const Pending &Entry) -> void;
   auto onClaim(const Pending &Entry, const ClaimAnswer &Answer) -> void;
   auto claimAgain(const Pending &Entry, v1::Reason Reason, bool NewId) -> void;
@@ -168,8 +176,7 @@
                                      RetryAfterRebalancingMs));
   auto Serving = Membership.serving();
   if (const auto *Refused = std::get_if<ServingRefused>(&Serving)) {
-    v1::Reason Reason = v1::STALE_VIEW;
-    v1::Reason_Parse(std::string(toString(Refused->Refusal)), &Reason);
+    v1::Reason Reason = reasonOf(Refused->Refusal);
     if (Reason == v1::REBALANCING && Clock::now() < WaitUntil) {
       std::lock_guard Lock(Entry->Mutex);
       Entry->WaitReason = Reason;
@@ -374,29 +381,41 @@
 // sends. A claim ends with the incarnation that it was granted to: its home
 // has answered "unknown" for it since and may have forgotten the key.
 auto RequestRouter::Implementation::dispatchRefusal(const Pending &Entry)
-    -> std::optional<std::string> {
+    -> std::optional<ServingRefused> {
   auto Serving = Membership.serving();
   if (const auto *Refused = std::get_if<ServingRefused>(&Serving))
-    return Refused->Detail;
+    return *Refused;
   if (Entry->Request.idempotent())
     return std::nullopt;
   std::string Current = Membership.incarnation();
   std::lock_guard Lock(Entry->Mutex);
   if (Entry->HolderIncarnation == Current)
     return std::nullopt;
-  return "this entry host left the view after it was granted the key";
+  return ServingRefused{
+      ServingRefusal::NotMember,
+      "this entry host left the view after it was granted the key"};
+}
+
+auto RequestRouter::Implementation::refuseDispatch(
+    const Pending &Entry, const ServingRefused &Refusal) -> void {
+  // A view settles within milliseconds as a rule, so the request waits for it
+  // as it does in admit(); its deadline bounds the wait.
+  if (Refusal.Refusal == ServingRefusal::Rebalancing)
+    return later(SettlementPoll,
+                 [Entry](Implementation &Self) { Self.enqueue(Entry); });
+  RequestOutcome Closed;
+  {
+    std::lock_guard Lock(Entry->Mutex);
+    Closed = Entry->Tracker.close(Refusal.Detail);
+  }
+  finish(Entry, toMessage(Closed, reasonOf(Refusal.Refusal)));
 }
 
 auto RequestRouter::Implementation::dispatch(const Pending &Entry,
                                              const SlotGrant &Grant) -> void {
   if (auto Refusal = dispatchRefusal(Entry)) {
     Slots.release(Grant, {});
-    RequestOutcome Closed;
-    {
-      std::lock_guard Lock(Entry->Mutex);
-      Closed = Entry->Tracker.close(*Refusal);
-    }
-    return finish(Entry, toMessage(Closed, v1::STALE_VIEW));
+    return refuseDispatch(Entry, *Refusal);
   }
   TimePoint Now = Clock::now();
   std::optional<std::uint32_t> Number;
