Reject no job for good by an old account list or a partial topology

Conclusion: a change of accounts that is still pending elsewhere can still lead to a rejection; that case has no test.

--- a/Source/Jobs/GangEngine.cpp
+++ b/Source/Jobs/GangEngine.cpp
@@ -314,12 +314,23 @@
       askWorker(Name, Now);
 }
 
-auto GangEngine::readDirectory() -> void {
+auto GangEngine::refreshAccounts() -> void {
   if (auto Newer = Environment.Accounts(); Scheduler && Newer != Accounts) {
     Accounts = std::move(Newer);
     Scheduler->changeAccounts(Accounts);
     NextDecision = TimePoint();
   }
+}
+
+auto GangEngine::topologyComplete() const -> bool {
+  return std::all_of(
+      Directory.begin(), Directory.end(), [this](const auto &Entry) {
+        return Entry.second.CountKnown || PublishedCounts.contains(Entry.first);
+      });
+}
+
+auto GangEngine::readDirectory() -> void {
+  refreshAccounts();
   auto Listed = Environment.Workers();
   if (Listed.empty())
     return; // The host list has not been read yet.
@@ -369,6 +380,7 @@
   }
   if (std::exchange(Entry.Lost, false))
     logEvent(LogLevel::Info, "worker_returned", {{"worker", Name}});
+  Entry.CountKnown = true;
   if (Answer.value().Accelerators != Entry.Accelerators) {
     Entry.Accelerators = Answer.value().Accelerators;
     applyTopology();
@@ -456,6 +468,9 @@
 }
 
 auto GangEngine::applyChanges() -> void {
+  // A row may name an account that was accepted just before it; judged by an
+  // older list, its job would be rejected for good.
+  refreshAccounts();
   for (const auto &Row : Store.changedAfter(Cursor)) {
     const auto &Id = Row.Specification.Id;
     const auto *Known = Rows.find(Id);
@@ -568,6 +583,7 @@
   if (Now < NextDecision)
     return;
   NextDecision = Now + DecisionInterval;
+  Scheduler->setTopologyComplete(topologyComplete());
   for (const auto &Next : Scheduler->decide(Now))
     std::visit([this](const auto &Value) { carryOut(Value); }, Next);
 }
--- a/Source/Jobs/GangEngine.h
+++ b/Source/Jobs/GangEngine.h
@@ -46,6 +46,7 @@
     ListedWorker Listed;
     std::uint32_t Accelerators = 0; ///< 0: not known.
     bool Asked = false;             ///< A status call is in progress.
+    bool CountKnown = false;        ///< The accelerator count was answered.
     bool Answered = false;          ///< Or failed, under this role.
     bool Lost = false;
     bool Renewing = false; ///< A call of a renewal round is in progress.
@@ -72,6 +73,8 @@
                       const Result<WorkerStatus> &Answer) -> void;
   auto describeWorkers() const -> std::vector<WorkerDescription>;
   auto applyTopology() -> void;
+  auto refreshAccounts() -> void;
+  auto topologyComplete() const -> bool;
   auto tellWorkerStates(TimePoint Now) -> void;
   auto addressOf(const std::string &Worker) const -> std::string;
 
--- a/Source/Jobs/JobScheduler.cpp
+++ b/Source/Jobs/JobScheduler.cpp
@@ -352,7 +352,7 @@
     State.refreshUsable();
   if (State.PlanIsStale)
     State.repairPlan();
-  if (State.RecheckPending)
+  if (State.RecheckPending && State.TopologyComplete)
     rejectImpossible();
   GangPlacer Placer(State, Now);
   Placer.startReserved();
@@ -360,6 +360,10 @@
   return std::exchange(State.Outbox, {});
 }
 
+auto JobScheduler::setTopologyComplete(bool Complete) -> void {
+  State.TopologyComplete = Complete;
+}
+
 auto JobScheduler::rejectImpossible() -> void {
   State.RecheckPending = false;
   std::vector<std::pair<JobRecord *, Error>> Rejected;
--- a/Source/Jobs/JobScheduler.h
+++ b/Source/Jobs/JobScheduler.h
@@ -63,6 +63,9 @@
   /// such a worker stays in topology(), as lost, until the next change after
   /// its gangs have stopped.
   auto changeTopology(Topology Installed) -> void;
+  /// While \p Complete is false, workers are not all known, and no waiting job
+  /// is rejected as one that can never run. True at first.
+  auto setTopologyComplete(bool Complete) -> void;
   /// False if the report is older than the placement and was ignored.
   auto reportUsage(const UsageReport &Report) -> bool;
 
--- a/Source/Jobs/SchedulerState.h
+++ b/Source/Jobs/SchedulerState.h
@@ -75,8 +75,9 @@
   std::vector<Decision> Outbox;
   JobKey NextKey = 1;
   std::int64_t NextStart = 1;
-  bool PlanIsStale = false;   ///< Jobs were restored since the last repair.
-  bool RecheckPending = true; ///< Waiting jobs may have become impossible.
+  bool PlanIsStale = false;     ///< Jobs were restored since the last repair.
+  bool RecheckPending = true;   ///< Waiting jobs may have become impossible.
+  bool TopologyComplete = true; ///< False: more may be installed than known.
 
 private:
   auto detach(JobRecord &Job) -> void;
--- a/Tests/Unit/JobSchedulerTest.cpp
+++ b/Tests/Unit/JobSchedulerTest.cpp
@@ -134,6 +134,22 @@
   EXPECT_EQ(Scheduler.degradedGuarantees().front().Account, "a");
 }
 
+// Guards against a final rejection by a topology of which a part is not known
+// yet, for example right after a takeover.
+TEST(JobSchedulerTest, rejectsNothingWhileTheTopologyIsNotComplete) {
+  auto Scheduler =
+      JobScheduler::make(smallTopology(1, 1, 1, 2), {{"a", {}, 0}});
+  RestoredJob Large;
+  Large.Specification = {"1", "a", 4, JobPriority::Surplus};
+  ASSERT_TRUE(Scheduler.restore(Large));
+  Scheduler.setTopologyComplete(false);
+  EXPECT_TRUE(Scheduler.decide(TimePoint{}).empty());
+  Scheduler.setTopologyComplete(true);
+  const auto Decisions = Scheduler.decide(TimePoint{});
+  ASSERT_EQ(Decisions.size(), 1U);
+  EXPECT_TRUE(std::holds_alternative<EndJob>(Decisions.front()));
+}
+
 TEST(JobSchedulerTest, failsAJobOnThreeWorkersAndQuarantinesABadWorker) {
   auto Scheduler =
       JobScheduler::make(smallTopology(1, 1, 4, 1), {{"a", {}, 0}});
