Define the visitor of several functions once

Cause: Overloaded stood in three source files. Change: Base/Overloaded.h; no behaviour changes. Measured: MembershipStateTest, OutcomeTrackerTest, KeyRegistryTest and RequestFlowTest pass; format check and lint of the three files are clean.

--- /dev/null
+++ b/Source/Base/Overloaded.h
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace jayramp {
+
+/// A visitor for std::visit made of one function for each alternative.
+template <typename... Cases> struct Overloaded : Cases... {
+  using Cases::operator()...;
+};
+template <typename... Cases> Overloaded(Cases...) -> Overloaded<Cases...>;
+
+} // namespace jayramp
--- a/Source/Membership/MembershipState.cpp
+++ b/Source/Membership/MembershipState.cpp
@@ -1,6 +1,7 @@
 #include "Membership/MembershipState.h"
 
 #include "Base/Identifier.h"
+#include "Base/Overloaded.h"
 
 #include <algorithm>
 
@@ -12,12 +13,6 @@
 // the whole time: after an outage the writers need time to write again.
 constexpr Milliseconds LongestReadGap{1500};
 
-template <typename... Visitors> struct Overloaded : Visitors... {
-  using Visitors::operator()...;
-};
-template <typename... Visitors>
-Overloaded(Visitors...) -> Overloaded<Visitors...>;
-
 } // namespace
 
 MembershipState::MembershipState(Member Self, MembershipTiming Timing,
--- a/Source/Requests/KeyCoordinator.cpp
+++ b/Source/Requests/KeyCoordinator.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/EventLog.h"
 #include "Base/Metrics.h"
+#include "Base/Overloaded.h"
 #include "Membership/FunctionPeerHandler.h"
 #include "Membership/MembershipRunner.h"
 #include "Membership/PeerTransport.h"
@@ -38,11 +39,6 @@
   return Reply;
 }
 
-template <typename... Cases> struct Overloaded : Cases... {
-  using Cases::operator()...;
-};
-template <typename... Cases> Overloaded(Cases...) -> Overloaded<Cases...>;
-
 auto answerOf(const ClaimDecision &Decision) -> ClaimAnswer {
   return std::visit(
       Overloaded{
--- a/Source/Requests/OutcomeTracker.cpp
+++ b/Source/Requests/OutcomeTracker.cpp
@@ -1,19 +1,12 @@
 #include "Requests/OutcomeTracker.h"
 
+#include "Base/Overloaded.h"
 #include <algorithm>
 #include <utility>
 
 namespace jayramp {
 
-namespace {
-
-template <typename... Visitors> struct Overloaded : Visitors... {
-  using Visitors::operator()...;
-};
-template <typename... Visitors>
-Overloaded(Visitors...) -> Overloaded<Visitors...>;
-
-} // namespace
+namespace {} // namespace
 
 OutcomeTracker::OutcomeTracker(bool IsIdempotent) : Idempotent(IsIdempotent) {}
 
