--- a/Source/Requests/OutcomeTracker.cpp
+++ b/Source/Requests/OutcomeTracker.cpp
@@ -6,8 +6,6 @@
 
 namespace jayramp {
 
-namespace {} // namespace
-
 OutcomeTracker::OutcomeTracker(bool IsIdempotent) : Idempotent(IsIdempotent) {}
 
 auto OutcomeTracker::startAttempt() -> std::optional<std::uint32_t> {
