--- /dev/null
+++ b/Source/Net/EventLoop.cpp
@@ -0,0 +1,40 @@
+#include "Net/EventLoop.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace jayramp::net {
+
+class EventLoop::Timer {
+public:
+  Timer(boost::asio::io_context &Context, Milliseconds Delay)
+      : Waiter(Context, Delay) {}
+
+  boost::asio::steady_timer Waiter;
+};
+
+auto EventLoop::after(Milliseconds Delay, std::function<void()> Action)
+    -> TimerHandle {
+  auto Handle = std::make_shared<Timer>(Context, Delay);
+  Handle->Waiter.async_wait(
+      [Weak = std::weak_ptr<Timer>(Handle),
+       Action = std::move(Action)](const boost::system::error_code &Failure) {
+        if (!Failure && !Weak.expired())
+          Action();
+      });
+  return Handle;
+}
+
+auto EventLoop::post(std::function<void()> Action) -> void {
+  boost::asio::post(Context, std::move(Action));
+}
+
+auto EventLoop::run() -> void {
+  auto Guard = boost::asio::make_work_guard(Context);
+  Context.run();
+}
+
+auto EventLoop::stop() -> void { Context.stop(); }
+
+} // namespace jayramp::net
--- /dev/null
+++ b/Source/Net/HttpClient.cpp
@@ -0,0 +1,216 @@
+#include "Net/HttpClient.h"
+
+#include "Net/EventLoop.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <optional>
+#include <unordered_map>
+
+namespace jayramp::net {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+namespace {
+
+/// Idle connections kept for each address.
+constexpr std::size_t IdleConnectionsPerAddress = 4;
+/// Largest body that a peer may send in an answer.
+constexpr std::uint64_t AnswerBodyBytes = 16U << 20U;
+
+auto parseAddress(const std::string &Address) -> std::optional<tcp::endpoint> {
+  const auto Colon = Address.rfind(':');
+  if (Colon == std::string::npos)
+    return std::nullopt;
+  ErrorCode Failure;
+  const auto Host =
+      boost::asio::ip::make_address(Address.substr(0, Colon), Failure);
+  const auto Port = std::strtoul(Address.c_str() + Colon + 1, nullptr, 10);
+  if (Failure || Port == 0 || Port > 65535)
+    return std::nullopt;
+  return tcp::endpoint(Host, static_cast<unsigned short>(Port));
+}
+
+} // namespace
+
+class HttpClient::Core : public std::enable_shared_from_this<Core> {
+public:
+  explicit Core(EventLoop &Loop) : Loop(Loop) {}
+
+  auto takeIdle(const std::string &Address) -> std::optional<tcp::socket> {
+    auto Found = Idle.find(Address);
+    if (Found == Idle.end() || Found->second.empty())
+      return std::nullopt;
+    auto Socket = std::move(Found->second.back());
+    Found->second.pop_back();
+    return Socket;
+  }
+
+  auto keepIdle(const std::string &Address, tcp::socket Socket) -> void {
+    auto &Kept = Idle[Address];
+    if (Kept.size() < IdleConnectionsPerAddress)
+      Kept.push_back(std::move(Socket));
+  }
+
+  EventLoop &Loop;
+  std::unordered_map<std::string, std::vector<tcp::socket>> Idle;
+};
+
+namespace {
+
+auto serialize(const std::string &Address, HttpRequest Request)
+    -> http::request<http::string_body> {
+  http::request<http::string_body> Message;
+  Message.method_string(Request.Method);
+  Message.target(Request.Target);
+  Message.version(11);
+  bool HostGiven = false;
+  for (const auto &[Name, Value] : Request.Headers) {
+    Message.insert(Name, Value);
+    HostGiven = HostGiven || Name == "Host";
+  }
+  if (!HostGiven)
+    Message.set(http::field::host, Address);
+  Message.body() = std::move(Request.Body);
+  Message.prepare_payload();
+  return Message;
+}
+
+} // namespace
+
+namespace {
+
+/// One request on one connection, from connect to the last byte of the answer.
+template <typename Pool>
+class Exchange : public std::enable_shared_from_this<Exchange<Pool>> {
+public:
+  Exchange(std::shared_ptr<Pool> Owner, std::string Address,
+           HttpRequest Request, HttpClient::Callback Done)
+      : Owner(std::move(Owner)), Address(std::move(Address)),
+        Message(serialize(this->Address, std::move(Request))),
+        Done(std::move(Done)), Socket(this->Owner->Loop.context()),
+        Deadline(this->Owner->Loop.context()) {}
+
+  auto start(Milliseconds Timeout) -> void {
+    Deadline.expires_after(Timeout);
+    Deadline.async_wait([Self = this->shared_from_this()](ErrorCode Failure) {
+      if (!Failure)
+        Self->expire();
+    });
+    if (auto Kept = Owner->takeIdle(Address)) {
+      Socket = std::move(*Kept);
+      send();
+      return;
+    }
+    const auto Endpoint = parseAddress(Address);
+    if (!Endpoint) {
+      fail(ErrorKind::Unavailable, "not an address");
+      return;
+    }
+    Socket.async_connect(
+        *Endpoint, [Self = this->shared_from_this()](ErrorCode Failure) {
+          if (Failure) {
+            Self->fail(ErrorKind::Unavailable, Failure.message());
+            return;
+          }
+          ErrorCode Ignored; // A missing option only costs latency.
+          Self->Socket.set_option(tcp::no_delay(true), Ignored);
+          Self->send();
+        });
+  }
+
+private:
+  auto send() -> void {
+    Sent = true;
+    http::async_write(
+        Socket, Message,
+        [Self = this->shared_from_this()](ErrorCode Failure, std::size_t) {
+          if (Failure)
+            Self->fail(ErrorKind::Timeout, Failure.message());
+          else
+            Self->receive();
+        });
+  }
+
+  auto receive() -> void {
+    Parser.body_limit(AnswerBodyBytes);
+    http::async_read(
+        Socket, Buffer, Parser,
+        [Self = this->shared_from_this()](ErrorCode Failure, std::size_t) {
+          if (Failure)
+            Self->fail(ErrorKind::Timeout, Failure.message());
+          else
+            Self->succeed();
+        });
+  }
+
+  auto succeed() -> void {
+    if (!Done)
+      return;
+    Deadline.cancel();
+    HttpResponse Answer;
+    auto &Received = Parser.get();
+    Answer.Status = Received.result_int();
+    for (const auto &Field : Received)
+      Answer.Headers.emplace_back(Field.name_string().to_string(),
+                                  Field.value().to_string());
+    Answer.Body = std::move(Received.body());
+    if (Received.keep_alive() && Buffer.size() == 0)
+      Owner->keepIdle(Address, std::move(Socket));
+    finish(std::move(Answer));
+  }
+
+  auto expire() -> void {
+    fail(Sent ? ErrorKind::Timeout : ErrorKind::Unavailable,
+         "no answer in time");
+    ErrorCode Ignored; // The connection is given up either way.
+    Socket.close(Ignored);
+  }
+
+  auto fail(ErrorKind Kind, std::string Detail) -> void {
+    if (!Done)
+      return;
+    Deadline.cancel();
+    finish(Error::make(Kind, Address, std::move(Detail), "try again"));
+  }
+
+  auto finish(Result<HttpResponse> Outcome) -> void {
+    auto Callback = std::move(Done);
+    Done = nullptr;
+    Callback(std::move(Outcome));
+  }
+
+  std::shared_ptr<Pool> Owner;
+  std::string Address;
+  http::request<http::string_body> Message;
+  HttpClient::Callback Done;
+  tcp::socket Socket;
+  boost::asio::steady_timer Deadline;
+  boost::beast::flat_buffer Buffer;
+  http::response_parser<http::string_body> Parser;
+  bool Sent = false;
+};
+
+} // namespace
+
+HttpClient::HttpClient(EventLoop &Loop) : State(std::make_shared<Core>(Loop)) {}
+
+HttpClient::~HttpClient() = default;
+
+auto HttpClient::call(const std::string &Address, HttpRequest Request,
+                      Milliseconds Timeout, Callback Done) -> void {
+  std::make_shared<Exchange<Core>>(State, Address, std::move(Request),
+                                   std::move(Done))
+      ->start(Timeout);
+}
+
+auto HttpClient::dropIdle(const std::string &Address) -> void {
+  State->Idle.erase(Address);
+}
+
+} // namespace jayramp::net
--- /dev/null
+++ b/Source/Scheduling/PlacementPass.cpp
@@ -0,0 +1,434 @@
+#include "Scheduling/PlacementPass.h"
+
+#include "Scheduling/ShardScheduler.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+namespace jayramp::scheduling {
+
+namespace {
+
+/// Work of a run that has just been saved but must be restored elsewhere.
+constexpr double SavedWorkSeconds = 1.0;
+/// An answer later than this multiple of the objective is worth nothing.
+constexpr double WorthlessAfterObjectives = 3.0;
+
+auto seconds(TimePoint::duration Duration) -> double {
+  return std::chrono::duration<double>(Duration).count();
+}
+
+auto isReady(const JobEntry &Job, std::uint32_t Step) -> bool {
+  for (const auto Earlier : Job.Spec.Steps[Step].After)
+    for (const auto &Task : Job.Progress.Steps[Earlier])
+      if (!Task.Done)
+        return false;
+  return true;
+}
+
+/// Estimated duration of the longest chain of steps.
+auto chainEstimate(const JobSpec &Spec) -> Milliseconds {
+  std::vector<Milliseconds> Ends(Spec.Steps.size(), Milliseconds{0});
+  Milliseconds Longest{0};
+  for (std::size_t Step = 0; Step < Spec.Steps.size(); ++Step) {
+    Milliseconds Start{0};
+    for (const auto Earlier : Spec.Steps[Step].After)
+      Start = std::max(Start, Ends[Earlier]);
+    Ends[Step] = Start + Spec.Steps[Step].Estimate;
+    Longest = std::max(Longest, Ends[Step]);
+  }
+  return Longest;
+}
+
+} // namespace
+
+PlacementPass::PlacementPass(ShardScheduler &Scheduler, TimePoint Now)
+    : Scheduler(Scheduler), Now(Now) {}
+
+auto PlacementPass::Unit::spec() const -> const StepSpec & {
+  return Job->Spec.Steps[Step];
+}
+
+auto PlacementPass::run() -> void {
+  collectSlots();
+  auto Units = collectUnits();
+  // Tasks of one step that are not a gang are alike: once one does not fit, the
+  // others of the step do not either.
+  const JobEntry *Full = nullptr;
+  std::uint32_t FullStep = 0;
+  for (const auto &Waiting : Units) {
+    if (Waiting.Job == Full && Waiting.Step == FullStep &&
+        !Waiting.spec().Gang && Waiting.Job->Spec.Priority > 0)
+      continue;
+    if (placeUnit(Waiting))
+      continue;
+    Full = Waiting.Job;
+    FullStep = Waiting.Step;
+  }
+}
+
+auto PlacementPass::collectSlots() -> void {
+  for (auto &[Id, Entry] : Scheduler.Workers) {
+    if (!Entry.Registered || !Entry.Reachable || Entry.Report.Draining ||
+        Now < Entry.QuarantinedUntil)
+      continue;
+    Slot Candidate{&Entry, Entry.Report.Capacity, {}};
+    Candidate.Free -= Entry.Used;
+    Candidate.Soon = Candidate.Free;
+    for (const auto &Id : Entry.Runs) {
+      const auto &Alive = Scheduler.Runs.at(Id);
+      const auto *Owner = Scheduler.job(Id.Job);
+      if (Alive.Phase == RunPhase::Stopping && Owner)
+        Candidate.Soon += Owner->Spec.Steps[Id.Step].Need;
+    }
+    Slots.push_back(Candidate);
+  }
+}
+
+auto PlacementPass::collectUnits() -> std::vector<Unit> {
+  std::vector<Unit> Units;
+  for (auto &[Id, Job] : Scheduler.Jobs)
+    if (!isFinal(Job.Progress.State))
+      addUnits(Job, Units);
+  const auto Rank = [](const Unit &Waiting) {
+    const auto &Job = *Waiting.Job;
+    return std::make_tuple(Job.Spec.Priority, !Job.Guaranteed, Waiting.Lateness,
+                           Job.Sequence, Waiting.Step);
+  };
+  std::stable_sort(Units.begin(), Units.end(),
+                   [&](const Unit &Left, const Unit &Right) {
+                     return Rank(Left) < Rank(Right);
+                   });
+  return Units;
+}
+
+auto PlacementPass::addUnits(JobEntry &Job, std::vector<Unit> &Units) -> void {
+  const auto Lateness = latenessOf(Job);
+  for (std::uint32_t Step = 0; Step < Job.Spec.Steps.size(); ++Step) {
+    const auto &Tasks = Job.Progress.Steps[Step];
+    if (!isReady(Job, Step))
+      continue;
+    if (!Job.Spec.Steps[Step].Gang) {
+      for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index)
+        if (!Tasks[Index].Done && Tasks[Index].Worker.empty())
+          Units.push_back(
+              {&Job, Step, {Index}, Tasks[Index].LastRun + 1, Lateness});
+      continue;
+    }
+    Unit Gang{&Job, Step, {}, 0, Lateness};
+    bool Waits = true;
+    for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index) {
+      Waits = Waits && !Tasks[Index].Done && Tasks[Index].Worker.empty();
+      Gang.Members.push_back(Index);
+      Gang.RunNumber = std::max(Gang.RunNumber, Tasks[Index].LastRun + 1);
+    }
+    if (Waits)
+      Units.push_back(std::move(Gang));
+  }
+}
+
+auto PlacementPass::latenessOf(const JobEntry &Job) const -> int {
+  const auto Estimate = chainEstimate(Job.Spec);
+  const auto Objective =
+      seconds(Estimate) * Job.Spec.Stretch + seconds(Job.Spec.TargetLatency);
+  const auto Elapsed = seconds(Now - Job.SubmittedAt);
+  if (Elapsed + seconds(Estimate) <= Objective)
+    return 0;
+  return Elapsed <= Objective * WorthlessAfterObjectives ? 1 : 2;
+}
+
+auto PlacementPass::placeUnit(const Unit &Waiting) -> bool {
+  if (placeNow(Waiting))
+    return true;
+  if (Waiting.Job->Spec.Priority != 0)
+    return false;
+  return claimSoon(Waiting) || preempt(Waiting);
+}
+
+auto PlacementPass::placeNow(const Unit &Waiting) -> bool {
+  std::optional<Layout> Best;
+  for (const auto &Group : groupsFor(Waiting)) {
+    auto Found = layoutWithin(Waiting, Group, false);
+    if (Found && (!Best || Found->Cost < Best->Cost))
+      Best = std::move(Found);
+  }
+  if (!Best)
+    return false;
+  assignLayout(Waiting, *Best);
+  return true;
+}
+
+auto PlacementPass::claimSoon(const Unit &Waiting) -> bool {
+  std::optional<Layout> Best;
+  for (const auto &Group : groupsFor(Waiting)) {
+    auto Found = layoutWithin(Waiting, Group, true);
+    if (Found && (!Best || Found->Cost < Best->Cost))
+      Best = std::move(Found);
+  }
+  if (!Best)
+    return false;
+  claimLayout(Waiting, *Best);
+  return true;
+}
+
+auto PlacementPass::preempt(const Unit &Waiting) -> bool {
+  std::optional<Layout> Best;
+  for (const auto &Group : groupsFor(Waiting)) {
+    auto Found = layoutWithVictims(Waiting, Group);
+    if (Found && (!Best || Found->Cost < Best->Cost))
+      Best = std::move(Found);
+  }
+  if (!Best)
+    return false;
+  for (const auto &Victim : Best->Victims) {
+    const auto *Alive = Scheduler.run(Victim);
+    if (!Alive || Alive->Phase == RunPhase::Stopping)
+      continue;
+    for (auto &Candidate : Slots)
+      if (Candidate.Worker->Report.Id == Alive->Worker)
+        Candidate.Soon +=
+            Scheduler.Jobs.at(Victim.Job).Spec.Steps[Victim.Step].Need;
+    Scheduler.stopRun(Victim);
+  }
+  claimLayout(Waiting, *Best);
+  return true;
+}
+
+auto PlacementPass::assignLayout(const Unit &Waiting, const Layout &Chosen)
+    -> void {
+  std::size_t Next = 0;
+  const auto &Need = Waiting.spec().Need;
+  for (const auto &[Position, Count] : Chosen.Parts)
+    for (std::uint32_t Taken = 0; Taken < Count; ++Taken) {
+      auto &Target = Slots[Position];
+      Scheduler.assign(*Waiting.Job, Waiting.Step, Waiting.Members[Next++],
+                       Waiting.RunNumber, *Target.Worker, Now);
+      Target.Free -= Need;
+      Target.Soon -= Need;
+    }
+}
+
+auto PlacementPass::claimLayout(const Unit &Waiting, const Layout &Chosen)
+    -> void {
+  const auto &Need = Waiting.spec().Need;
+  for (const auto &[Position, Count] : Chosen.Parts)
+    for (std::uint32_t Taken = 0; Taken < Count; ++Taken)
+      Slots[Position].Soon -= Need;
+}
+
+auto PlacementPass::mustStayInRack(const Unit &Waiting) const -> bool {
+  if (!Waiting.spec().SameRack || Waiting.Members.size() < 2)
+    return false;
+  const auto Waited = Now - Waiting.Job->SubmittedAt;
+  return Waiting.Job->Spec.Priority != 0 ||
+         Waited < Scheduler.Policy.SpreadAfter;
+}
+
+auto PlacementPass::groupsFor(const Unit &Waiting) const
+    -> std::vector<std::vector<std::size_t>> {
+  std::map<std::string, std::vector<std::size_t>> ByRack;
+  const bool OneRack = mustStayInRack(Waiting);
+  for (std::size_t Position = 0; Position < Slots.size(); ++Position)
+    if (mayRunOn(Waiting, Slots[Position]))
+      ByRack[OneRack ? Slots[Position].Worker->Report.Rack : std::string()]
+          .push_back(Position);
+  std::vector<std::vector<std::size_t>> Groups;
+  std::vector<std::size_t> Everywhere;
+  bool AnyRackLargeEnough = false;
+  for (auto &[Rack, Group] : ByRack) {
+    std::uint32_t Room = 0;
+    for (const auto Position : Group)
+      Room += Slots[Position].Worker->Report.Capacity.timesHolding(
+          Waiting.spec().Need);
+    AnyRackLargeEnough = AnyRackLargeEnough || Room >= Waiting.Members.size();
+    Everywhere.insert(Everywhere.end(), Group.begin(), Group.end());
+    Groups.push_back(std::move(Group));
+  }
+  // A gang that no rack can ever hold runs slower, but it runs.
+  if (!AnyRackLargeEnough && Groups.size() > 1)
+    return {Everywhere};
+  return Groups;
+}
+
+auto PlacementPass::mayRunOn(const Unit &Waiting, const Slot &Candidate) const
+    -> bool {
+  const auto &Report = Candidate.Worker->Report;
+  if (Report.Service != Waiting.Job->Spec.Service)
+    return false;
+  const auto &Label = Waiting.spec().RequiredLabel;
+  return Label.empty() || std::find(Report.Labels.begin(), Report.Labels.end(),
+                                    Label) != Report.Labels.end();
+}
+
+auto PlacementPass::limitOn(const Unit &Waiting, const Slot &Candidate) const
+    -> std::uint32_t {
+  const auto Most = Waiting.spec().MaxPerWorker;
+  if (Most == 0)
+    return std::numeric_limits<std::uint16_t>::max();
+  std::uint32_t Present = 0;
+  for (const auto &Id : Candidate.Worker->Runs)
+    if (Id.Job == Waiting.Job->Spec.Id && Id.Step == Waiting.Step)
+      ++Present;
+  return Present >= Most ? 0 : Most - Present;
+}
+
+auto PlacementPass::layoutWithin(const Unit &Waiting,
+                                 const std::vector<std::size_t> &Group,
+                                 bool UseSoon) const -> std::optional<Layout> {
+  const auto &Spec = Waiting.spec();
+  struct Option {
+    std::size_t Position;
+    std::uint32_t Room;
+    std::tuple<bool, bool, std::int64_t, std::int64_t> Preference;
+  };
+  std::vector<Option> Options;
+  std::uint32_t Total = 0;
+  std::int64_t FreeGpus = 0;
+  for (const auto Position : Group) {
+    const auto &Candidate = Slots[Position];
+    const auto Available =
+        UseSoon ? Candidate.Soon : smallest(Candidate.Free, Candidate.Soon);
+    FreeGpus += std::max<std::int64_t>(Available.Gpus, 0);
+    const auto Room = std::min(Available.timesHolding(Spec.Need),
+                               limitOn(Waiting, Candidate));
+    if (Room == 0)
+      continue;
+    const auto &Entry = *Candidate.Worker;
+    const bool Suspect = !Entry.FailedJobs.empty();
+    const bool FarFromData =
+        !Spec.DataRack.empty() && Entry.Report.Rack != Spec.DataRack;
+    // The fullest worker first, so that whole workers stay free.
+    Options.push_back(
+        {Position,
+         Room,
+         {Suspect, FarFromData, Available.Gpus, Available.MemoryMb}});
+    Total += Room;
+  }
+  if (Total < Waiting.Members.size())
+    return std::nullopt;
+  std::sort(Options.begin(), Options.end(),
+            [](const Option &Left, const Option &Right) {
+              return Left.Preference < Right.Preference;
+            });
+  Layout Found;
+  auto Left = static_cast<std::uint32_t>(Waiting.Members.size());
+  constexpr double SuspectCost = 1e6;
+  constexpr double FarCost = 1e4;
+  for (const auto &Choice : Options) {
+    const auto Taken = std::min(Left, Choice.Room);
+    Found.Parts.emplace_back(Choice.Position, Taken);
+    Found.Cost += std::get<0>(Choice.Preference) ? SuspectCost : 0;
+    Found.Cost += std::get<1>(Choice.Preference) ? FarCost : 0;
+    Left -= Taken;
+    if (Left == 0)
+      break;
+  }
+  // Among groups, the one that is left with the least.
+  Found.Cost += static_cast<double>(FreeGpus);
+  return Found;
+}
+
+auto PlacementPass::layoutWithVictims(
+    const Unit &Waiting, const std::vector<std::size_t> &Group) const
+    -> std::optional<Layout> {
+  const auto &Spec = Waiting.spec();
+  Layout Found;
+  std::map<std::size_t, Resources> Soon;
+  std::map<std::size_t, std::uint32_t> Taken;
+  for (const auto Position : Group)
+    Soon[Position] = Slots[Position].Soon;
+  for (std::size_t Member = 0; Member < Waiting.Members.size(); ++Member) {
+    std::optional<std::size_t> BestPosition;
+    std::vector<RunId> BestVictims;
+    double BestCost = 0;
+    for (const auto Position : Group) {
+      const auto &Candidate = Slots[Position];
+      if (Taken[Position] >= limitOn(Waiting, Candidate))
+        continue;
+      auto Available = Soon[Position];
+      std::vector<RunId> Victims;
+      double Cost = 0;
+      if (!Available.holds(Spec.Need)) {
+        std::vector<std::pair<double, RunId>> Choices;
+        for (const auto &Id : Candidate.Worker->Runs)
+          if (!Found.Victims.contains(Id) && mayBeStoppedFor(Waiting, Id))
+            Choices.emplace_back(victimCost(Id), Id);
+        std::sort(Choices.begin(), Choices.end());
+        for (const auto &[Loss, Id] : Choices) {
+          Available += Scheduler.Jobs.at(Id.Job).Spec.Steps[Id.Step].Need;
+          Victims.push_back(Id);
+          Cost += Loss;
+          if (Available.holds(Spec.Need))
+            break;
+        }
+        if (!Available.holds(Spec.Need))
+          continue;
+      }
+      if (BestPosition && Cost >= BestCost)
+        continue;
+      BestPosition = Position;
+      BestVictims = std::move(Victims);
+      BestCost = Cost;
+    }
+    if (!BestPosition)
+      return std::nullopt;
+    for (const auto &Victim : BestVictims)
+      for (const auto &Id : gangOf(Victim)) {
+        if (!Found.Victims.insert(Id).second)
+          continue;
+        const auto *Alive = Scheduler.run(Id);
+        for (const auto Position : Group)
+          if (Slots[Position].Worker->Report.Id == Alive->Worker)
+            Soon[Position] +=
+                Scheduler.Jobs.at(Id.Job).Spec.Steps[Id.Step].Need;
+      }
+    Soon[*BestPosition] -= Spec.Need;
+    ++Taken[*BestPosition];
+    Found.Cost += BestCost;
+    Found.Parts.emplace_back(*BestPosition, 1);
+  }
+  return Found;
+}
+
+auto PlacementPass::mayBeStoppedFor(const Unit &Waiting,
+                                    const RunId &Candidate) const -> bool {
+  const auto &Alive = Scheduler.Runs.at(Candidate);
+  const auto *Owner = Scheduler.job(Candidate.Job);
+  if (!Owner || Alive.Phase == RunPhase::Stopping)
+    return false;
+  if (Owner->Progress.Steps[Candidate.Step][Candidate.Index].Done)
+    return false;
+  if (Owner->Spec.Priority > Waiting.Job->Spec.Priority)
+    return true;
+  return Waiting.Job->Guaranteed && !Owner->Guaranteed;
+}
+
+auto PlacementPass::victimCost(const RunId &Candidate) const -> double {
+  double Cost = 0;
+  for (const auto &Id : gangOf(Candidate)) {
+    const auto &Alive = Scheduler.Runs.at(Id);
+    const auto &Spec = Scheduler.Jobs.at(Id.Job).Spec.Steps[Id.Step];
+    auto Lost = seconds(Now - Alive.StartedAt);
+    if (Spec.Checkpointing)
+      Lost = std::min(Lost, SavedWorkSeconds);
+    Cost += Lost * Spec.Need.weightInCores();
+  }
+  return Cost;
+}
+
+auto PlacementPass::gangOf(const RunId &Member) const -> std::vector<RunId> {
+  const auto &Job = Scheduler.Jobs.at(Member.Job);
+  if (!Job.Spec.Steps[Member.Step].Gang)
+    return {Member};
+  std::vector<RunId> Members;
+  for (std::uint32_t Index = 0; Index < Job.Spec.Steps[Member.Step].Count;
+       ++Index) {
+    const RunId Id{Member.Job, Member.Step, Index, Member.Run};
+    if (Scheduler.Runs.contains(Id))
+      Members.push_back(Id);
+  }
+  return Members;
+}
+
+} // namespace jayramp::scheduling
--- /dev/null
+++ b/Source/Scheduling/PlacementPass.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Scheduling/Resources.h"
+#include "Scheduling/RunId.h"
+
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace jayramp::scheduling {
+
+class ShardScheduler;
+struct JobEntry;
+struct WorkerEntry;
+struct StepSpec;
+
+/// One pass over the waiting tasks of a shard: places what fits and makes room
+/// for the most urgent work. Used by ShardScheduler::decide().
+class PlacementPass {
+public:
+  PlacementPass(ShardScheduler &Scheduler, TimePoint Now);
+
+  auto run() -> void;
+
+private:
+  /// Tasks that are placed together: a gang, or one task.
+  struct Unit {
+    JobEntry *Job = nullptr;
+    std::uint32_t Step = 0;
+    std::vector<std::uint32_t> Members; ///< Indices of tasks.
+    std::uint32_t RunNumber = 0;
+    /// 0: can meet its objective, 1: late but worth something, 2: too late.
+    int Lateness = 0;
+
+    auto spec() const -> const StepSpec &;
+  };
+
+  /// A worker that may take tasks in this pass.
+  struct Slot {
+    WorkerEntry *Worker = nullptr;
+    Resources Free; ///< Available now.
+    Resources Soon; ///< Also what stopping runs will free, less claims.
+  };
+
+  /// Workers, by slot, that take so many members each.
+  struct Layout {
+    std::vector<std::pair<std::size_t, std::uint32_t>> Parts;
+    std::set<RunId> Victims; ///< Runs to stop first.
+    double Cost = 0;         ///< Core-seconds of work lost with the victims.
+  };
+
+  auto collectSlots() -> void;
+  auto collectUnits() -> std::vector<Unit>;
+  auto addUnits(JobEntry &Job, std::vector<Unit> &Units) -> void;
+  auto latenessOf(const JobEntry &Job) const -> int;
+  auto placeUnit(const Unit &Waiting) -> bool;
+  auto placeNow(const Unit &Waiting) -> bool;
+  auto claimSoon(const Unit &Waiting) -> bool;
+  auto preempt(const Unit &Waiting) -> bool;
+  auto assignLayout(const Unit &Waiting, const Layout &Chosen) -> void;
+  auto claimLayout(const Unit &Waiting, const Layout &Chosen) -> void;
+
+  /// Slots that may run the unit at all, grouped by rack if it must stay in
+  /// one, else in one group.
+  auto groupsFor(const Unit &Waiting) const
+      -> std::vector<std::vector<std::size_t>>;
+  auto mayRunOn(const Unit &Waiting, const Slot &Candidate) const -> bool;
+  auto limitOn(const Unit &Waiting, const Slot &Candidate) const
+      -> std::uint32_t;
+  auto mustStayInRack(const Unit &Waiting) const -> bool;
+  auto layoutWithin(const Unit &Waiting, const std::vector<std::size_t> &Group,
+                    bool UseSoon) const -> std::optional<Layout>;
+  auto layoutWithVictims(const Unit &Waiting,
+                         const std::vector<std::size_t> &Group) const
+      -> std::optional<Layout>;
+  auto mayBeStoppedFor(const Unit &Waiting, const RunId &Candidate) const
+      -> bool;
+  /// Work lost by stopping the run and, if it is one, the rest of its gang.
+  auto victimCost(const RunId &Candidate) const -> double;
+  auto gangOf(const RunId &Member) const -> std::vector<RunId>;
+
+  ShardScheduler &Scheduler;
+  TimePoint Now;
+  std::vector<Slot> Slots;
+};
+
+} // namespace jayramp::scheduling
--- /dev/null
+++ b/Source/Scheduling/SchedulingPolicy.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "Base/Clock.h"
+
+#include <cstdint>
+
+namespace jayramp::scheduling {
+
+/// Settings of the placement decisions.
+struct SchedulingPolicy {
+  /// A gang that should stay in one rack may be spread after this wait, if it
+  /// is of the most urgent priority.
+  Milliseconds SpreadAfter{900};
+  /// How long a worker takes no tasks after several jobs failed there.
+  Milliseconds QuarantineTime{8000};
+  /// Failures of different jobs without a success that cause a quarantine.
+  std::uint32_t QuarantineFailures = 2;
+  /// How long a worker that refused a start gets no other task.
+  Milliseconds RefusalPause{500};
+  /// A task without any progress for this long is restarted elsewhere.
+  Milliseconds StallTime{3000};
+};
+
+} // namespace jayramp::scheduling
--- /dev/null
+++ b/Source/Scheduling/ShardScheduler.cpp
@@ -0,0 +1,398 @@
+#include "Scheduling/ShardScheduler.h"
+
+#include "Scheduling/PlacementPass.h"
+
+#include <algorithm>
+
+namespace jayramp::scheduling {
+
+namespace {
+
+/// The task whose progress carries failures and checkpoint of \p Index.
+auto keeperOf(const StepSpec &Step, std::uint32_t Index) -> std::uint32_t {
+  return Step.Gang ? 0 : Index;
+}
+
+auto allDone(const JobProgress &Progress) -> bool {
+  for (const auto &Step : Progress.Steps)
+    for (const auto &Task : Step)
+      if (!Task.Done)
+        return false;
+  return true;
+}
+
+} // namespace
+
+auto ShardScheduler::addJob(JobSpec Spec, JobProgress Progress,
+                            TimePoint SubmittedAt) -> void {
+  if (Jobs.contains(Spec.Id))
+    return;
+  Progress.Steps.resize(Spec.Steps.size());
+  for (std::size_t Step = 0; Step < Spec.Steps.size(); ++Step)
+    Progress.Steps[Step].resize(Spec.Steps[Step].Count);
+  const auto Id = Spec.Id;
+  auto &Job = Jobs[Id];
+  Job.Spec = std::move(Spec);
+  Job.Progress = std::move(Progress);
+  Job.SubmittedAt = SubmittedAt;
+  Job.FinishedAt = SubmittedAt;
+  Job.Sequence = NextSequence++;
+  for (std::uint32_t Step = 0; Step < Job.Progress.Steps.size(); ++Step) {
+    const auto &Tasks = Job.Progress.Steps[Step];
+    for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index) {
+      const auto &Task = Tasks[Index];
+      if (Task.Worker.empty())
+        continue;
+      const RunId RunKey{Id, Step, Index, Task.LastRun};
+      Run Alive{RunKey,
+                Task.Worker,
+                Task.Incarnation,
+                RunPhase::Assigned,
+                SubmittedAt,
+                SubmittedAt,
+                0,
+                SubmittedAt};
+      if (isFinal(Job.Progress.State))
+        Alive.Phase = RunPhase::Stopping;
+      Runs.emplace(RunKey, Alive);
+      auto &Holder = Workers[Task.Worker];
+      if (Holder.Report.Id.empty()) {
+        Holder.Report.Id = Task.Worker;
+        Holder.Registered = false;
+      }
+      Holder.Runs.insert(RunKey);
+      Holder.Used += Job.Spec.Steps[Step].Need;
+    }
+  }
+}
+
+auto ShardScheduler::cancelJob(const std::string &Id, TimePoint Now) -> void {
+  auto *Job = findJob(Id);
+  if (!Job || isFinal(Job->Progress.State))
+    return;
+  finishJob(*Job, JobState::Cancelled, Now);
+}
+
+auto ShardScheduler::forgetJob(const std::string &Id) -> bool {
+  auto *Job = findJob(Id);
+  if (!Job)
+    return true;
+  if (!isFinal(Job->Progress.State))
+    return false;
+  for (const auto &Step : Job->Progress.Steps)
+    for (const auto &Task : Step)
+      if (!Task.Worker.empty())
+        return false;
+  Jobs.erase(Id);
+  return true;
+}
+
+auto ShardScheduler::setGuarantees(
+    std::map<std::string, std::int64_t> GpusByTenant) -> void {
+  Guarantees = std::move(GpusByTenant);
+}
+
+auto ShardScheduler::updateWorker(const WorkerReport &Report) -> void {
+  auto &Entry = Workers[Report.Id];
+  if (Entry.Report.Incarnation != Report.Incarnation) {
+    Entry.FailedJobs.clear();
+    Entry.QuarantinedUntil = {};
+    Entry.Reachable = true;
+  }
+  Entry.Report = Report;
+  Entry.Registered = true;
+}
+
+auto ShardScheduler::unregisterWorker(const std::string &Id) -> void {
+  auto Found = Workers.find(Id);
+  if (Found == Workers.end())
+    return;
+  Found->second.Registered = false;
+  if (Found->second.Runs.empty())
+    Workers.erase(Found);
+}
+
+auto ShardScheduler::setReachable(const std::string &Id, bool Reachable)
+    -> void {
+  auto Found = Workers.find(Id);
+  if (Found != Workers.end())
+    Found->second.Reachable = Reachable;
+}
+
+auto ShardScheduler::avoidWorker(const std::string &Id, TimePoint Now) -> void {
+  auto Found = Workers.find(Id);
+  if (Found != Workers.end())
+    Found->second.QuarantinedUntil =
+        std::max(Found->second.QuarantinedUntil, Now + Policy.RefusalPause);
+}
+
+auto ShardScheduler::runStarted(const RunId &Id, TimePoint Now) -> void {
+  auto Found = Runs.find(Id);
+  if (Found == Runs.end() || Found->second.Phase != RunPhase::Assigned)
+    return;
+  Found->second.Phase = RunPhase::Started;
+  Found->second.StartedAt = Now;
+  Found->second.ProgressAt = Now;
+  auto *Job = findJob(Id.Job);
+  if (Job && Job->Progress.State == JobState::Pending) {
+    Job->Progress.State = JobState::Running;
+    markChanged(Id.Job);
+  }
+}
+
+auto ShardScheduler::runProgressed(const RunId &Id, std::uint32_t Percent,
+                                   const std::string &Checkpoint, TimePoint Now)
+    -> void {
+  runStarted(Id, Now);
+  auto Found = Runs.find(Id);
+  auto *Job = findJob(Id.Job);
+  if (Found == Runs.end() || !Job)
+    return;
+  auto &Alive = Found->second;
+  if (Alive.Percent != Percent) {
+    Alive.Percent = Percent;
+    Alive.ProgressAt = Now;
+  }
+  const auto &Step = Job->Spec.Steps[Id.Step];
+  // A newer checkpoint is written along with the next change of the job: it is
+  // needed only if this run is lost.
+  if (Step.Checkpointing && !Checkpoint.empty())
+    Job->Progress.Steps[Id.Step][keeperOf(Step, Id.Index)].Checkpoint =
+        Checkpoint;
+}
+
+auto ShardScheduler::runEnded(const RunId &Id, RunEnd End,
+                              const std::string &Checkpoint, TimePoint Now)
+    -> void {
+  auto *Job = findJob(Id.Job);
+  if (!Job || Id.Step >= Job->Spec.Steps.size() ||
+      Id.Index >= Job->Spec.Steps[Id.Step].Count)
+    return;
+  const auto Known = Runs.contains(Id);
+  const auto &Step = Job->Spec.Steps[Id.Step];
+  auto &Task = Job->Progress.Steps[Id.Step][Id.Index];
+  if (!Known && (Task.Done || Id.Run != Task.LastRun))
+    return;
+  if (Step.Checkpointing && !Checkpoint.empty())
+    Job->Progress.Steps[Id.Step][keeperOf(Step, Id.Index)].Checkpoint =
+        Checkpoint;
+  if (End == RunEnd::Done)
+    recordSuccess(*Job, Id, Now);
+  else if (End == RunEnd::Failed)
+    recordFailure(*Job, Id, Now);
+  releaseRun(Id);
+  if (End != RunEnd::Done && Step.Gang)
+    breakGang(Id);
+  if (!isFinal(Job->Progress.State) && allDone(Job->Progress))
+    finishJob(*Job, JobState::Completed, Now);
+}
+
+auto ShardScheduler::runVanished(const RunId &Id, TimePoint) -> void {
+  auto *Job = findJob(Id.Job);
+  if (!Job || !Runs.contains(Id))
+    return;
+  releaseRun(Id);
+  if (Job->Spec.Steps[Id.Step].Gang)
+    breakGang(Id);
+}
+
+auto ShardScheduler::stopRun(const RunId &Id) -> void {
+  auto Found = Runs.find(Id);
+  if (Found != Runs.end())
+    Found->second.Phase = RunPhase::Stopping;
+}
+
+auto ShardScheduler::decide(TimePoint Now) -> void {
+  restartStalledRuns(Now);
+  markGuaranteedJobs();
+  PlacementPass(*this, Now).run();
+}
+
+auto ShardScheduler::takeChangedJobs(std::size_t Most)
+    -> std::vector<std::string> {
+  std::vector<std::string> Taken;
+  while (!Changed.empty() && Taken.size() < Most) {
+    ChangedSet.erase(Changed.front());
+    Taken.push_back(std::move(Changed.front()));
+    Changed.pop_front();
+  }
+  return Taken;
+}
+
+auto ShardScheduler::job(const std::string &Id) const -> const JobEntry * {
+  const auto Found = Jobs.find(Id);
+  return Found == Jobs.end() ? nullptr : &Found->second;
+}
+
+auto ShardScheduler::worker(const std::string &Id) const
+    -> const WorkerEntry * {
+  const auto Found = Workers.find(Id);
+  return Found == Workers.end() ? nullptr : &Found->second;
+}
+
+auto ShardScheduler::run(const RunId &Id) const -> const Run * {
+  const auto Found = Runs.find(Id);
+  return Found == Runs.end() ? nullptr : &Found->second;
+}
+
+auto ShardScheduler::findJob(const std::string &Id) -> JobEntry * {
+  const auto Found = Jobs.find(Id);
+  return Found == Jobs.end() ? nullptr : &Found->second;
+}
+
+auto ShardScheduler::markChanged(const std::string &Id) -> void {
+  if (ChangedSet.insert(Id).second)
+    Changed.push_back(Id);
+}
+
+auto ShardScheduler::assign(JobEntry &Job, std::uint32_t Step,
+                            std::uint32_t Index, std::uint32_t RunNumber,
+                            WorkerEntry &Target, TimePoint Now) -> void {
+  auto &Task = Job.Progress.Steps[Step][Index];
+  Task.LastRun = RunNumber;
+  Task.Worker = Target.Report.Id;
+  Task.Incarnation = Target.Report.Incarnation;
+  const RunId Id{Job.Spec.Id, Step, Index, RunNumber};
+  Run Alive{Id,
+            Target.Report.Id,
+            Target.Report.Incarnation,
+            RunPhase::Assigned,
+            Now,
+            Now,
+            0,
+            Now};
+  Runs.emplace(Id, Alive);
+  Target.Runs.insert(Id);
+  Target.Used += Job.Spec.Steps[Step].Need;
+  markChanged(Job.Spec.Id);
+}
+
+auto ShardScheduler::releaseRun(const RunId &Id) -> void {
+  auto Found = Runs.find(Id);
+  if (Found == Runs.end())
+    return;
+  auto *Job = findJob(Id.Job);
+  auto Holder = Workers.find(Found->second.Worker);
+  if (Holder != Workers.end() && Holder->second.Runs.erase(Id) > 0 && Job)
+    Holder->second.Used -= Job->Spec.Steps[Id.Step].Need;
+  if (Holder != Workers.end() && !Holder->second.Registered &&
+      Holder->second.Runs.empty())
+    Workers.erase(Holder);
+  Runs.erase(Found);
+  if (!Job)
+    return;
+  auto &Task = Job->Progress.Steps[Id.Step][Id.Index];
+  if (Task.LastRun == Id.Run)
+    Task.Worker.clear();
+  markChanged(Id.Job);
+}
+
+auto ShardScheduler::recordFailure(JobEntry &Job, const RunId &Id,
+                                   TimePoint Now) -> void {
+  const auto &Step = Job.Spec.Steps[Id.Step];
+  auto &Keeper = Job.Progress.Steps[Id.Step][keeperOf(Step, Id.Index)];
+  if (const auto *Alive = run(Id))
+    blameWorker(Alive->Worker, Id.Job, Now);
+  if (Keeper.FailedRun == Id.Run || Keeper.Done)
+    return;
+  Keeper.FailedRun = Id.Run;
+  ++Keeper.Failures;
+  markChanged(Id.Job);
+  if (Keeper.Failures >= Job.Spec.MaxAttempts && !isFinal(Job.Progress.State))
+    finishJob(Job, JobState::Failed, Now);
+}
+
+auto ShardScheduler::recordSuccess(JobEntry &Job, const RunId &Id, TimePoint)
+    -> void {
+  if (const auto *Alive = run(Id)) {
+    auto Holder = Workers.find(Alive->Worker);
+    if (Holder != Workers.end())
+      Holder->second.FailedJobs.clear();
+  }
+  auto &Tasks = Job.Progress.Steps[Id.Step];
+  if (Job.Spec.Steps[Id.Step].Gang) {
+    // The members of a gang end together, so one end speaks for all.
+    for (auto &Task : Tasks)
+      Task.Done = true;
+  } else {
+    Tasks[Id.Index].Done = true;
+  }
+  markChanged(Id.Job);
+}
+
+auto ShardScheduler::breakGang(const RunId &Id) -> void {
+  auto *Job = findJob(Id.Job);
+  if (!Job || Job->Progress.Steps[Id.Step][0].Done)
+    return;
+  for (std::uint32_t Index = 0; Index < Job->Spec.Steps[Id.Step].Count; ++Index)
+    stopRun({Id.Job, Id.Step, Index, Id.Run});
+}
+
+auto ShardScheduler::blameWorker(const std::string &Worker,
+                                 const std::string &Job, TimePoint Now)
+    -> void {
+  auto Found = Workers.find(Worker);
+  if (Found == Workers.end())
+    return;
+  auto &Entry = Found->second;
+  Entry.FailedJobs.insert(Job);
+  if (Entry.FailedJobs.size() >= Policy.QuarantineFailures)
+    Entry.QuarantinedUntil = Now + Policy.QuarantineTime;
+}
+
+auto ShardScheduler::finishJob(JobEntry &Job, JobState State, TimePoint Now)
+    -> void {
+  Job.Progress.State = State;
+  Job.FinishedAt = Now;
+  markChanged(Job.Spec.Id);
+  if (State == JobState::Completed)
+    return;
+  const RunId First{Job.Spec.Id, 0, 0, 0};
+  for (auto Next = Runs.lower_bound(First);
+       Next != Runs.end() && Next->first.Job == Job.Spec.Id; ++Next)
+    Next->second.Phase = RunPhase::Stopping;
+}
+
+auto ShardScheduler::restartStalledRuns(TimePoint Now) -> void {
+  for (auto &[Id, Alive] : Runs) {
+    if (Alive.Phase != RunPhase::Started ||
+        Now - Alive.ProgressAt < Policy.StallTime)
+      continue;
+    const auto *Job = findJob(Id.Job);
+    const auto Holder = Workers.find(Alive.Worker);
+    if (!Job || Holder == Workers.end() || !Holder->second.Reachable)
+      continue;
+    // Percents of long tasks change rarely.
+    const auto Patience = std::max<Milliseconds>(
+        Policy.StallTime, Job->Spec.Steps[Id.Step].Estimate / 4);
+    if (Now - Alive.ProgressAt < Patience)
+      continue;
+    Alive.Phase = RunPhase::Stopping;
+    blameWorker(Alive.Worker, Id.Job, Now);
+    if (Job->Spec.Steps[Id.Step].Gang)
+      breakGang(Id);
+  }
+}
+
+auto ShardScheduler::markGuaranteedJobs() -> void {
+  std::vector<JobEntry *> Urgent;
+  for (auto &[Id, Job] : Jobs) {
+    Job.Guaranteed = false;
+    if (Job.Spec.Priority == 0 && !isFinal(Job.Progress.State))
+      Urgent.push_back(&Job);
+  }
+  std::sort(Urgent.begin(), Urgent.end(),
+            [](const auto *Left, const auto *Right) {
+              return Left->Sequence < Right->Sequence;
+            });
+  std::map<std::string, std::int64_t> Needed;
+  for (auto *Job : Urgent) {
+    auto &Sum = Needed[Job->Spec.Tenant];
+    for (const auto &Step : Job->Spec.Steps)
+      Sum += Step.Need.Gpus * static_cast<std::int64_t>(Step.Count);
+    const auto Limit = Guarantees.find(Job->Spec.Tenant);
+    Job->Guaranteed = Limit != Guarantees.end() && Sum <= Limit->second;
+  }
+}
+
+} // namespace jayramp::scheduling
--- /dev/null
+++ b/Source/Shard/FrontDoor.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "Net/EventLoop.h"
+#include "Scheduling/JobProgress.h"
+#include "Scheduling/JobSpec.h"
+#include "Store/RowStore.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace jayramp::shard {
+
+/// What a caller is told of its call.
+enum class CallOutcome {
+  Done,
+  NotFound,
+  NotDone, ///< Nothing was done and nothing will be; the caller may come back.
+  Unknown, ///< The call may have taken effect.
+};
+
+/// The job calls of callers, on any entry host: they read and write the shard's
+/// rows and need no owner.
+class FrontDoor {
+public:
+  using Callback = std::function<void(CallOutcome)>;
+  using StateCallback = std::function<void(CallOutcome, scheduling::JobState)>;
+  using CountCallback = std::function<void(CallOutcome, std::size_t)>;
+
+  FrontDoor(net::EventLoop &Loop, store::RowStore &Store)
+      : Loop(Loop), Store(Store) {}
+
+  /// Stores a job before \p Deadline; an id that is known is Done too.
+  auto submit(scheduling::JobSpec Job, TimePoint Deadline, Callback Done)
+      -> void;
+  auto state(const std::string &Shard, const std::string &Job,
+             TimePoint Deadline, StateCallback Done) -> void;
+  auto cancel(const std::string &Shard, const std::string &Job,
+              TimePoint Deadline, Callback Done) -> void;
+  /// Number of accepted jobs of a queue of which no task has started.
+  auto waiting(const std::string &Shard, const std::string &Queue,
+               TimePoint Deadline, CountCallback Done) -> void;
+
+private:
+  /// A write that is repeated until its outcome is known.
+  struct Write;
+  /// A read that is repeated until it is answered.
+  struct Read;
+
+  auto attempt(std::shared_ptr<Write> Call) -> void;
+  auto attempt(std::shared_ptr<Read> Call) -> void;
+
+  net::EventLoop &Loop;
+  store::RowStore &Store;
+};
+
+} // namespace jayramp::shard
--- /dev/null
+++ b/Source/Shard/OwnerElection.cpp
@@ -0,0 +1,163 @@
+#include "Shard/OwnerElection.h"
+
+#include "Base/EventLog.h"
+
+namespace jayramp::shard {
+
+namespace {
+
+constexpr Milliseconds TickInterval{100};
+constexpr store::FollowerPace OwnerFollowerPace{
+    Milliseconds{1000}, Milliseconds{100}, Milliseconds{150}};
+
+} // namespace
+
+OwnerElection::OwnerElection(
+    net::EventLoop &Loop, store::RowStore &Store, std::string Shard,
+    const ShardSettings &Settings, Candidate Self,
+    std::function<void(ProgressCommitter::Ownership)> OnWon)
+    : Loop(Loop), Store(Store), Shard(std::move(Shard)), Rows(this->Shard),
+      Settings(Settings), Self(std::move(Self)), OnWon(std::move(OnWon)) {}
+
+OwnerElection::~OwnerElection() { *Alive = false; }
+
+auto OwnerElection::start() -> void {
+  Follower = std::make_unique<store::TableFollower>(
+      Loop, Store, ShardRows::OwnershipTable, Shard, OwnerFollowerPace,
+      store::TableFollower::Observer{
+          [this](std::vector<store::Row> All) {
+            if (!Started)
+              LastSign = Clock::now();
+            Started = true;
+            onRows(All);
+          },
+          [this](std::vector<store::Row> Changed) { onRows(Changed); },
+          [this] { LastCurrent = Clock::now(); }});
+  Follower->start();
+  Tick = Loop.after(TickInterval, [this] { tick(); });
+}
+
+auto OwnerElection::stepDown() -> void {
+  Holding = false;
+  LastSign = Clock::now();
+}
+
+auto OwnerElection::retire(std::function<void()> Done) -> void {
+  Retired = true;
+  if (!Holding) {
+    Done();
+    return;
+  }
+  Holding = false;
+  auto Released = *Owner;
+  Released.Released = true;
+  store::RowTransaction Change;
+  Change.Conditions.push_back({Rows.owner(), OwnerVersion});
+  Change.Writes.push_back({Rows.owner(), encodeOwner(Released)});
+  Store.transact(std::move(Change), Settings.StoreTimeout,
+                 [Done = std::move(Done)](const store::TransactionOutcome &) {
+                   // If this failed, others take the shard after its silence.
+                   Done();
+                 });
+}
+
+auto OwnerElection::onRows(const std::vector<store::Row> &Changed) -> void {
+  for (const auto &Each : Changed) {
+    if (Each.Key.Partition != Shard || Each.Deleted)
+      continue;
+    if (Each.Key.Key != ShardRows::OwnerKey) {
+      LastSign = Clock::now();
+      continue;
+    }
+    if (Each.Version <= OwnerVersion)
+      continue;
+    auto Decoded = decodeOwner(Each.Value);
+    if (!Decoded) {
+      logEvent(LogLevel::Error, "owner-row-malformed",
+               {{"shard", Shard}, {"error", Decoded.error().message()}});
+      continue;
+    }
+    LastSign = Clock::now();
+    Owner = Decoded.value();
+    OwnerVersion = Each.Version;
+  }
+}
+
+auto OwnerElection::tick() -> void {
+  Tick = Loop.after(TickInterval, [this] { tick(); });
+  if (!Started || Attempting || Holding || Retired)
+    return;
+  if (Owner && isSelf(*Owner) && !Owner->Released) {
+    // A write without an answer was carried out after all.
+    win(Owner->FencingToken, OwnerVersion);
+    return;
+  }
+  if (mayTake())
+    take();
+}
+
+auto OwnerElection::isVacant() const -> bool {
+  // An earlier process of this host cannot be alive.
+  return !Owner || Owner->Released || Owner->Host == Self.Host;
+}
+
+auto OwnerElection::mayTake() const -> bool {
+  const auto Now = Clock::now();
+  if (isVacant())
+    return Now - LastSign >= Self.Delay;
+  // Silence counts only as far as the store has answered meanwhile.
+  return Now - LastSign >= Settings.TakeoverAfter + Self.Delay &&
+         LastCurrent - LastSign >= Settings.TakeoverAfter / 2;
+}
+
+auto OwnerElection::take() -> void {
+  Attempting = true;
+  Attempted = {Self.Host, Self.Incarnation, Owner ? Owner->FencingToken + 1 : 1,
+               false};
+  store::RowTransaction Change;
+  Change.Conditions.push_back({Rows.owner(), OwnerVersion});
+  Change.Writes.push_back({Rows.owner(), encodeOwner(Attempted)});
+  Store.transact(std::move(Change), Settings.StoreTimeout,
+                 [this, Alive = Alive](store::TransactionOutcome Outcome) {
+                   if (!*Alive)
+                     return;
+                   Attempting = false;
+                   std::visit([&](auto &Case) { onOutcome(Case); }, Outcome);
+                 });
+}
+
+auto OwnerElection::onOutcome(store::Committed &Outcome) -> void {
+  Owner = Attempted;
+  OwnerVersion = Outcome.Version;
+  win(Attempted.FencingToken, Outcome.Version);
+}
+
+auto OwnerElection::onOutcome(store::Conflicted &Outcome) -> void {
+  // The tick sees it if the row is ours after an attempt without an answer.
+  onRows(Outcome.Current);
+}
+
+auto OwnerElection::onOutcome(store::StoreRefused &Outcome) -> void {
+  logEvent(LogLevel::Warning, "take-shard-refused",
+           {{"shard", Shard}, {"reason", Outcome.Reason}});
+}
+
+auto OwnerElection::onOutcome(store::StoreUnanswered &Outcome) -> void {
+  logEvent(LogLevel::Warning, "take-shard-unanswered",
+           {{"shard", Shard}, {"reason", Outcome.Reason}});
+}
+
+auto OwnerElection::win(std::uint64_t Token, std::uint64_t Version) -> void {
+  if (Retired)
+    return;
+  Holding = true;
+  logEvent(LogLevel::Info, "shard-taken",
+           {{"shard", Shard}, {"token", std::to_string(Token)}});
+  OnWon({Token, Version});
+}
+
+auto OwnerElection::isSelf(const OwnerRecord &Record) const -> bool {
+  return Record.Host == Self.Host && Record.Incarnation == Self.Incarnation;
+}
+
+} // namespace jayramp::shard
--- /dev/null
+++ b/Source/Shard/OwnerElection.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "Net/EventLoop.h"
+#include "Shard/ProgressCommitter.h"
+#include "Shard/ShardRows.h"
+#include "Shard/ShardSettings.h"
+#include "Store/RowStore.h"
+#include "Store/TableFollower.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace jayramp::shard {
+
+/// Watches who owns a shard and takes it when its owner is gone. Only a
+/// conditional write of the owner row, which raises the fencing token, makes an
+/// owner.
+class OwnerElection {
+public:
+  struct Candidate {
+    std::string Host;
+    std::string Incarnation; ///< Differs for each start of the process.
+    Milliseconds Delay{0};   ///< Spreads attempts of several hosts.
+  };
+
+  OwnerElection(net::EventLoop &Loop, store::RowStore &Store, std::string Shard,
+                const ShardSettings &Settings, Candidate Self,
+                std::function<void(ProgressCommitter::Ownership)> OnWon);
+  ~OwnerElection();
+  OwnerElection(const OwnerElection &) = delete;
+  auto operator=(const OwnerElection &) -> OwnerElection & = delete;
+
+  auto start() -> void;
+  /// This process does not act as the owner any more.
+  auto stepDown() -> void;
+  /// Gives the shard up if held, takes no other, and calls \p Done.
+  auto retire(std::function<void()> Done) -> void;
+
+private:
+  auto onRows(const std::vector<store::Row> &Changed) -> void;
+  auto tick() -> void;
+  auto isVacant() const -> bool;
+  auto mayTake() const -> bool;
+  auto take() -> void;
+  auto onOutcome(store::Committed &Outcome) -> void;
+  auto onOutcome(store::Conflicted &Outcome) -> void;
+  auto onOutcome(store::StoreRefused &Outcome) -> void;
+  auto onOutcome(store::StoreUnanswered &Outcome) -> void;
+  auto win(std::uint64_t Token, std::uint64_t Version) -> void;
+  auto isSelf(const OwnerRecord &Owner) const -> bool;
+
+  net::EventLoop &Loop;
+  store::RowStore &Store;
+  std::string Shard;
+  ShardRows Rows;
+  const ShardSettings &Settings;
+  Candidate Self;
+  std::function<void(ProgressCommitter::Ownership)> OnWon;
+  std::unique_ptr<store::TableFollower> Follower;
+  std::optional<OwnerRecord> Owner;
+  std::uint64_t OwnerVersion = 0;
+  OwnerRecord Attempted;
+  TimePoint LastSign;    ///< The owner's rows last changed.
+  TimePoint LastCurrent; ///< The store last answered the follower.
+  bool Started = false;
+  bool Attempting = false;
+  bool Holding = false;
+  bool Retired = false;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+  net::EventLoop::TimerHandle Tick;
+};
+
+} // namespace jayramp::shard
--- /dev/null
+++ b/Source/Shard/ServingConfiguration.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Net/HttpMessage.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jayramp::shard {
+
+/// A queue with its policy, and which requests belong to it.
+struct QueuePolicy {
+  std::string Name;
+  std::string Host; ///< Value of the Host header, without a port.
+  std::string PathPrefix;
+  std::string Service; ///< Pool of workers that runs its tasks.
+  std::uint32_t Priority = 0;
+  std::uint32_t MaxAttempts = 1;
+  double Stretch = 1.0;
+  Milliseconds TargetLatency{0};
+  bool Public = false; ///< Needs no API key.
+
+  auto operator==(const QueuePolicy &) const -> bool = default;
+};
+
+struct ClientAccount {
+  std::string Name;
+  std::vector<std::string> ApiKeys;
+  std::int64_t GuaranteedGpus = 0;
+
+  auto operator==(const ClientAccount &) const -> bool = default;
+};
+
+/// One version of what the operators want served.
+struct ServingConfiguration {
+  std::uint64_t Version = 0;
+  std::vector<QueuePolicy> Queues;
+  std::vector<std::string> Services;
+  std::vector<ClientAccount> Accounts;
+  net::HttpLimits Limits;
+
+  /// The queue with the longest matching prefix; null if there is none.
+  auto queueFor(std::string_view Host, std::string_view Path) const
+      -> const QueuePolicy *;
+  /// Null if no account has this key.
+  auto accountOf(std::string_view ApiKey) const -> const ClientAccount *;
+  auto guarantees() const -> std::map<std::string, std::int64_t>;
+
+  auto operator==(const ServingConfiguration &) const -> bool = default;
+};
+
+} // namespace jayramp::shard
--- /dev/null
+++ b/Source/Shard/ShardRows.cpp
@@ -0,0 +1,185 @@
+#include "Shard/ShardRows.h"
+
+#include "jayramp/shard/v1/shard.pb.h"
+
+namespace jayramp::shard {
+
+namespace rows = jayramp::shard::v1;
+
+namespace {
+
+const std::string CancelSuffix = ".cancel";
+
+auto malformed(const char *Kind) -> Error {
+  return Error::make(ErrorKind::Internal, Kind, "row cannot be decoded",
+                     "check which release wrote it");
+}
+
+auto toRow(const scheduling::StepSpec &Spec, rows::Step &Row) -> void {
+  Row.set_count(Spec.Count);
+  Row.set_cpu_millis(Spec.Need.CpuMillis);
+  Row.set_memory_mb(Spec.Need.MemoryMb);
+  Row.set_gpus(Spec.Need.Gpus);
+  Row.set_estimate_ms(Spec.Estimate.count());
+  Row.set_gang(Spec.Gang);
+  Row.set_same_rack(Spec.SameRack);
+  Row.set_checkpointing(Spec.Checkpointing);
+  for (const auto Earlier : Spec.After)
+    Row.add_after(Earlier);
+  Row.set_required_label(Spec.RequiredLabel);
+  Row.set_data_rack(Spec.DataRack);
+  Row.set_max_per_worker(Spec.MaxPerWorker);
+}
+
+auto fromRow(const rows::Step &Row) -> scheduling::StepSpec {
+  scheduling::StepSpec Spec;
+  Spec.Count = Row.count();
+  Spec.Need = {Row.cpu_millis(), Row.memory_mb(), Row.gpus()};
+  Spec.Estimate = Milliseconds(Row.estimate_ms());
+  Spec.Gang = Row.gang();
+  Spec.SameRack = Row.same_rack();
+  Spec.Checkpointing = Row.checkpointing();
+  Spec.After.assign(Row.after().begin(), Row.after().end());
+  Spec.RequiredLabel = Row.required_label();
+  Spec.DataRack = Row.data_rack();
+  Spec.MaxPerWorker = Row.max_per_worker();
+  return Spec;
+}
+
+} // namespace
+
+auto ShardRows::job(const std::string &Id) const -> store::RowKey {
+  return {JobTable, Shard, Id};
+}
+
+auto ShardRows::cancel(const std::string &Id) const -> store::RowKey {
+  return {JobTable, Shard, Id + CancelSuffix};
+}
+
+auto ShardRows::progress(const std::string &Id) const -> store::RowKey {
+  return {ProgressTable, Shard, Id};
+}
+
+auto ShardRows::waiting(const std::string &Queue, const std::string &Id) const
+    -> store::RowKey {
+  return {WaitingTable, Shard, Queue + '/' + Id};
+}
+
+auto ShardRows::waitingOf(const std::string &Queue) const -> store::RangeQuery {
+  // '0' follows '/' in byte order.
+  return {WaitingTable, Shard, Queue + '/', Queue + '0'};
+}
+
+auto ShardRows::owner() const -> store::RowKey {
+  return {OwnershipTable, Shard, OwnerKey};
+}
+
+auto ShardRows::heartbeat() const -> store::RowKey {
+  return {OwnershipTable, Shard, HeartbeatKey};
+}
+
+auto ShardRows::cancelledJob(const std::string &Key) -> std::string {
+  if (Key.size() <= CancelSuffix.size() || !Key.ends_with(CancelSuffix))
+    return {};
+  return Key.substr(0, Key.size() - CancelSuffix.size());
+}
+
+auto encodeJob(const scheduling::JobSpec &Spec) -> std::string {
+  rows::JobRow Row;
+  Row.set_id(Spec.Id);
+  Row.set_queue(Spec.Queue);
+  Row.set_tenant(Spec.Tenant);
+  Row.set_service(Spec.Service);
+  Row.set_priority(Spec.Priority);
+  Row.set_max_attempts(Spec.MaxAttempts);
+  Row.set_stretch(Spec.Stretch);
+  Row.set_target_latency_ms(Spec.TargetLatency.count());
+  Row.set_accepted_unix_ms(Spec.AcceptedUnixMs);
+  Row.set_payload(Spec.Payload);
+  for (const auto &Step : Spec.Steps)
+    toRow(Step, *Row.add_steps());
+  return Row.SerializeAsString();
+}
+
+auto decodeJob(const std::string &Value) -> Result<scheduling::JobSpec> {
+  rows::JobRow Row;
+  if (!Row.ParseFromString(Value))
+    return malformed("job");
+  scheduling::JobSpec Spec;
+  Spec.Id = Row.id();
+  Spec.Queue = Row.queue();
+  Spec.Tenant = Row.tenant();
+  Spec.Service = Row.service();
+  Spec.Priority = Row.priority();
+  Spec.MaxAttempts = Row.max_attempts();
+  Spec.Stretch = Row.stretch();
+  Spec.TargetLatency = Milliseconds(Row.target_latency_ms());
+  Spec.AcceptedUnixMs = Row.accepted_unix_ms();
+  Spec.Payload = Row.payload();
+  for (const auto &Step : Row.steps())
+    Spec.Steps.push_back(fromRow(Step));
+  return Spec;
+}
+
+auto encodeProgress(const scheduling::JobProgress &Progress) -> std::string {
+  rows::ProgressRow Row;
+  Row.set_state(static_cast<rows::JobState>(Progress.State));
+  for (const auto &Step : Progress.Steps) {
+    auto &StepRow = *Row.add_steps();
+    for (const auto &Task : Step) {
+      auto &TaskRow = *StepRow.add_tasks();
+      TaskRow.set_last_run(Task.LastRun);
+      TaskRow.set_done(Task.Done);
+      TaskRow.set_failures(Task.Failures);
+      TaskRow.set_failed_run(Task.FailedRun);
+      TaskRow.set_checkpoint(Task.Checkpoint);
+      TaskRow.set_worker(Task.Worker);
+      TaskRow.set_incarnation(Task.Incarnation);
+    }
+  }
+  return Row.SerializeAsString();
+}
+
+auto decodeProgress(const std::string &Value)
+    -> Result<scheduling::JobProgress> {
+  rows::ProgressRow Row;
+  if (!Row.ParseFromString(Value))
+    return malformed("progress");
+  scheduling::JobProgress Progress;
+  Progress.State = static_cast<scheduling::JobState>(Row.state());
+  for (const auto &StepRow : Row.steps()) {
+    auto &Step = Progress.Steps.emplace_back();
+    for (const auto &TaskRow : StepRow.tasks())
+      Step.push_back({TaskRow.last_run(), TaskRow.done(), TaskRow.failures(),
+                      TaskRow.failed_run(), TaskRow.checkpoint(),
+                      TaskRow.worker(), TaskRow.incarnation()});
+  }
+  return Progress;
+}
+
+auto encodeOwner(const OwnerRecord &Owner) -> std::string {
+  rows::OwnerRow Row;
+  Row.set_host(Owner.Host);
+  Row.set_incarnation(Owner.Incarnation);
+  Row.set_fencing_token(Owner.FencingToken);
+  Row.set_released(Owner.Released);
+  return Row.SerializeAsString();
+}
+
+auto decodeOwner(const std::string &Value) -> Result<OwnerRecord> {
+  rows::OwnerRow Row;
+  if (!Row.ParseFromString(Value))
+    return malformed("owner");
+  return OwnerRecord{Row.host(), Row.incarnation(), Row.fencing_token(),
+                     Row.released()};
+}
+
+auto encodeHeartbeat(std::uint64_t FencingToken, std::uint64_t Sequence)
+    -> std::string {
+  rows::HeartbeatRow Row;
+  Row.set_fencing_token(FencingToken);
+  Row.set_sequence(Sequence);
+  return Row.SerializeAsString();
+}
+
+} // namespace jayramp::shard
--- /dev/null
+++ b/Source/Shard/ShardSettings.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "Base/Clock.h"
+
+namespace jayramp::shard {
+
+/// Times of the owner of a shard.
+struct ShardSettings {
+  /// Lease that runs get with each start and hold.
+  Milliseconds Lease{6000};
+  /// Longest lease that a worker grants.
+  Milliseconds MaxLease{10000};
+  /// An owner that could not renew its ownership for this long holds no leases
+  /// any more, so that a successor knows when they have run out.
+  Milliseconds GrantLimit{10000};
+  /// How long a worker waits for an end before it answers a hold.
+  Milliseconds HoldWait{1000};
+  Milliseconds OrderTimeout{400};
+  Milliseconds HoldSlack{600};
+  Milliseconds RetryDelay{100};
+  Milliseconds HeartbeatInterval{500};
+  /// Silence after which another host takes the shard.
+  Milliseconds TakeoverAfter{2000};
+  Milliseconds StoreTimeout{1200};
+  /// How long a final job's state can be read.
+  Milliseconds KeepFinalJobs{180000};
+};
+
+} // namespace jayramp::shard
--- /dev/null
+++ b/Source/Store/TableFollower.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "Net/EventLoop.h"
+#include "Store/RowStore.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace jayramp::store {
+
+/// Pace of a TableFollower.
+struct FollowerPace {
+  Milliseconds Wait{1000};      ///< Longest wait of one call for a change.
+  Milliseconds Pause{0};        ///< Between an answer with changes and a call.
+  Milliseconds RetryDelay{150}; ///< After a call that failed.
+
+  auto operator==(const FollowerPace &) const -> bool = default;
+};
+
+/// Keeps a reader up to date with one table: first all rows of one partition,
+/// then each change. Reads everything anew when the store has dropped its
+/// history.
+class TableFollower {
+public:
+  /// What the reader is told.
+  struct Observer {
+    /// All rows, at first and after the history was lost.
+    std::function<void(std::vector<Row>)> OnSnapshot;
+    /// Changed rows, in order; deleted rows are marked.
+    std::function<void(std::vector<Row>)> OnChanges;
+    /// The store has answered: what was told is current.
+    std::function<void()> OnCurrent;
+  };
+
+  TableFollower(net::EventLoop &Loop, RowStore &Store, std::string Table,
+                std::string Partition, FollowerPace Pace, Observer Told);
+  ~TableFollower();
+  TableFollower(const TableFollower &) = delete;
+  auto operator=(const TableFollower &) -> TableFollower & = delete;
+
+  auto start() -> void;
+
+private:
+  class Core;
+  std::shared_ptr<Core> State;
+};
+
+} // namespace jayramp::store
--- a/Utilities/install.sh
+++ b/Utilities/install.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages=(libcpprest-dev libssl-dev libzmq3-dev cppzmq-dev libprotobuf-dev
   protobuf-compiler libyaml-cpp-dev libboost-dev libcxxopts-dev libspdlog-dev
-  librapidcheck-dev libgtest-dev spin ccache ninja-build cmake g++ gcc
+  librapidcheck-dev libgtest-dev nlohmann-json3-dev spin ccache ninja-build cmake g++ gcc
   clang-format clang-tidy)
 if dpkg -s "${packages[@]}" >/dev/null 2>&1; then
   exit 0
