Stop throwing away work: gang members that are done are not stalled

Cause: a gang member at 100 percent that waits for slower members was taken as stalled and the gang restarted; small tasks were spread over all racks, so that urgent gangs had to preempt; preemption had no bound. Now racks are filled one by one, and the work lost for urgent work is bounded by its own size, without bound only once a guarantee is at stake. Also: the callback that destroys a shard's owner was its own member (signal 11 at each lost shard).

--- a/Source/Scheduling/PlacementPass.cpp
+++ b/Source/Scheduling/PlacementPass.cpp
@@ -3,6 +3,7 @@
 #include "Scheduling/ShardScheduler.h"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <tuple>
 
@@ -69,12 +70,16 @@
 }
 
 auto PlacementPass::collectSlots() -> void {
+  std::map<std::string, std::size_t> Racks;
   for (auto &[Id, Entry] : Scheduler.Workers) {
     if (!Entry.Registered || !Entry.Reachable || Entry.Report.Draining ||
         Now < Entry.QuarantinedUntil)
       continue;
-    Slot Candidate{&Entry, Entry.Report.Capacity, {}};
+    const auto Rack = Racks.emplace(Entry.Report.Rack, Racks.size());
+    RackFreeGpus.resize(Racks.size());
+    Slot Candidate{&Entry, Rack.first->second, Entry.Report.Capacity, {}};
     Candidate.Free -= Entry.Used;
+    RackFreeGpus[Candidate.Rack] += Candidate.Free.Gpus;
     Candidate.Soon = Candidate.Free;
     for (const auto &Id : Entry.Runs) {
       const auto &Alive = Scheduler.Runs.at(Id);
@@ -179,7 +184,7 @@
     if (Found && (!Best || Found->Cost < Best->Cost))
       Best = std::move(Found);
   }
-  if (!Best)
+  if (!Best || Best->Cost > lossBudget(Waiting))
     return false;
   for (const auto &Victim : Best->Victims) {
     const auto *Alive = Scheduler.run(Victim);
@@ -189,7 +194,7 @@
       if (Candidate.Worker->Report.Id == Alive->Worker)
         Candidate.Soon +=
             Scheduler.Jobs.at(Victim.Job).Spec.Steps[Victim.Step].Need;
-    Scheduler.stopRun(Victim);
+    Scheduler.stopRun(Victim, StopReason::Preempted, Waiting.Job->Spec.Id);
   }
   claimLayout(Waiting, *Best);
   return true;
@@ -206,6 +211,7 @@
                        Waiting.RunNumber, *Target.Worker, Now);
       Target.Free -= Need;
       Target.Soon -= Need;
+      RackFreeGpus[Target.Rack] -= Need.Gpus;
     }
 }
 
@@ -280,7 +286,8 @@
   struct Option {
     std::size_t Position;
     std::uint32_t Room;
-    std::tuple<bool, bool, std::int64_t, std::int64_t> Preference;
+    std::tuple<bool, bool, std::int64_t, std::int64_t, std::int64_t>
+        Preference;
   };
   std::vector<Option> Options;
   std::uint32_t Total = 0;
@@ -298,11 +305,11 @@
     const bool Suspect = !Entry.FailedJobs.empty();
     const bool FarFromData =
         !Spec.DataRack.empty() && Entry.Report.Rack != Spec.DataRack;
-    // The fullest worker first, so that whole workers stay free.
-    Options.push_back(
-        {Position,
-         Room,
-         {Suspect, FarFromData, Available.Gpus, Available.MemoryMb}});
+    // The fullest rack and worker first, so that whole ones stay free.
+    Options.push_back({Position,
+                       Room,
+                       {Suspect, FarFromData, RackFreeGpus[Candidate.Rack],
+                        Available.Gpus, Available.MemoryMb}});
     Total += Room;
   }
   if (Total < Waiting.Members.size())
@@ -391,6 +398,17 @@
   return Found;
 }
 
+auto PlacementPass::lossBudget(const Unit &Waiting) const -> double {
+  const auto &Policy = Scheduler.Policy;
+  const auto Waited = Now - Waiting.Job->SubmittedAt;
+  if (Waiting.Job->Guaranteed && Waited >= Policy.ReclaimAfter)
+    return std::numeric_limits<double>::infinity();
+  double Work = 0;
+  for (const auto &Step : Waiting.Job->Spec.Steps)
+    Work += Step.Need.weightInCores() * Step.Count * seconds(Step.Estimate);
+  return Work * Policy.MaxLossForUrgentWork;
+}
+
 auto PlacementPass::mayBeStoppedFor(const Unit &Waiting,
                                     const RunId &Candidate) const -> bool {
   const auto &Alive = Scheduler.Runs.at(Candidate);
--- a/Source/Scheduling/PlacementPass.h
+++ b/Source/Scheduling/PlacementPass.h
@@ -40,6 +40,7 @@
   /// A worker that may take tasks in this pass.
   struct Slot {
     WorkerEntry *Worker = nullptr;
+    std::size_t Rack = 0; ///< Index in RackFreeGpus.
     Resources Free; ///< Available now.
     Resources Soon; ///< Also what stopping runs will free, less claims.
   };
@@ -75,6 +76,8 @@
   auto layoutWithVictims(const Unit &Waiting,
                          const std::vector<std::size_t> &Group) const
       -> std::optional<Layout>;
+  /// Core-seconds of others' work that may be lost for the unit.
+  auto lossBudget(const Unit &Waiting) const -> double;
   auto mayBeStoppedFor(const Unit &Waiting, const RunId &Candidate) const
       -> bool;
   /// Work lost by stopping the run and, if it is one, the rest of its gang.
@@ -84,6 +87,7 @@
   ShardScheduler &Scheduler;
   TimePoint Now;
   std::vector<Slot> Slots;
+  std::vector<std::int64_t> RackFreeGpus; ///< By rack, in this pass.
 };
 
 } // namespace jayramp::scheduling
--- /dev/null
+++ b/Source/Scheduling/RunStop.cpp
@@ -0,0 +1,23 @@
+#include "Scheduling/RunStop.h"
+
+namespace jayramp::scheduling {
+
+auto toString(StopReason Reason) -> std::string_view {
+  switch (Reason) {
+  case StopReason::Preempted:
+    return "preempted";
+  case StopReason::Stalled:
+    return "stalled";
+  case StopReason::GangBroken:
+    return "gang-broken";
+  case StopReason::WorkerLeaves:
+    return "worker-leaves";
+  case StopReason::JobFinal:
+    return "job-final";
+  case StopReason::StartRefused:
+    return "start-refused";
+  }
+  return "unknown";
+}
+
+} // namespace jayramp::scheduling
--- /dev/null
+++ b/Source/Scheduling/RunStop.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "Scheduling/RunId.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace jayramp::scheduling {
+
+enum class StopReason {
+  Preempted,  ///< More urgent work needs its room.
+  Stalled,    ///< It made no progress.
+  GangBroken, ///< Another member of its gang is gone.
+  WorkerLeaves,
+  JobFinal, ///< The job was cancelled or has failed.
+  StartRefused,
+};
+
+/// Name of \p Reason in logs and metrics.
+auto toString(StopReason Reason) -> std::string_view;
+
+/// A decision to stop a run, for logs and metrics.
+struct RunStop {
+  RunId Run;
+  std::string Worker;
+  StopReason Reason = StopReason::JobFinal;
+  std::string Beneficiary; ///< Job that gets the room, if any.
+  std::uint32_t Percent = 0; ///< Progress that the run had made.
+};
+
+} // namespace jayramp::scheduling
--- a/Source/Scheduling/SchedulingPolicy.h
+++ b/Source/Scheduling/SchedulingPolicy.h
@@ -17,6 +17,11 @@
   std::uint32_t QuarantineFailures = 2;
   /// How long a worker that refused a start gets no other task.
   Milliseconds RefusalPause{500};
+  /// Work may be thrown away for an urgent task up to this multiple of the work
+  /// that the task itself does.
+  double MaxLossForUrgentWork = 4.0;
+  /// After this wait, guaranteed work is given room at any loss.
+  Milliseconds ReclaimAfter{1200};
   /// A task without any progress for this long is restarted elsewhere.
   Milliseconds StallTime{3000};
 };
--- a/Source/Scheduling/ShardScheduler.cpp
+++ b/Source/Scheduling/ShardScheduler.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr std::uint32_t AllDonePercent = 100;
+
 /// The task whose progress carries failures and checkpoint of \p Index.
 auto keeperOf(const StepSpec &Step, std::uint32_t Index) -> std::uint32_t {
   return Step.Gang ? 0 : Index;
@@ -196,10 +198,14 @@
     breakGang(Id);
 }
 
-auto ShardScheduler::stopRun(const RunId &Id) -> void {
+auto ShardScheduler::stopRun(const RunId &Id, StopReason Reason,
+                             const std::string &Beneficiary) -> void {
   auto Found = Runs.find(Id);
-  if (Found != Runs.end())
-    Found->second.Phase = RunPhase::Stopping;
+  if (Found == Runs.end() || Found->second.Phase == RunPhase::Stopping)
+    return;
+  Found->second.Phase = RunPhase::Stopping;
+  Stops.push_back({Id, Found->second.Worker, Reason, Beneficiary,
+                   Found->second.Percent});
 }
 
 auto ShardScheduler::decide(TimePoint Now) -> void {
@@ -325,7 +331,7 @@
   if (!Job || Job->Progress.Steps[Id.Step][0].Done)
     return;
   for (std::uint32_t Index = 0; Index < Job->Spec.Steps[Id.Step].Count; ++Index)
-    stopRun({Id.Job, Id.Step, Index, Id.Run});
+    stopRun({Id.Job, Id.Step, Index, Id.Run}, StopReason::GangBroken);
 }
 
 auto ShardScheduler::blameWorker(const std::string &Worker,
@@ -350,12 +356,13 @@
   const RunId First{Job.Spec.Id, 0, 0, 0};
   for (auto Next = Runs.lower_bound(First);
        Next != Runs.end() && Next->first.Job == Job.Spec.Id; ++Next)
-    Next->second.Phase = RunPhase::Stopping;
+    stopRun(Next->first, StopReason::JobFinal);
 }
 
 auto ShardScheduler::restartStalledRuns(TimePoint Now) -> void {
   for (auto &[Id, Alive] : Runs) {
-    if (Alive.Phase != RunPhase::Started ||
+    // A member of a gang that is done waits for the slower ones.
+    if (Alive.Phase != RunPhase::Started || Alive.Percent >= AllDonePercent ||
         Now - Alive.ProgressAt < Policy.StallTime)
       continue;
     const auto *Job = findJob(Id.Job);
@@ -367,7 +374,7 @@
         Policy.StallTime, Job->Spec.Steps[Id.Step].Estimate / 4);
     if (Now - Alive.ProgressAt < Patience)
       continue;
-    Alive.Phase = RunPhase::Stopping;
+    stopRun(Id, StopReason::Stalled);
     blameWorker(Alive.Worker, Id.Job, Now);
     if (Job->Spec.Steps[Id.Step].Gang)
       breakGang(Id);
--- a/Source/Scheduling/ShardScheduler.h
+++ b/Source/Scheduling/ShardScheduler.h
@@ -3,6 +3,7 @@
 #include "Scheduling/JobProgress.h"
 #include "Scheduling/JobSpec.h"
 #include "Scheduling/Run.h"
+#include "Scheduling/RunStop.h"
 #include "Scheduling/SchedulingPolicy.h"
 #include "Scheduling/WorkerReport.h"
 
@@ -10,6 +11,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace jayramp::scheduling {
@@ -69,13 +71,17 @@
   /// The run is certainly not alive and will never be, without a listed end.
   auto runVanished(const RunId &Id, TimePoint Now) -> void;
   /// Asks for the end of a run; it stays until it is over.
-  auto stopRun(const RunId &Id) -> void;
+  auto stopRun(const RunId &Id, StopReason Reason,
+               const std::string &Beneficiary = {}) -> void;
   /// Places waiting tasks and chooses runs to stop for more urgent ones.
   auto decide(TimePoint Now) -> void;
   /// Ids of jobs whose progress changed since the last call, at most \p Most,
   /// oldest change first.
   auto takeChangedJobs(std::size_t Most) -> std::vector<std::string>;
 
+  /// Decisions to stop runs since the last call.
+  auto takeStops() -> std::vector<RunStop> { return std::exchange(Stops, {}); }
+
   // Queries.
 
   auto job(const std::string &Id) const -> const JobEntry *;
@@ -113,6 +119,7 @@
   std::map<std::string, std::int64_t> Guarantees;
   std::deque<std::string> Changed;
   std::set<std::string> ChangedSet;
+  std::vector<RunStop> Stops;
   std::uint64_t NextSequence = 1;
 };
 
--- a/Source/Shard/ShardOwner.cpp
+++ b/Source/Shard/ShardOwner.cpp
@@ -232,11 +232,22 @@
   if (Lost)
     return;
   Scheduler.decide(Clock::now());
+  logStops();
   pumpSessions();
   if (!Lost)
     Committer->flush();
 }
 
+auto ShardOwner::logStops() -> void {
+  for (const auto &Stop : Scheduler.takeStops())
+    logEvent(LogLevel::Info, "run-stopped",
+             {{"run", toString(Stop.Run)},
+              {"worker", Stop.Worker},
+              {"reason", std::string(toString(Stop.Reason))},
+              {"for", Stop.Beneficiary},
+              {"percent", std::to_string(Stop.Percent)}});
+}
+
 auto ShardOwner::pumpSessions() -> void {
   std::vector<std::shared_ptr<WorkerSession>> All;
   for (auto &[Id, Session] : Sessions)
@@ -281,9 +292,10 @@
   Committer->close();
   for (auto &[Id, Session] : Sessions)
     Session->close();
-  Needs.Loop.post([this, Alive = Alive] {
+  // The callback destroys this object and so must not be its member.
+  Needs.Loop.post([Told = OnLost, Alive = Alive] {
     if (*Alive)
-      OnLost();
+      Told();
   });
 }
 
--- a/Source/Shard/WorkerSession.cpp
+++ b/Source/Shard/WorkerSession.cpp
@@ -175,7 +175,7 @@
     return;
   case OrderOutcome::Outdated:
     State.OverUnlessListed = now();
-    Shared.Scheduler.stopRun(Id);
+    Shared.Scheduler.stopRun(Id, scheduling::StopReason::StartRefused);
     break;
   case OrderOutcome::Expired:
     State.NextStart = now() + Shared.Settings.RetryDelay;
@@ -214,7 +214,7 @@
   if (NeverStarts)
     Shared.Scheduler.runVanished(Id, now());
   else
-    Shared.Scheduler.stopRun(Id);
+    Shared.Scheduler.stopRun(Id, scheduling::StopReason::StartRefused);
 }
 
 auto WorkerSession::sendStop(const RunId &Id) -> void {
@@ -389,7 +389,7 @@
     const auto &State = OrdersOf.at(Id);
     // A start that is on its way could begin in the new process.
     if (State.StartInFlight || State.StartsUnanswered > 0)
-      Shared.Scheduler.stopRun(Id);
+      Shared.Scheduler.stopRun(Id, scheduling::StopReason::StartRefused);
     else
       Shared.Scheduler.runVanished(Id, now());
   }
