Start nothing before its write is committed; let leases of silent workers run out

Recovered runs are now those that were there when the session began, and nothing is placed before the first contact. No lease is granted after a hold that failed.

--- a/Source/Shard/WorkerSession.cpp
+++ b/Source/Shard/WorkerSession.cpp
@@ -41,8 +41,13 @@
     : Shared(Shared), Worker(std::move(Worker)) {
   LeasesUntil = PredecessorLeasesUntil.value_or(TimePoint{});
   HeldOnce = !PredecessorLeasesUntil;
-  if (const auto *Entry = Shared.Scheduler.worker(this->Worker))
+  if (const auto *Entry = Shared.Scheduler.worker(this->Worker)) {
     Incarnation = Entry->Report.Incarnation;
+    RecoveredRuns = Entry->Runs;
+  }
+  // What runs there is known only after the first contact.
+  if (!HeldOnce)
+    Shared.Scheduler.setReachable(this->Worker, false);
 }
 
 auto WorkerSession::report(std::int64_t ClockMs) -> void {
@@ -105,7 +110,7 @@
     if (OrdersOf.contains(Id))
       continue;
     Orders State;
-    State.Recovered = !HeldOnce;
+    State.Recovered = RecoveredRuns.contains(Id);
     State.DurableAt = State.Recovered ? 0 : Shared.ChangeNumber();
     OrdersOf.emplace(Id, State);
   }
@@ -117,7 +122,7 @@
     const bool Known = HeldOnce || !State.Recovered;
     if (Known && ClockKnown && !State.StartInFlight &&
         now() >= State.NextStart && Shared.IsDurable(State.DurableAt) &&
-        Shared.MayGrant())
+        mayGrant())
       sendStart(Alive, State);
     return;
   }
@@ -275,7 +280,7 @@
   Order.FencingToken = Shared.FencingToken;
   Order.LastSeenEnd = LastSeenDurable;
   Order.Wait = Wait;
-  if (ClockKnown && !OrdersOf.empty() && Shared.MayGrant()) {
+  if (ClockKnown && !OrdersOf.empty() && mayGrant()) {
     Order.LeaseUntilMs = leaseUntil();
     noteGrant();
   }
@@ -456,6 +461,12 @@
   return epochMs(now()) + ClockOffsetMs + Shared.Settings.Lease.count();
 }
 
+auto WorkerSession::mayGrant() const -> bool {
+  // While a worker does not answer, its leases must be able to run out: every
+  // order that it may have received would extend them.
+  return HoldFailures == 0 && Shared.MayGrant();
+}
+
 auto WorkerSession::noteGrant() -> void {
   const auto Until = now() +
                      Shared.Settings.Lease * (100 + ClockErrorPercent) / 100 +
--- a/Source/Shard/WorkerSession.h
+++ b/Source/Shard/WorkerSession.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace jayramp::shard {
@@ -95,6 +96,7 @@
   auto noteClock(std::int64_t ClockMs) -> void;
   auto leaseUntil() const -> std::int64_t;
   auto noteGrant() -> void;
+  auto mayGrant() const -> bool;
   auto now() const -> TimePoint { return Clock::now(); }
 
   Context &Shared;
@@ -112,6 +114,7 @@
   TimePoint LastContact;
   bool HoldInFlight = false;
   bool HeldOnce = false;
+  std::set<scheduling::RunId> RecoveredRuns; ///< Assigned by a predecessor.
   bool Unregistered = false;
   bool LeftForGood = false;
   unsigned HoldFailures = 0;
--- /dev/null
+++ b/Tests/Shard/FakeRowStore.h
@@ -0,0 +1,174 @@
+#pragma once
+
+#include "Net/EventLoop.h"
+#include "Store/RowStore.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace jayramp::test {
+
+/// Table service in memory with the failures of a remote one.
+class FakeRowStore final : public store::RowStore {
+public:
+  enum class Mode {
+    Serving,
+    Holding,      ///< Transactions wait for release().
+    Refusing,     ///< Nothing is done, and the caller is told so.
+    Silent,       ///< Nothing is done and nobody is told.
+    LosingAnswers ///< Transactions are applied, their answers are lost.
+  };
+
+  explicit FakeRowStore(net::EventLoop &Loop) : Loop(Loop) {}
+
+  auto setMode(Mode Next) -> void { Current = Next; }
+  /// Applies the transactions that are held, in order.
+  auto release() -> void {
+    Current = Mode::Serving;
+    for (auto &Apply : std::exchange(Held, {}))
+      Apply();
+  }
+  auto row(const store::RowKey &Key) const -> const store::Row * {
+    const auto Found = Rows.find(Key);
+    return Found == Rows.end() ? nullptr : &Found->second;
+  }
+  /// Writes a row as another process would.
+  auto put(const store::RowKey &Key, std::string Value) -> std::uint64_t {
+    apply({{}, {{Key, std::move(Value)}}, {}});
+    return Version;
+  }
+  auto heldCount() const -> std::size_t { return Held.size(); }
+  auto transactionCount() const -> std::size_t { return Transactions; }
+  auto dropHistory() -> void { HistoryFrom = Version + 1; }
+
+  auto transact(store::RowTransaction Change, Milliseconds Timeout,
+                std::function<void(store::TransactionOutcome)> Done)
+      -> void override {
+    ++Transactions;
+    const auto Apply = [this, Change = std::move(Change), Done] {
+      auto Outcome = decideTransaction(Change);
+      Loop.post([Done, Outcome] { Done(Outcome); });
+    };
+    switch (Current) {
+    case Mode::Serving:
+      Apply();
+      return;
+    case Mode::Holding:
+      Held.push_back(Apply);
+      return;
+    case Mode::Refusing:
+      Loop.post([Done] { Done(store::StoreRefused{"refused"}); });
+      return;
+    case Mode::LosingAnswers:
+      decideTransaction(Change);
+      [[fallthrough]];
+    case Mode::Silent:
+      later(Timeout, [Done] { Done(store::StoreUnanswered{"silent"}); });
+      return;
+    }
+  }
+
+  auto read(store::RangeQuery Query, Milliseconds Timeout,
+            std::function<void(store::ReadOutcome)> Done) -> void override {
+    if (Current == Mode::Silent) {
+      later(Timeout, [Done] { Done(store::StoreUnanswered{"silent"}); });
+      return;
+    }
+    if (Current == Mode::Refusing) {
+      Loop.post([Done] { Done(store::StoreRefused{"refused"}); });
+      return;
+    }
+    store::RowPage Page;
+    for (const auto &[Key, Row] : Rows)
+      if (Key.Table == Query.Table && Key.Partition == Query.Partition &&
+          Key.Key >= Query.From && (Query.To.empty() || Key.Key < Query.To))
+        Page.Rows.push_back(Row);
+    Page.Version = Version;
+    Loop.post([Done, Page] { Done(Page); });
+  }
+
+  auto changes(std::string Table, std::uint64_t After, Milliseconds Wait,
+               std::function<void(store::ChangesOutcome)> Done)
+      -> void override {
+    if (Current == Mode::Silent || Current == Mode::Refusing) {
+      later(Wait, [Done] { Done(store::StoreUnanswered{"silent"}); });
+      return;
+    }
+    if (After + 1 < HistoryFrom) {
+      Loop.post([Done] { Done(store::HistoryLost{}); });
+      return;
+    }
+    auto Page = changesAfter(Table, After);
+    if (!Page.Rows.empty() || Wait <= PollInterval) {
+      Loop.post([Done, Page] { Done(Page); });
+      return;
+    }
+    later(PollInterval, [this, Table, After, Wait, Done] {
+      changes(Table, After, Wait - PollInterval, Done);
+    });
+  }
+
+  auto available() const -> bool override {
+    return Current != Mode::Silent && Current != Mode::Refusing;
+  }
+
+private:
+  static constexpr Milliseconds PollInterval{2};
+
+  auto later(Milliseconds Delay, std::function<void()> Action) -> void {
+    Timers.push_back(Loop.after(Delay, std::move(Action)));
+  }
+
+  auto changesAfter(const std::string &Table, std::uint64_t After) const
+      -> store::RowPage {
+    store::RowPage Page;
+    for (const auto &Each : Log)
+      if (Each.Key.Table == Table && Each.Version > After)
+        Page.Rows.push_back(Each);
+    Page.Version = Version;
+    return Page;
+  }
+
+  auto decideTransaction(const store::RowTransaction &Change)
+      -> store::TransactionOutcome {
+    store::Conflicted Conflict;
+    bool Holds = true;
+    for (const auto &Condition : Change.Conditions) {
+      const auto *Found = row(Condition.Key);
+      Holds = Holds && (Found ? Found->Version : 0) == Condition.Version;
+      if (Found)
+        Conflict.Current.push_back(*Found);
+    }
+    if (!Holds)
+      return Conflict;
+    apply(Change);
+    return store::Committed{Version};
+  }
+
+  auto apply(const store::RowTransaction &Change) -> void {
+    ++Version;
+    for (const auto &Write : Change.Writes) {
+      Rows[Write.Key] = {Write.Key, Write.Value, Version, false};
+      Log.push_back(Rows[Write.Key]);
+    }
+    for (const auto &Key : Change.Removals)
+      if (Rows.erase(Key) > 0)
+        Log.push_back({Key, {}, Version, true});
+  }
+
+  net::EventLoop &Loop;
+  Mode Current = Mode::Serving;
+  std::map<store::RowKey, store::Row> Rows;
+  std::vector<store::Row> Log;
+  std::deque<std::function<void()>> Held;
+  std::vector<net::EventLoop::TimerHandle> Timers;
+  std::uint64_t Version = 0;
+  std::uint64_t HistoryFrom = 0;
+  std::size_t Transactions = 0;
+};
+
+} // namespace jayramp::test
--- /dev/null
+++ b/Tests/Shard/FakeWorkers.h
@@ -0,0 +1,190 @@
+#pragma once
+
+#include "Net/EventLoop.h"
+#include "Shard/WorkerPort.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace jayramp::test {
+
+/// Workers in memory: leases, fencing, numbered ends, and late or lost orders.
+class FakeWorkers final : public shard::WorkerPort {
+public:
+  struct Task {
+    scheduling::RunId Run;
+    TimePoint EndsAt;
+    TimePoint LeaseUntil;
+    std::string Checkpoint;
+  };
+  struct Worker {
+    std::int64_t Incarnation = 1;
+    std::uint64_t Fence = 0;
+    std::uint64_t NextEnd = 1;
+    Milliseconds WorkTime{30};      ///< Of each task.
+    Milliseconds AnswerDelay{0};    ///< Of each order.
+    bool Mute = false;              ///< Answers nothing and does nothing.
+    unsigned LoseNextStarts = 0;    ///< Done without an answer.
+    bool FailsTasks = false;        ///< All tasks end as failed.
+    std::map<scheduling::RunId, Task> Running;
+    std::vector<shard::ListedEnd> Ended;
+    std::set<scheduling::RunId> Refusable; ///< Stopped or ended here.
+    std::vector<scheduling::RunId> Started; ///< All starts, in order.
+  };
+
+  explicit FakeWorkers(net::EventLoop &Loop) : Loop(Loop) {}
+
+  auto operator[](const std::string &Id) -> Worker & { return All[Id]; }
+  auto startsOf(const std::string &Job) const -> std::size_t {
+    std::size_t Count = 0;
+    for (const auto &[Id, Each] : All)
+      Count += static_cast<std::size_t>(
+          std::count_if(Each.Started.begin(), Each.Started.end(),
+                        [&](const auto &Run) { return Run.Job == Job; }));
+    return Count;
+  }
+  /// Restarts the worker's process: it knows nothing any more.
+  auto restart(const std::string &Id) -> void {
+    auto &Each = All[Id];
+    const auto Incarnation = Each.Incarnation + 1;
+    Each = Worker{};
+    Each.Incarnation = Incarnation;
+  }
+
+  auto start(const shard::WorkerTarget &Target, const shard::StartOrder &Order,
+             Milliseconds Timeout,
+             std::function<void(shard::OrderReply)> Done) -> void override {
+    auto &Each = All[Target.Id];
+    if (Each.Mute) {
+      later(Timeout, [Done] { Done({}); });
+      return;
+    }
+    auto Outcome = shard::OrderOutcome::Accepted;
+    advance(Each);
+    if (Order.FencingToken < Each.Fence)
+      Outcome = shard::OrderOutcome::Fenced;
+    else if (Each.Refusable.contains(Order.Run))
+      Outcome = shard::OrderOutcome::Outdated;
+    else if (!Each.Running.contains(Order.Run)) {
+      Each.Fence = Order.FencingToken;
+      Each.Started.push_back(Order.Run);
+      Each.Running[Order.Run] = {Order.Run, Clock::now() + Each.WorkTime,
+                                 fromClock(Order.LeaseUntilMs),
+                                 Order.Checkpoint};
+    }
+    if (Each.LoseNextStarts > 0) {
+      --Each.LoseNextStarts;
+      later(Timeout, [Done] { Done({}); });
+      return;
+    }
+    const shard::OrderReply Reply{Outcome, clockMs(), {}};
+    later(Each.AnswerDelay, [Done, Reply] { Done(Reply); });
+  }
+
+  auto stop(const shard::WorkerTarget &Target, const shard::StopOrder &Order,
+            Milliseconds Timeout, std::function<void(shard::OrderReply)> Done)
+      -> void override {
+    auto &Each = All[Target.Id];
+    if (Each.Mute) {
+      later(Timeout, [Done] { Done({}); });
+      return;
+    }
+    advance(Each);
+    if (Each.Running.contains(Order.Run))
+      end(Each, Order.Run, scheduling::RunEnd::Stopped);
+    Each.Refusable.insert(Order.Run);
+    const shard::OrderReply Reply{shard::OrderOutcome::Accepted, clockMs(), {}};
+    later(Each.AnswerDelay, [Done, Reply] { Done(Reply); });
+  }
+
+  auto hold(const shard::WorkerTarget &Target, const shard::HoldOrder &Order,
+            Milliseconds Timeout, std::function<void(shard::HoldReply)> Done)
+      -> void override {
+    auto &Each = All[Target.Id];
+    if (Each.Mute) {
+      later(Timeout, [Done] { Done({}); });
+      return;
+    }
+    advance(Each);
+    if (Order.FencingToken < Each.Fence) {
+      shard::HoldReply Reply;
+      Reply.Outcome = shard::OrderOutcome::Fenced;
+      later(Each.AnswerDelay, [Done, Reply] { Done(Reply); });
+      return;
+    }
+    Each.Fence = Order.FencingToken;
+    for (auto &[Id, Task] : Each.Running)
+      if (Order.LeaseUntilMs > 0)
+        Task.LeaseUntil =
+            std::max(Task.LeaseUntil, fromClock(Order.LeaseUntilMs));
+    std::erase_if(Each.Ended, [&](const auto &End) {
+      return End.Number <= Order.LastSeenEnd;
+    });
+    answerHold(Target.Id, Order.Wait, Done);
+  }
+
+private:
+  static constexpr Milliseconds PollInterval{2};
+
+  static auto clockMs() -> std::int64_t {
+    return std::chrono::duration_cast<Milliseconds>(
+               Clock::now().time_since_epoch())
+        .count();
+  }
+  static auto fromClock(std::int64_t Time) -> TimePoint {
+    return TimePoint(Milliseconds(Time));
+  }
+
+  auto answerHold(const std::string &Id, Milliseconds Wait,
+                  const std::function<void(shard::HoldReply)> &Done) -> void {
+    auto &Each = All[Id];
+    advance(Each);
+    if (Each.Ended.empty() && Wait > PollInterval) {
+      later(PollInterval, [this, Id, Wait, Done] {
+        answerHold(Id, Wait - PollInterval, Done);
+      });
+      return;
+    }
+    shard::HoldReply Reply;
+    Reply.Outcome = shard::OrderOutcome::Accepted;
+    Reply.WorkerClockMs = clockMs();
+    Reply.Incarnation = Each.Incarnation;
+    Reply.Ended = Each.Ended;
+    for (const auto &[RunId, Task] : Each.Running)
+      Reply.Running.push_back({RunId, {}, 50});
+    later(Each.AnswerDelay, [Done, Reply] { Done(Reply); });
+  }
+
+  auto advance(Worker &Each) -> void {
+    std::vector<std::pair<scheduling::RunId, scheduling::RunEnd>> Over;
+    for (const auto &[Id, Task] : Each.Running) {
+      if (Clock::now() >= Task.LeaseUntil)
+        Over.emplace_back(Id, scheduling::RunEnd::LeaseLapsed);
+      else if (Clock::now() >= Task.EndsAt)
+        Over.emplace_back(Id, Each.FailsTasks ? scheduling::RunEnd::Failed
+                                              : scheduling::RunEnd::Done);
+    }
+    for (const auto &[Id, How] : Over)
+      end(Each, Id, How);
+  }
+
+  auto end(Worker &Each, const scheduling::RunId &Id, scheduling::RunEnd How)
+      -> void {
+    Each.Running.erase(Id);
+    Each.Refusable.insert(Id);
+    Each.Ended.push_back({Each.NextEnd++, Id, How, {}});
+  }
+
+  auto later(Milliseconds Delay, std::function<void()> Action) -> void {
+    Timers.push_back(Loop.after(Delay, std::move(Action)));
+  }
+
+  net::EventLoop &Loop;
+  std::map<std::string, Worker> All;
+  std::vector<net::EventLoop::TimerHandle> Timers;
+};
+
+} // namespace jayramp::test
--- /dev/null
+++ b/Tests/Shard/ShardFixture.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "FakeRowStore.h"
+#include "FakeWorkers.h"
+#include "Shard/FrontDoor.h"
+#include "Shard/ShardOwner.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace jayramp::test {
+
+/// Service discovery that tells what a test says.
+class FakeRegistry final : public shard::WorkerRegistry {
+public:
+  auto follow(Listener Changed) -> void override {
+    Told = std::move(Changed);
+    Told(Workers, true);
+  }
+  auto stop() -> void override { Told = nullptr; }
+
+  auto add(const std::string &Id, const std::string &Rack = "r1",
+           scheduling::Resources Capacity = {64000, 128000, 8}) -> void {
+    scheduling::WorkerReport Report;
+    Report.Id = Id;
+    Report.Service = "pool";
+    Report.Address = Id;
+    Report.Rack = Rack;
+    Report.Capacity = Capacity;
+    Report.Incarnation = 1;
+    tell({Id, Report, 0});
+  }
+  auto remove(const std::string &Id) -> void {
+    tell({Id, std::nullopt, 0});
+  }
+
+private:
+  auto tell(shard::WorkerChange Change) -> void {
+    std::erase_if(Workers,
+                  [&](const auto &Each) { return Each.Id == Change.Id; });
+    if (Change.Report)
+      Workers.push_back(Change);
+    if (Told)
+      Told({Change}, false);
+  }
+
+  std::vector<shard::WorkerChange> Workers;
+  Listener Told;
+};
+
+/// An owner of one shard between a fake store and fake workers, in real time.
+class ShardFixture : public testing::Test {
+protected:
+  ShardFixture() : Store(Loop), Workers(Loop), Door(Loop, Store) {
+    Settings.Lease = Milliseconds(300);
+    Settings.MaxLease = Milliseconds(300);
+    Settings.GrantLimit = Milliseconds(400);
+    Settings.HoldWait = Milliseconds(60);
+    Settings.HoldSlack = Milliseconds(60);
+    Settings.OrderTimeout = Milliseconds(40);
+    Settings.RetryDelay = Milliseconds(10);
+    Settings.StoreTimeout = Milliseconds(80);
+    Settings.HeartbeatInterval = Milliseconds(50);
+  }
+
+  /// Writes the owner row as an election would and starts the owner.
+  auto startOwner(std::uint64_t Token = 1) -> void {
+    const auto Version = Store.put(
+        Rows.owner(), shard::encodeOwner({"host", "incarnation", Token, false}));
+    Owner = std::make_unique<shard::ShardOwner>(
+        shard::ShardOwner::Dependencies{Loop, Store, Workers, Registry,
+                                        Settings},
+        "pool", shard::ProgressCommitter::Ownership{Token, Version},
+        [this, Name = std::string("a name too long for small strings")] {
+          Owner.reset();
+          LostName = Name;
+        });
+    Owner->start();
+  }
+
+  auto runFor(Milliseconds Duration) -> void {
+    const auto Timer = Loop.after(Duration, [this] { Loop.stop(); });
+    Loop.context().restart();
+    Loop.run();
+  }
+
+  auto runUntil(const std::function<bool()> &Condition,
+                Milliseconds Longest = Milliseconds(5000)) -> bool {
+    const auto Deadline = Clock::now() + Longest;
+    while (!Condition() && Clock::now() < Deadline)
+      runFor(Milliseconds(2));
+    return Condition();
+  }
+
+  static auto job(const std::string &Id, std::uint32_t Count = 1,
+                  bool Gang = false, std::int64_t Gpus = 1)
+      -> scheduling::JobSpec {
+    scheduling::JobSpec Job;
+    Job.Id = Id;
+    Job.Queue = "queue";
+    Job.Service = "pool";
+    Job.MaxAttempts = 2;
+    Job.Steps.resize(1);
+    Job.Steps[0].Count = Count;
+    Job.Steps[0].Gang = Gang;
+    Job.Steps[0].Need = {1000, 1000, Gpus};
+    return Job;
+  }
+
+  auto submit(const scheduling::JobSpec &Job) -> void {
+    Door.submit(Job, Clock::now() + Milliseconds(1000),
+                [this](shard::CallOutcome Outcome) { LastSubmit = Outcome; });
+  }
+
+  auto stateOf(const std::string &Id) -> scheduling::JobState {
+    const auto *Row = Store.row(Rows.progress(Id));
+    return Row ? shard::decodeProgress(Row->Value).value().State
+               : scheduling::JobState::Pending;
+  }
+
+  net::EventLoop Loop;
+  FakeRowStore Store;
+  FakeWorkers Workers;
+  FakeRegistry Registry;
+  shard::FrontDoor Door;
+  shard::ShardSettings Settings;
+  shard::ShardRows Rows{"pool"};
+  std::unique_ptr<shard::ShardOwner> Owner;
+  std::string LostName;
+  std::optional<shard::CallOutcome> LastSubmit;
+};
+
+} // namespace jayramp::test
--- /dev/null
+++ b/Tests/Shard/ShardOwnerTest.cpp
@@ -0,0 +1,159 @@
+#include "ShardFixture.h"
+
+namespace jayramp::test {
+namespace {
+
+using scheduling::JobState;
+using Mode = FakeRowStore::Mode;
+
+class ShardOwnerTest : public ShardFixture {};
+
+TEST_F(ShardOwnerTest, runsAJobToItsEnd) {
+  Registry.add("w1");
+  startOwner();
+  submit(job("a", 3));
+  EXPECT_TRUE(runUntil([&] { return stateOf("a") == JobState::Completed; }));
+  EXPECT_EQ(Workers.startsOf("a"), 3U);
+}
+
+// Guards against two runs of a task: a successor can only know of a run that
+// was durable before it started.
+TEST_F(ShardOwnerTest, startsNothingBeforeItsWriteIsCommitted) {
+  Registry.add("w1");
+  Workers["w1"].AnswerDelay = Milliseconds(20);
+  submit(job("a"));
+  runFor(Milliseconds(5));
+  startOwner();
+  Store.setMode(Mode::Holding);
+  runFor(Milliseconds(150));
+  EXPECT_EQ(Workers.startsOf("a"), 0U);
+  Store.release();
+  EXPECT_TRUE(runUntil([&] { return stateOf("a") == JobState::Completed; }));
+}
+
+// Guards against a job that waits for ever: each order to a silent worker used
+// to extend its leases, so that they never ran out.
+TEST_F(ShardOwnerTest, restartsRunsOfASilentWorkerOnceTheirLeasesRanOut) {
+  Registry.add("w1");
+  Workers["w1"].WorkTime = Milliseconds(60000);
+  startOwner();
+  submit(job("a"));
+  ASSERT_TRUE(runUntil([&] { return Workers.startsOf("a") == 1; }));
+  runFor(Milliseconds(30));
+  Workers["w1"].Mute = true;
+  Registry.add("w2");
+  EXPECT_TRUE(runUntil([&] { return Workers["w2"].Started.size() == 1; }));
+}
+
+// Guards against a restart while the first run may still be alive.
+TEST_F(ShardOwnerTest, restartsNothingBeforeTheLeasesRanOut) {
+  Registry.add("w1");
+  Workers["w1"].WorkTime = Milliseconds(60000);
+  startOwner();
+  submit(job("a"));
+  ASSERT_TRUE(runUntil([&] { return Workers.startsOf("a") == 1; }));
+  Workers["w1"].Mute = true;
+  const auto Silent = Clock::now();
+  Registry.add("w2");
+  ASSERT_TRUE(runUntil([&] { return Workers["w2"].Started.size() == 1; }));
+  EXPECT_GE(Clock::now() - Silent, Settings.Lease);
+}
+
+// Guards against a crash: the callback that destroys the owner must survive the
+// owner.
+TEST_F(ShardOwnerTest, mayBeDestroyedWhenItLosesTheShard) {
+  Registry.add("w1");
+  startOwner();
+  runFor(Milliseconds(20));
+  Store.put(Rows.owner(), shard::encodeOwner({"other", "other", 2, false}));
+  EXPECT_TRUE(runUntil([&] { return !Owner; }));
+  EXPECT_EQ(LostName, "a name too long for small strings");
+}
+
+// Guards against a doubled run: a start without an answer may have begun.
+TEST_F(ShardOwnerTest, repeatsAStartWithoutAnAnswerUnderTheSameNumber) {
+  Registry.add("w1");
+  Workers["w1"].LoseNextStarts = 2;
+  startOwner();
+  submit(job("a"));
+  EXPECT_TRUE(runUntil([&] { return stateOf("a") == JobState::Completed; }));
+  EXPECT_EQ(Workers.startsOf("a"), 1U);
+}
+
+// Guards against a forgotten end: a successor must still see an end whose note
+// was lost with its predecessor.
+TEST_F(ShardOwnerTest, successorTakesOverRunsAndEnds) {
+  Registry.add("w1");
+  Workers["w1"].WorkTime = Milliseconds(100);
+  startOwner();
+  submit(job("a", 2));
+  ASSERT_TRUE(runUntil([&] { return Workers.startsOf("a") == 2; }));
+  Owner.reset();
+  runFor(Milliseconds(120));
+  startOwner(2);
+  EXPECT_TRUE(runUntil([&] { return stateOf("a") == JobState::Completed; }));
+  EXPECT_EQ(Workers.startsOf("a"), 2U);
+}
+
+// Guards against a job that is lost when its write had no answer.
+TEST_F(ShardOwnerTest, resolvesItsWriteWithoutAnAnswer) {
+  Registry.add("w1");
+  startOwner();
+  runFor(Milliseconds(30));
+  submit(job("a"));
+  runFor(Milliseconds(1));
+  Store.setMode(Mode::LosingAnswers);
+  runFor(Milliseconds(40));
+  Store.setMode(Mode::Serving);
+  EXPECT_TRUE(runUntil([&] { return stateOf("a") == JobState::Completed; }));
+  EXPECT_EQ(Workers.startsOf("a"), 1U);
+}
+
+// Guards against a run that counts as alive for ever after its worker's process
+// started anew under the same id.
+TEST_F(ShardOwnerTest, restartsRunsOfAWorkerThatWasReborn) {
+  Registry.add("w1");
+  Workers["w1"].WorkTime = Milliseconds(60000);
+  startOwner();
+  submit(job("a"));
+  ASSERT_TRUE(runUntil([&] { return Workers.startsOf("a") == 1; }));
+  runFor(Milliseconds(30));
+  Workers.restart("w1");
+  EXPECT_TRUE(runUntil([&] { return stateOf("a") == JobState::Completed; }));
+}
+
+TEST_F(ShardOwnerTest, stopsARunOfACancelledJob) {
+  Registry.add("w1");
+  Workers["w1"].WorkTime = Milliseconds(60000);
+  startOwner();
+  submit(job("a"));
+  ASSERT_TRUE(runUntil([&] { return Workers.startsOf("a") == 1; }));
+  std::optional<shard::CallOutcome> Cancelled;
+  Door.cancel("pool", "a", Clock::now() + Milliseconds(1000),
+              [&](shard::CallOutcome Outcome) { Cancelled = Outcome; });
+  EXPECT_TRUE(runUntil([&] { return Workers["w1"].Running.empty(); }));
+  EXPECT_EQ(Cancelled, shard::CallOutcome::Done);
+  EXPECT_TRUE(runUntil([&] { return stateOf("a") == JobState::Cancelled; }));
+}
+
+TEST_F(ShardOwnerTest, failsAJobAfterItsAttempts) {
+  Registry.add("w1");
+  Workers["w1"].FailsTasks = true;
+  startOwner();
+  submit(job("a"));
+  EXPECT_TRUE(runUntil([&] { return stateOf("a") == JobState::Failed; }));
+  EXPECT_EQ(Workers.startsOf("a"), 2U);
+}
+
+// Guards against a job that is missed when the store drops its history.
+TEST_F(ShardOwnerTest, findsJobsAfterTheHistoryWasDropped) {
+  Registry.add("w1");
+  startOwner();
+  runFor(Milliseconds(20));
+  submit(job("a"));
+  Store.dropHistory();
+  EXPECT_TRUE(runUntil([&] { return stateOf("a") == JobState::Completed; }));
+}
+
+} // namespace
+} // namespace jayramp::test
