Take over a silent shard after 0.9 s, unless its owner beat unseen

The takeover now also has the heartbeat's version as a condition, so that a host that hears late cannot take the shard falsely, and the silence can be short.

Placements are logged.

--- a/Source/Scheduling/PlacementPass.cpp
+++ b/Source/Scheduling/PlacementPass.cpp
@@ -203,6 +203,7 @@
 auto PlacementPass::assignLayout(const Unit &Waiting, const Layout &Chosen)
     -> void {
   std::size_t Next = 0;
+  std::set<std::size_t> Racks;
   const auto &Need = Waiting.spec().Need;
   for (const auto &[Position, Count] : Chosen.Parts)
     for (std::uint32_t Taken = 0; Taken < Count; ++Taken) {
@@ -212,7 +213,12 @@
       Target.Free -= Need;
       Target.Soon -= Need;
       RackFreeGpus[Target.Rack] -= Need.Gpus;
+      Racks.insert(Target.Rack);
     }
+  Scheduler.Placements.push_back({Waiting.Job->Spec.Id, Waiting.Step,
+                                  Waiting.RunNumber, Waiting.Members.size(),
+                                  Racks.size(),
+                                  seconds(Now - Waiting.Job->SubmittedAt)});
 }
 
 auto PlacementPass::claimLayout(const Unit &Waiting, const Layout &Chosen)
@@ -286,8 +292,7 @@
   struct Option {
     std::size_t Position;
     std::uint32_t Room;
-    std::tuple<bool, bool, std::int64_t, std::int64_t, std::int64_t>
-        Preference;
+    std::tuple<bool, bool, std::int64_t, std::int64_t, std::int64_t> Preference;
   };
   std::vector<Option> Options;
   std::uint32_t Total = 0;
--- a/Source/Scheduling/PlacementPass.h
+++ b/Source/Scheduling/PlacementPass.h
@@ -41,8 +41,8 @@
   struct Slot {
     WorkerEntry *Worker = nullptr;
     std::size_t Rack = 0; ///< Index in RackFreeGpus.
-    Resources Free; ///< Available now.
-    Resources Soon; ///< Also what stopping runs will free, less claims.
+    Resources Free;       ///< Available now.
+    Resources Soon;       ///< Also what stopping runs will free, less claims.
   };
 
   /// Workers, by slot, that take so many members each.
--- a/Source/Scheduling/RunStop.h
+++ b/Source/Scheduling/RunStop.h
@@ -25,8 +25,18 @@
   RunId Run;
   std::string Worker;
   StopReason Reason = StopReason::JobFinal;
-  std::string Beneficiary; ///< Job that gets the room, if any.
+  std::string Beneficiary;   ///< Job that gets the room, if any.
   std::uint32_t Percent = 0; ///< Progress that the run had made.
 };
 
+/// A decision to place tasks together, for logs and metrics.
+struct UnitPlacement {
+  std::string Job;
+  std::uint32_t Step = 0;
+  std::uint32_t Run = 0;
+  std::size_t Tasks = 0;
+  std::size_t Racks = 0;
+  double WaitedSeconds = 0; ///< Since the job was submitted.
+};
+
 } // namespace jayramp::scheduling
--- a/Source/Scheduling/ShardScheduler.cpp
+++ b/Source/Scheduling/ShardScheduler.cpp
@@ -204,8 +204,8 @@
   if (Found == Runs.end() || Found->second.Phase == RunPhase::Stopping)
     return;
   Found->second.Phase = RunPhase::Stopping;
-  Stops.push_back({Id, Found->second.Worker, Reason, Beneficiary,
-                   Found->second.Percent});
+  Stops.push_back(
+      {Id, Found->second.Worker, Reason, Beneficiary, Found->second.Percent});
 }
 
 auto ShardScheduler::decide(TimePoint Now) -> void {
--- a/Source/Scheduling/ShardScheduler.h
+++ b/Source/Scheduling/ShardScheduler.h
@@ -82,6 +82,11 @@
   /// Decisions to stop runs since the last call.
   auto takeStops() -> std::vector<RunStop> { return std::exchange(Stops, {}); }
 
+  /// Decisions to place tasks since the last call.
+  auto takePlacements() -> std::vector<UnitPlacement> {
+    return std::exchange(Placements, {});
+  }
+
   // Queries.
 
   auto job(const std::string &Id) const -> const JobEntry *;
@@ -120,6 +125,7 @@
   std::deque<std::string> Changed;
   std::set<std::string> ChangedSet;
   std::vector<RunStop> Stops;
+  std::vector<UnitPlacement> Placements;
   std::uint64_t NextSequence = 1;
 };
 
--- a/Source/Shard/FrontDoor.cpp
+++ b/Source/Shard/FrontDoor.cpp
@@ -96,10 +96,18 @@
   Call->Change.Writes.push_back(
       {Rows.progress(Job.Id), encodeProgress(Progress)});
   Call->Change.Writes.push_back({Rows.waiting(Job.Queue, Job.Id), "1"});
-  Call->Done = [Id = Job.Id, Done = std::move(Done)](CallOutcome Outcome,
-                                                     bool Known) {
+  std::size_t Tasks = 0;
+  for (const auto &Step : Job.Steps)
+    Tasks += Step.Count;
+  Call->Done = [Id = Job.Id, Queue = Job.Queue, Priority = Job.Priority, Tasks,
+                Gpus = Job.Steps.front().Need.Gpus,
+                Done = std::move(Done)](CallOutcome Outcome, bool Known) {
     logEvent(LogLevel::Info, "job-submitted",
              {{"job", Id},
+              {"queue", Queue},
+              {"priority", std::to_string(Priority)},
+              {"tasks", std::to_string(Tasks)},
+              {"gpus", std::to_string(Gpus)},
               {"outcome", std::to_string(static_cast<int>(Outcome))},
               {"known", Known ? "yes" : "no"}});
     Done(Outcome);
--- a/Source/Shard/OwnerElection.cpp
+++ b/Source/Shard/OwnerElection.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-constexpr Milliseconds TickInterval{100};
+constexpr Milliseconds TickInterval{50};
 constexpr store::FollowerPace OwnerFollowerPace{
-    Milliseconds{1000}, Milliseconds{100}, Milliseconds{150}};
+    Milliseconds{1000}, Milliseconds{200}, Milliseconds{150}};
 
 } // namespace
 
@@ -31,8 +31,7 @@
             Started = true;
             onRows(All);
           },
-          [this](std::vector<store::Row> Changed) { onRows(Changed); },
-          [this] { LastCurrent = Clock::now(); }});
+          [this](std::vector<store::Row> Changed) { onRows(Changed); }, [] {}});
   Follower->start();
   Tick = Loop.after(TickInterval, [this] { tick(); });
 }
@@ -65,10 +64,13 @@
   for (const auto &Each : Changed) {
     if (Each.Key.Partition != Shard || Each.Deleted)
       continue;
-    if (Each.Key.Key != ShardRows::OwnerKey) {
+    if (Each.Key.Key == ShardRows::HeartbeatKey &&
+        Each.Version > HeartbeatVersion) {
+      HeartbeatVersion = Each.Version;
       LastSign = Clock::now();
-      continue;
     }
+    if (Each.Key.Key != ShardRows::OwnerKey)
+      continue;
     if (Each.Version <= OwnerVersion)
       continue;
     auto Decoded = decodeOwner(Each.Value);
@@ -105,9 +107,7 @@
   const auto Now = Clock::now();
   if (isVacant())
     return Now - LastSign >= Self.Delay;
-  // Silence counts only as far as the store has answered meanwhile.
-  return Now - LastSign >= Settings.TakeoverAfter + Self.Delay &&
-         LastCurrent - LastSign >= Settings.TakeoverAfter / 2;
+  return Now - LastSign >= Settings.TakeoverAfter + Self.Delay;
 }
 
 auto OwnerElection::take() -> void {
@@ -116,6 +116,8 @@
                false};
   store::RowTransaction Change;
   Change.Conditions.push_back({Rows.owner(), OwnerVersion});
+  // A heartbeat that this host has not heard of yet prevents the takeover.
+  Change.Conditions.push_back({Rows.heartbeat(), HeartbeatVersion});
   Change.Writes.push_back({Rows.owner(), encodeOwner(Attempted)});
   Store.transact(std::move(Change), Settings.StoreTimeout,
                  [this, Alive = Alive](store::TransactionOutcome Outcome) {
--- a/Source/Shard/OwnerElection.h
+++ b/Source/Shard/OwnerElection.h
@@ -62,8 +62,8 @@
   std::optional<OwnerRecord> Owner;
   std::uint64_t OwnerVersion = 0;
   OwnerRecord Attempted;
-  TimePoint LastSign;    ///< The owner's rows last changed.
-  TimePoint LastCurrent; ///< The store last answered the follower.
+  std::uint64_t HeartbeatVersion = 0;
+  TimePoint LastSign; ///< The owner's rows last changed.
   bool Started = false;
   bool Attempting = false;
   bool Holding = false;
--- a/Source/Shard/ShardOwner.cpp
+++ b/Source/Shard/ShardOwner.cpp
@@ -232,13 +232,21 @@
   if (Lost)
     return;
   Scheduler.decide(Clock::now());
-  logStops();
+  logDecisions();
   pumpSessions();
   if (!Lost)
     Committer->flush();
 }
 
-auto ShardOwner::logStops() -> void {
+auto ShardOwner::logDecisions() -> void {
+  for (const auto &Placed : Scheduler.takePlacements())
+    logEvent(LogLevel::Info, "tasks-placed",
+             {{"job", Placed.Job},
+              {"step", std::to_string(Placed.Step)},
+              {"run", std::to_string(Placed.Run)},
+              {"tasks", std::to_string(Placed.Tasks)},
+              {"racks", std::to_string(Placed.Racks)},
+              {"waited-s", std::to_string(Placed.WaitedSeconds)}});
   for (const auto &Stop : Scheduler.takeStops())
     logEvent(LogLevel::Info, "run-stopped",
              {{"run", toString(Stop.Run)},
--- a/Source/Shard/ShardOwner.h
+++ b/Source/Shard/ShardOwner.h
@@ -51,7 +51,7 @@
   auto sessionOf(const std::string &Worker) -> WorkerSession &;
   auto changed() -> void;
   auto decide() -> void;
-  auto logStops() -> void;
+  auto logDecisions() -> void;
   auto pumpSessions() -> void;
   auto tick() -> void;
   auto forgetFinalJobs() -> void;
--- a/Source/Shard/ShardSettings.h
+++ b/Source/Shard/ShardSettings.h
@@ -18,9 +18,9 @@
   Milliseconds OrderTimeout{400};
   Milliseconds HoldSlack{600};
   Milliseconds RetryDelay{100};
-  Milliseconds HeartbeatInterval{500};
+  Milliseconds HeartbeatInterval{250};
   /// Silence after which another host takes the shard.
-  Milliseconds TakeoverAfter{2000};
+  Milliseconds TakeoverAfter{900};
   Milliseconds StoreTimeout{1200};
   /// How long a final job's state can be read.
   Milliseconds KeepFinalJobs{180000};
--- a/Tests/Shard/FakeRowStore.h
+++ b/Tests/Shard/FakeRowStore.h
@@ -49,7 +49,7 @@
                 std::function<void(store::TransactionOutcome)> Done)
       -> void override {
     ++Transactions;
-    const auto Apply = [this, Change = std::move(Change), Done] {
+    const auto Apply = [this, Change, Done] {
       auto Outcome = decideTransaction(Change);
       Loop.post([Done, Outcome] { Done(Outcome); });
     };
--- a/Tests/Shard/FakeWorkers.h
+++ b/Tests/Shard/FakeWorkers.h
@@ -24,14 +24,14 @@
     std::int64_t Incarnation = 1;
     std::uint64_t Fence = 0;
     std::uint64_t NextEnd = 1;
-    Milliseconds WorkTime{30};      ///< Of each task.
-    Milliseconds AnswerDelay{0};    ///< Of each order.
-    bool Mute = false;              ///< Answers nothing and does nothing.
-    unsigned LoseNextStarts = 0;    ///< Done without an answer.
-    bool FailsTasks = false;        ///< All tasks end as failed.
+    Milliseconds WorkTime{30};   ///< Of each task.
+    Milliseconds AnswerDelay{0}; ///< Of each order.
+    bool Mute = false;           ///< Answers nothing and does nothing.
+    unsigned LoseNextStarts = 0; ///< Done without an answer.
+    bool FailsTasks = false;     ///< All tasks end as failed.
     std::map<scheduling::RunId, Task> Running;
     std::vector<shard::ListedEnd> Ended;
-    std::set<scheduling::RunId> Refusable; ///< Stopped or ended here.
+    std::set<scheduling::RunId> Refusable;  ///< Stopped or ended here.
     std::vector<scheduling::RunId> Started; ///< All starts, in order.
   };
 
@@ -55,8 +55,8 @@
   }
 
   auto start(const shard::WorkerTarget &Target, const shard::StartOrder &Order,
-             Milliseconds Timeout,
-             std::function<void(shard::OrderReply)> Done) -> void override {
+             Milliseconds Timeout, std::function<void(shard::OrderReply)> Done)
+      -> void override {
     auto &Each = All[Target.Id];
     if (Each.Mute) {
       later(Timeout, [Done] { Done({}); });
--- /dev/null
+++ b/Tests/Shard/OwnerElectionTest.cpp
@@ -0,0 +1,90 @@
+#include "ShardFixture.h"
+
+#include "Shard/OwnerElection.h"
+
+namespace jayramp::test {
+namespace {
+
+using Mode = FakeRowStore::Mode;
+using shard::OwnerElection;
+
+class OwnerElectionTest : public ShardFixture {
+protected:
+  OwnerElectionTest() { Settings.TakeoverAfter = Milliseconds(120); }
+
+  auto candidate(const std::string &Host) -> std::unique_ptr<OwnerElection> {
+    auto Made = std::make_unique<OwnerElection>(
+        Loop, Store, "pool", Settings,
+        OwnerElection::Candidate{Host, Host + "-life", Milliseconds(0)},
+        [this, Host](shard::ProgressCommitter::Ownership Held) {
+          Winners.push_back(Host);
+          Token = Held.FencingToken;
+        });
+    Made->start();
+    return Made;
+  }
+
+  auto beat() -> void {
+    Store.put(Rows.heartbeat(), shard::encodeHeartbeat(Token, ++Beats));
+  }
+
+  std::vector<std::string> Winners;
+  std::uint64_t Token = 0;
+  std::uint64_t Beats = 0;
+};
+
+TEST_F(OwnerElectionTest, oneHostTakesAVacantShard) {
+  const auto One = candidate("one");
+  const auto Two = candidate("two");
+  ASSERT_TRUE(runUntil([&] { return !Winners.empty(); }));
+  for (int Count = 0; Count < 10; ++Count) {
+    beat();
+    runFor(Milliseconds(20));
+  }
+  EXPECT_EQ(Winners.size(), 1U);
+  EXPECT_EQ(Token, 1U);
+}
+
+TEST_F(OwnerElectionTest, takesAShardWhoseOwnerIsSilentWithAHigherToken) {
+  const auto One = candidate("one");
+  ASSERT_TRUE(runUntil([&] { return Winners.size() == 1; }));
+  const auto Two = candidate("two");
+  ASSERT_TRUE(runUntil([&] { return Winners.size() == 2; }));
+  EXPECT_EQ(Winners[1], "two");
+  EXPECT_EQ(Token, 2U);
+}
+
+// Guards against a false takeover by a host that hears of heartbeats late.
+TEST_F(OwnerElectionTest, aHeartbeatThatItHasNotSeenPreventsTheTakeover) {
+  Store.put(Rows.owner(), shard::encodeOwner({"one", "life", 1, false}));
+  const auto Two = candidate("two");
+  runFor(Milliseconds(60));
+  Store.setMode(Mode::Holding);
+  ASSERT_TRUE(runUntil([&] { return Store.heldCount() == 1; }));
+  beat();
+  Store.release();
+  runFor(Milliseconds(60));
+  EXPECT_TRUE(Winners.empty());
+}
+
+// Guards against a shard without an owner: the write that took it had no
+// answer.
+TEST_F(OwnerElectionTest, ownsAShardThatItTookWithoutAnAnswer) {
+  Store.setMode(Mode::LosingAnswers);
+  const auto One = candidate("one");
+  EXPECT_TRUE(runUntil([&] { return Winners.size() == 1; }));
+  EXPECT_EQ(Token, 1U);
+}
+
+TEST_F(OwnerElectionTest, aReleasedShardIsTakenAtOnce) {
+  Settings.TakeoverAfter = Milliseconds(60000);
+  const auto One = candidate("one");
+  ASSERT_TRUE(runUntil([&] { return Winners.size() == 1; }));
+  const auto Two = candidate("two");
+  runFor(Milliseconds(30));
+  One->retire([] {});
+  EXPECT_TRUE(runUntil([&] { return Winners.size() == 2; }));
+}
+
+} // namespace
+} // namespace jayramp::test
--- a/Tests/Shard/ShardFixture.h
+++ b/Tests/Shard/ShardFixture.h
@@ -33,9 +33,7 @@
     Report.Incarnation = 1;
     tell({Id, Report, 0});
   }
-  auto remove(const std::string &Id) -> void {
-    tell({Id, std::nullopt, 0});
-  }
+  auto remove(const std::string &Id) -> void { tell({Id, std::nullopt, 0}); }
 
 private:
   auto tell(shard::WorkerChange Change) -> void {
@@ -68,8 +66,9 @@
 
   /// Writes the owner row as an election would and starts the owner.
   auto startOwner(std::uint64_t Token = 1) -> void {
-    const auto Version = Store.put(
-        Rows.owner(), shard::encodeOwner({"host", "incarnation", Token, false}));
+    const auto Version =
+        Store.put(Rows.owner(),
+                  shard::encodeOwner({"host", "incarnation", Token, false}));
     Owner = std::make_unique<shard::ShardOwner>(
         shard::ShardOwner::Dependencies{Loop, Store, Workers, Registry,
                                         Settings},
