Accept jobs in partitions of their own; keep takeovers off a slow store

Accepted jobs now lie in four intake partitions, heartbeats slow down with the store, the silence that allows a takeover grows with its latency, and attempts pause. Less urgent work leaves room for urgent arrivals; equally urgent work of others is stopped only for a guarantee at stake; leases of a predecessor count 9.5 s instead of 20 s.

--- a/Source/Scheduling/PlacementPass.cpp
+++ b/Source/Scheduling/PlacementPass.cpp
@@ -53,6 +53,7 @@
 
 auto PlacementPass::run() -> void {
   collectSlots();
+  ReservedGpus = Scheduler.urgentReserve(Now);
   auto Units = collectUnits();
   // Tasks of one step that are not a gang are alike: once one does not fit, the
   // others of the step do not either.
@@ -80,6 +81,7 @@
     Slot Candidate{&Entry, Rack.first->second, Entry.Report.Capacity, {}};
     Candidate.Free -= Entry.Used;
     RackFreeGpus[Candidate.Rack] += Candidate.Free.Gpus;
+    FreeGpus += Candidate.Free.Gpus;
     Candidate.Soon = Candidate.Free;
     for (const auto &Id : Entry.Runs) {
       const auto &Alive = Scheduler.Runs.at(Id);
@@ -133,17 +135,35 @@
   }
 }
 
+auto PlacementPass::objectiveOf(const JobSpec &Spec) -> double {
+  return seconds(chainEstimate(Spec)) * Spec.Stretch +
+         seconds(Spec.TargetLatency);
+}
+
 auto PlacementPass::latenessOf(const JobEntry &Job) const -> int {
   const auto Estimate = chainEstimate(Job.Spec);
-  const auto Objective =
-      seconds(Estimate) * Job.Spec.Stretch + seconds(Job.Spec.TargetLatency);
+  const auto Objective = objectiveOf(Job.Spec);
   const auto Elapsed = seconds(Now - Job.SubmittedAt);
   if (Elapsed + seconds(Estimate) <= Objective)
     return 0;
   return Elapsed <= Objective * WorthlessAfterObjectives ? 1 : 2;
 }
 
+auto PlacementPass::waitsForReserve(const Unit &Waiting) const -> bool {
+  const auto &Job = *Waiting.Job;
+  if (Job.Spec.Priority == 0 || Waiting.Lateness > 0)
+    return false;
+  const auto Waited = seconds(Now - Job.SubmittedAt);
+  if (Waited > objectiveOf(Job.Spec) * Scheduler.Policy.ReserveUntilObjective)
+    return false;
+  const auto Needed = Waiting.spec().Need.Gpus *
+                      static_cast<std::int64_t>(Waiting.Members.size());
+  return FreeGpus - Needed < ReservedGpus;
+}
+
 auto PlacementPass::placeUnit(const Unit &Waiting) -> bool {
+  if (waitsForReserve(Waiting))
+    return false;
   if (placeNow(Waiting))
     return true;
   if (Waiting.Job->Spec.Priority != 0)
@@ -213,6 +233,7 @@
       Target.Free -= Need;
       Target.Soon -= Need;
       RackFreeGpus[Target.Rack] -= Need.Gpus;
+      FreeGpus -= Need.Gpus;
       Racks.insert(Target.Rack);
     }
   Scheduler.Placements.push_back({Waiting.Job->Spec.Id, Waiting.Step,
@@ -424,7 +445,10 @@
     return false;
   if (Owner->Spec.Priority > Waiting.Job->Spec.Priority)
     return true;
-  return Waiting.Job->Guaranteed && !Owner->Guaranteed;
+  // Equally urgent work of others is stopped only where the guarantee would
+  // otherwise be missed.
+  return Waiting.Job->Guaranteed && !Owner->Guaranteed &&
+         Now - Waiting.Job->SubmittedAt >= Scheduler.Policy.ReclaimAfter;
 }
 
 auto PlacementPass::victimCost(const RunId &Candidate) const -> double {
--- a/Source/Scheduling/PlacementPass.h
+++ b/Source/Scheduling/PlacementPass.h
@@ -13,6 +13,7 @@
 
 class ShardScheduler;
 struct JobEntry;
+struct JobSpec;
 struct WorkerEntry;
 struct StepSpec;
 
@@ -56,7 +57,11 @@
   auto collectUnits() -> std::vector<Unit>;
   auto addUnits(JobEntry &Job, std::vector<Unit> &Units) -> void;
   auto latenessOf(const JobEntry &Job) const -> int;
+  /// Time within which the job is worth most, in seconds.
+  static auto objectiveOf(const JobSpec &Spec) -> double;
   auto placeUnit(const Unit &Waiting) -> bool;
+  /// Whether the unit has to leave the reserve for urgent arrivals alone.
+  auto waitsForReserve(const Unit &Waiting) const -> bool;
   auto placeNow(const Unit &Waiting) -> bool;
   auto claimSoon(const Unit &Waiting) -> bool;
   auto preempt(const Unit &Waiting) -> bool;
@@ -88,6 +93,8 @@
   TimePoint Now;
   std::vector<Slot> Slots;
   std::vector<std::int64_t> RackFreeGpus; ///< By rack, in this pass.
+  std::int64_t FreeGpus = 0;              ///< Of all slots, in this pass.
+  std::int64_t ReservedGpus = 0; ///< Less urgent work leaves so many free.
 };
 
 } // namespace jayramp::scheduling
--- a/Source/Scheduling/SchedulingPolicy.h
+++ b/Source/Scheduling/SchedulingPolicy.h
@@ -22,8 +22,18 @@
   double MaxLossForUrgentWork = 4.0;
   /// After this wait, guaranteed work is given room at any loss.
   Milliseconds ReclaimAfter{1200};
+  /// Urgent arrivals of this time tell how much room is kept free for the next
+  /// ones.
+  Milliseconds ArrivalWindow{3000};
+  /// Room for arrivals of this time is kept free of less urgent work.
+  Milliseconds ReserveHorizon{1200};
+  /// Largest part of all accelerators that is kept free.
+  double MaxReserve = 0.3;
+  /// A less urgent job uses the reserve once it has waited for this part of its
+  /// latency objective.
+  double ReserveUntilObjective = 0.35;
   /// A task without any progress for this long is restarted elsewhere.
-  Milliseconds StallTime{3000};
+  Milliseconds StallTime{2200};
 };
 
 } // namespace jayramp::scheduling
--- a/Source/Scheduling/ShardScheduler.cpp
+++ b/Source/Scheduling/ShardScheduler.cpp
@@ -15,6 +15,13 @@
   return Step.Gang ? 0 : Index;
 }
 
+auto gpusOf(const JobSpec &Spec) -> std::int64_t {
+  std::int64_t Sum = 0;
+  for (const auto &Step : Spec.Steps)
+    Sum += Step.Need.Gpus * static_cast<std::int64_t>(Step.Count);
+  return Sum;
+}
+
 auto allDone(const JobProgress &Progress) -> bool {
   for (const auto &Step : Progress.Steps)
     for (const auto &Task : Step)
@@ -39,6 +46,8 @@
   Job.SubmittedAt = SubmittedAt;
   Job.FinishedAt = SubmittedAt;
   Job.Sequence = NextSequence++;
+  if (Job.Spec.Priority == 0 && Job.Progress.State == JobState::Pending)
+    UrgentArrivals.emplace_back(SubmittedAt, gpusOf(Job.Spec));
   for (std::uint32_t Step = 0; Step < Job.Progress.Steps.size(); ++Step) {
     const auto &Tasks = Job.Progress.Steps[Step];
     for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index) {
@@ -381,6 +390,24 @@
   }
 }
 
+auto ShardScheduler::urgentReserve(TimePoint Now) -> std::int64_t {
+  while (!UrgentArrivals.empty() &&
+         UrgentArrivals.front().first < Now - Policy.ArrivalWindow)
+    UrgentArrivals.pop_front();
+  std::int64_t Arrived = 0;
+  for (const auto &[Time, Gpus] : UrgentArrivals)
+    Arrived += Gpus;
+  std::int64_t Total = 0;
+  for (const auto &[Id, Entry] : Workers)
+    if (Entry.Registered)
+      Total += Entry.Report.Capacity.Gpus;
+  const auto Expected =
+      Arrived * Policy.ReserveHorizon.count() / Policy.ArrivalWindow.count();
+  return std::min(Expected,
+                  static_cast<std::int64_t>(static_cast<double>(Total) *
+                                            Policy.MaxReserve));
+}
+
 auto ShardScheduler::markGuaranteedJobs() -> void {
   std::vector<JobEntry *> Urgent;
   for (auto &[Id, Job] : Jobs) {
@@ -395,8 +422,7 @@
   std::map<std::string, std::int64_t> Needed;
   for (auto *Job : Urgent) {
     auto &Sum = Needed[Job->Spec.Tenant];
-    for (const auto &Step : Job->Spec.Steps)
-      Sum += Step.Need.Gpus * static_cast<std::int64_t>(Step.Count);
+    Sum += gpusOf(Job->Spec);
     const auto Limit = Guarantees.find(Job->Spec.Tenant);
     Job->Guaranteed = Limit != Guarantees.end() && Sum <= Limit->second;
   }
--- a/Source/Scheduling/ShardScheduler.h
+++ b/Source/Scheduling/ShardScheduler.h
@@ -116,6 +116,8 @@
   auto finishJob(JobEntry &Job, JobState State, TimePoint Now) -> void;
   auto restartStalledRuns(TimePoint Now) -> void;
   auto markGuaranteedJobs() -> void;
+  /// Accelerators that less urgent work leaves free for urgent arrivals.
+  auto urgentReserve(TimePoint Now) -> std::int64_t;
 
   SchedulingPolicy Policy;
   std::map<std::string, JobEntry> Jobs;
@@ -124,6 +126,8 @@
   std::map<std::string, std::int64_t> Guarantees;
   std::deque<std::string> Changed;
   std::set<std::string> ChangedSet;
+  /// Accelerators that urgent jobs asked for, by time of arrival.
+  std::deque<std::pair<TimePoint, std::int64_t>> UrgentArrivals;
   std::vector<RunStop> Stops;
   std::vector<UnitPlacement> Placements;
   std::uint64_t NextSequence = 1;
--- a/Source/Shard/FrontDoor.cpp
+++ b/Source/Shard/FrontDoor.cpp
@@ -20,6 +20,11 @@
   return std::chrono::duration_cast<Milliseconds>(Deadline - Clock::now());
 }
 
+/// The one row with this key.
+auto only(const store::RowKey &Key) -> store::RangeQuery {
+  return {Key.Table, Key.Partition, Key.Key, Key.Key + store::KeySuccessor};
+}
+
 } // namespace
 
 struct FrontDoor::Write {
@@ -86,15 +91,10 @@
 auto FrontDoor::submit(scheduling::JobSpec Job, TimePoint Deadline,
                        Callback Done) -> void {
   const ShardRows Rows(Job.Service);
-  scheduling::JobProgress Progress;
-  for (const auto &Step : Job.Steps)
-    Progress.Steps.emplace_back(Step.Count);
   auto Call = std::make_shared<Write>();
   Call->Deadline = Deadline;
-  Call->Change.Conditions.push_back({Rows.progress(Job.Id), 0});
+  Call->Change.Conditions.push_back({Rows.job(Job.Id), 0});
   Call->Change.Writes.push_back({Rows.job(Job.Id), encodeJob(Job)});
-  Call->Change.Writes.push_back(
-      {Rows.progress(Job.Id), encodeProgress(Progress)});
   Call->Change.Writes.push_back({Rows.waiting(Job.Queue, Job.Id), "1"});
   std::size_t Tasks = 0;
   for (const auto &Step : Job.Steps)
@@ -115,37 +115,54 @@
   attempt(std::move(Call));
 }
 
-auto FrontDoor::state(const std::string &Shard, const std::string &Job,
-                      TimePoint Deadline, StateCallback Done) -> void {
+auto FrontDoor::read(store::RangeQuery Query, TimePoint Deadline,
+                     std::function<void(std::optional<store::RowPage>)> Done)
+    -> void {
   auto Call = std::make_shared<Read>();
-  const auto Key = ShardRows(Shard).progress(Job);
-  Call->Query = {Key.Table, Key.Partition, Key.Key,
-                 Key.Key + store::KeySuccessor};
+  Call->Query = std::move(Query);
   Call->Deadline = Deadline;
-  Call->Done = [Job,
-                Done = std::move(Done)](std::optional<store::RowPage> Page) {
-    if (!Page) {
-      Done(CallOutcome::NotDone, {});
-      return;
-    }
-    for (const auto &Each : Page->Rows) {
-      if (Each.Key.Key != Job)
-        continue;
-      auto Progress = decodeProgress(Each.Value);
-      if (!Progress) {
-        logEvent(LogLevel::Error, "progress-row-malformed",
-                 {{"job", Job}, {"error", Progress.error().message()}});
-        Done(CallOutcome::Unknown, {});
-        return;
-      }
-      Done(CallOutcome::Done, Progress.value().State);
-      return;
-    }
-    Done(CallOutcome::NotFound, {});
-  };
+  Call->Done = std::move(Done);
   attempt(std::move(Call));
 }
 
+auto FrontDoor::state(const std::string &Shard, const std::string &Job,
+                      TimePoint Deadline, StateCallback Done) -> void {
+  const auto Key = ShardRows(Shard).progress(Job);
+  read(only(Key), Deadline,
+       [this, Shard, Job, Deadline,
+        Done = std::move(Done)](std::optional<store::RowPage> Page) {
+         if (!Page) {
+           Done(CallOutcome::NotDone, {});
+           return;
+         }
+         if (Page->Rows.empty()) {
+           readJobRow(Shard, Job, Deadline, Done);
+           return;
+         }
+         auto Progress = decodeProgress(Page->Rows.front().Value);
+         if (!Progress) {
+           logEvent(LogLevel::Error, "progress-row-malformed",
+                    {{"job", Job}, {"error", Progress.error().message()}});
+           Done(CallOutcome::Unknown, {});
+           return;
+         }
+         Done(CallOutcome::Done, Progress.value().State);
+       });
+}
+
+auto FrontDoor::readJobRow(const std::string &Shard, const std::string &Job,
+                           TimePoint Deadline, StateCallback Done) -> void {
+  read(only(ShardRows(Shard).job(Job)), Deadline,
+       [Done = std::move(Done)](std::optional<store::RowPage> Page) {
+         if (!Page)
+           Done(CallOutcome::NotDone, {});
+         else if (Page->Rows.empty())
+           Done(CallOutcome::NotFound, {});
+         else
+           Done(CallOutcome::Done, scheduling::JobState::Pending);
+       });
+}
+
 auto FrontDoor::cancel(const std::string &Shard, const std::string &Job,
                        TimePoint Deadline, Callback Done) -> void {
   state(Shard, Job, Deadline,
@@ -165,16 +182,22 @@
 
 auto FrontDoor::waiting(const std::string &Shard, const std::string &Queue,
                         TimePoint Deadline, CountCallback Done) -> void {
-  auto Call = std::make_shared<Read>();
-  Call->Query = ShardRows(Shard).waitingOf(Queue);
-  Call->Deadline = Deadline;
-  Call->Done = [Done = std::move(Done)](std::optional<store::RowPage> Page) {
-    if (Page)
-      Done(CallOutcome::Done, Page->Rows.size());
-    else
-      Done(CallOutcome::NotDone, 0);
+  struct Sum {
+    std::size_t Left = 0;
+    std::size_t Count = 0;
+    bool Failed = false;
   };
-  attempt(std::move(Call));
+  const auto Queries = ShardRows(Shard).waitingOf(Queue);
+  const auto Total = std::make_shared<Sum>();
+  Total->Left = Queries.size();
+  for (const auto &Query : Queries)
+    read(Query, Deadline, [Total, Done](std::optional<store::RowPage> Page) {
+      Total->Failed = Total->Failed || !Page;
+      Total->Count += Page ? Page->Rows.size() : 0;
+      if (--Total->Left == 0)
+        Done(Total->Failed ? CallOutcome::NotDone : CallOutcome::Done,
+             Total->Count);
+    });
 }
 
 } // namespace jayramp::shard
--- a/Source/Shard/FrontDoor.h
+++ b/Source/Shard/FrontDoor.h
@@ -48,6 +48,10 @@
   /// A read that is repeated until it is answered.
   struct Read;
 
+  auto read(store::RangeQuery Query, TimePoint Deadline,
+            std::function<void(std::optional<store::RowPage>)> Done) -> void;
+  auto readJobRow(const std::string &Shard, const std::string &Job,
+                  TimePoint Deadline, StateCallback Done) -> void;
   auto attempt(std::shared_ptr<Write> Call) -> void;
   auto attempt(std::shared_ptr<Read> Call) -> void;
 
--- a/Source/Shard/OwnerElection.cpp
+++ b/Source/Shard/OwnerElection.cpp
@@ -7,6 +7,11 @@
 namespace {
 
 constexpr Milliseconds TickInterval{50};
+/// Pause after an attempt that failed, so that many hosts do not keep a slow
+/// store busy.
+constexpr Milliseconds AttemptPause{500};
+/// A heartbeat may take this multiple of the store's latency to be heard of.
+constexpr int LatenciesOfSilence = 12;
 constexpr store::FollowerPace OwnerFollowerPace{
     Milliseconds{1000}, Milliseconds{200}, Milliseconds{150}};
 
@@ -23,7 +28,8 @@
 
 auto OwnerElection::start() -> void {
   Follower = std::make_unique<store::TableFollower>(
-      Loop, Store, ShardRows::OwnershipTable, Shard, OwnerFollowerPace,
+      Loop, Store, ShardRows::OwnershipTable, std::vector<std::string>{Shard},
+      OwnerFollowerPace,
       store::TableFollower::Observer{
           [this](std::vector<store::Row> All) {
             if (!Started)
@@ -105,9 +111,14 @@
 
 auto OwnerElection::mayTake() const -> bool {
   const auto Now = Clock::now();
+  if (Now < NextAttempt)
+    return false;
   if (isVacant())
     return Now - LastSign >= Self.Delay;
-  return Now - LastSign >= Settings.TakeoverAfter + Self.Delay;
+  // Where the store is slow, heartbeats are late too.
+  const auto Silence = std::max(Settings.TakeoverAfter,
+                                Store.recentLatency() * LatenciesOfSilence);
+  return Now - LastSign >= Silence + Self.Delay;
 }
 
 auto OwnerElection::take() -> void {
@@ -137,11 +148,13 @@
 auto OwnerElection::onOutcome(store::Conflicted &Outcome) -> void {
   // The tick sees it if the row is ours after an attempt without an answer.
   onRows(Outcome.Current);
+  backOff();
 }
 
 auto OwnerElection::onOutcome(store::StoreRefused &Outcome) -> void {
   logEvent(LogLevel::Warning, "take-shard-refused",
            {{"shard", Shard}, {"reason", Outcome.Reason}});
+  backOff();
 }
 
 auto OwnerElection::onOutcome(store::StoreUnanswered &Outcome) -> void {
@@ -149,6 +162,10 @@
            {{"shard", Shard}, {"reason", Outcome.Reason}});
 }
 
+auto OwnerElection::backOff() -> void {
+  NextAttempt = Clock::now() + AttemptPause + Self.Delay;
+}
+
 auto OwnerElection::win(std::uint64_t Token, std::uint64_t Version) -> void {
   if (Retired)
     return;
--- a/Source/Shard/OwnerElection.h
+++ b/Source/Shard/OwnerElection.h
@@ -43,6 +43,7 @@
   auto tick() -> void;
   auto isVacant() const -> bool;
   auto mayTake() const -> bool;
+  auto backOff() -> void;
   auto take() -> void;
   auto onOutcome(store::Committed &Outcome) -> void;
   auto onOutcome(store::Conflicted &Outcome) -> void;
@@ -64,6 +65,7 @@
   OwnerRecord Attempted;
   std::uint64_t HeartbeatVersion = 0;
   TimePoint LastSign; ///< The owner's rows last changed.
+  TimePoint NextAttempt;
   bool Started = false;
   bool Attempting = false;
   bool Holding = false;
--- a/Source/Shard/ProgressCommitter.cpp
+++ b/Source/Shard/ProgressCommitter.cpp
@@ -8,10 +8,9 @@
 
 namespace {
 
-/// Jobs in one transaction; each takes up to a write and a removal, and the
-/// conditions count too.
+/// Jobs in one transaction; each takes a write and a condition.
 constexpr std::size_t JobsPerWrite = 30;
-constexpr std::size_t RemovalsPerWrite = 2;
+constexpr std::size_t RemovalsPerWrite = 20;
 
 } // namespace
 
@@ -33,14 +32,13 @@
       Settings(Settings), Held(Held), Told(std::move(Told)),
       LastConfirmed(suspendAwareNow()) {}
 
-auto ProgressCommitter::noteRow(const std::string &Job, std::uint64_t Version,
-                                bool HasWaitingRow) -> void {
-  RowStates[Job] = {Version, HasWaitingRow};
+auto ProgressCommitter::noteRow(const std::string &Job, std::uint64_t Version)
+    -> void {
+  RowVersions[Job] = Version;
 }
 
-auto ProgressCommitter::removeJob(const std::string &Job,
-                                  const std::string &Queue) -> void {
-  Removals.emplace_back(Job, Queue);
+auto ProgressCommitter::removeProgress(const std::string &Job) -> void {
+  Removals.push_back(Job);
 }
 
 auto ProgressCommitter::close() -> void {
@@ -61,9 +59,13 @@
   send();
 }
 
+auto ProgressCommitter::heartbeatInterval() const -> Milliseconds {
+  // A slow store must not be kept busy with heartbeats.
+  return std::max(Settings.HeartbeatInterval, LastDuration);
+}
+
 auto ProgressCommitter::compose() -> bool {
-  const bool HeartbeatDue =
-      Clock::now() - LastHeartbeat >= Settings.HeartbeatInterval;
+  const bool HeartbeatDue = Clock::now() - LastHeartbeat >= heartbeatInterval();
   if (!Scheduler.hasChangedJobs() && !HeartbeatDue && Removals.empty())
     return false;
   InFlight = {};
@@ -72,26 +74,17 @@
   InFlightCovers = Scheduler.hasChangedJobs() ? Pending - 1 : Pending++;
   for (const auto &Id : InFlightJobs) {
     const auto *Job = Scheduler.job(Id);
-    auto &State = RowStates[Id];
     if (!Job)
       continue;
-    InFlight.Conditions.push_back({Rows.progress(Id), State.Version});
+    InFlight.Conditions.push_back({Rows.progress(Id), RowVersions[Id]});
     InFlight.Writes.push_back(
         {Rows.progress(Id), encodeProgress(Job->Progress)});
-    if (State.HasWaitingRow &&
-        Job->Progress.State != scheduling::JobState::Pending) {
-      InFlight.Removals.push_back(Rows.waiting(Job->Spec.Queue, Id));
-      State.HasWaitingRow = false;
-    }
   }
   for (std::size_t Taken = 0; Taken < RemovalsPerWrite && !Removals.empty();
        ++Taken) {
-    const auto [Id, Queue] = Removals.back();
+    InFlight.Removals.push_back(Rows.progress(Removals.back()));
+    RowVersions.erase(Removals.back());
     Removals.pop_back();
-    InFlight.Removals.push_back(Rows.job(Id));
-    InFlight.Removals.push_back(Rows.cancel(Id));
-    InFlight.Removals.push_back(Rows.progress(Id));
-    RowStates.erase(Id);
   }
   if (HeartbeatDue) {
     LastHeartbeat = Clock::now();
@@ -161,9 +154,10 @@
 auto ProgressCommitter::finish(std::uint64_t Version) -> void {
   Busy = false;
   LastConfirmed = SentAt;
+  LastDuration = suspendAwareNow() - SentAt;
   for (const auto &Id : InFlightJobs)
-    if (const auto Found = RowStates.find(Id); Found != RowStates.end())
-      Found->second.Version = Version;
+    if (const auto Found = RowVersions.find(Id); Found != RowVersions.end())
+      Found->second = Version;
   Durable = InFlightCovers;
   Told.OnCommitted();
   if (!Closed)
--- a/Source/Shard/ProgressCommitter.h
+++ b/Source/Shard/ProgressCommitter.h
@@ -34,11 +34,10 @@
                     const ShardSettings &Settings, Ownership Held,
                     Callbacks Told);
 
-  /// The job's progress row has this version in the store.
-  auto noteRow(const std::string &Job, std::uint64_t Version,
-               bool HasWaitingRow) -> void;
-  /// Removes all rows of a job with the next write.
-  auto removeJob(const std::string &Job, const std::string &Queue) -> void;
+  /// The job's progress row has this version in the store; 0: there is none.
+  auto noteRow(const std::string &Job, std::uint64_t Version) -> void;
+  /// Removes the progress row of a job with a later write.
+  auto removeProgress(const std::string &Job) -> void;
   /// Starts a write if one is due and none is under way.
   auto flush() -> void;
   auto close() -> void;
@@ -53,11 +52,7 @@
   auto lastConfirmed() const -> Milliseconds { return LastConfirmed; }
 
 private:
-  struct RowState {
-    std::uint64_t Version = 0;
-    bool HasWaitingRow = false;
-  };
-
+  auto heartbeatInterval() const -> Milliseconds;
   auto compose() -> bool;
   auto send() -> void;
   auto onOutcome(store::Committed &Outcome) -> void;
@@ -74,8 +69,8 @@
   const ShardSettings &Settings;
   Ownership Held;
   Callbacks Told;
-  std::map<std::string, RowState> RowStates;
-  std::vector<std::pair<std::string, std::string>> Removals; ///< Job, queue.
+  std::map<std::string, std::uint64_t> RowVersions; ///< By job.
+  std::vector<std::string> Removals;                ///< Jobs.
   store::RowTransaction InFlight;
   std::vector<std::string> InFlightJobs;
   bool Busy = false;
@@ -85,6 +80,7 @@
   std::uint64_t Durable = 0;
   std::uint64_t HeartbeatSequence = 0;
   TimePoint LastHeartbeat;
+  Milliseconds LastDuration{0}; ///< Of the last write, from send to answer.
   Milliseconds SentAt{0};
   Milliseconds LastConfirmed{0};
   net::EventLoop::TimerHandle Retry;
--- /dev/null
+++ b/Source/Shard/RowCleaner.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "Net/EventLoop.h"
+#include "Shard/ShardSettings.h"
+#include "Store/RowStore.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace jayramp::shard {
+
+/// Removes rows that nobody needs any more, in batches for each partition, and
+/// tries again until it is done.
+class RowCleaner : public std::enable_shared_from_this<RowCleaner> {
+public:
+  RowCleaner(net::EventLoop &Loop, store::RowStore &Store,
+             const ShardSettings &Settings)
+      : Loop(Loop), Store(Store), Settings(Settings) {}
+
+  /// \p Keys have one partition. \p Done is called once they are gone.
+  auto remove(std::vector<store::RowKey> Keys,
+              std::function<void()> Done = nullptr) -> void;
+  auto close() -> void { Closed = true; }
+
+private:
+  struct Batch {
+    std::vector<store::RowKey> Keys;
+    std::vector<std::function<void()>> Done;
+  };
+  struct Partition {
+    Batch Waiting;
+    Batch InFlight;
+    net::EventLoop::TimerHandle Delay;
+    bool Busy = false;
+  };
+
+  auto send(const std::string &Name) -> void;
+  auto later(const std::string &Name) -> void;
+
+  net::EventLoop &Loop;
+  store::RowStore &Store;
+  const ShardSettings &Settings;
+  std::map<std::string, Partition> Partitions;
+  bool Closed = false;
+};
+
+} // namespace jayramp::shard
--- a/Source/Shard/ShardOwner.cpp
+++ b/Source/Shard/ShardOwner.cpp
@@ -30,10 +30,12 @@
       OnLost(std::move(OnLost)), Shared{Needs.Loop, Needs.Port, Scheduler,
                                         Needs.Settings, Held.FencingToken},
       TakenAt(Clock::now()) {
+  Cleaner =
+      std::make_shared<RowCleaner>(Needs.Loop, Needs.Store, Needs.Settings);
   Committer = std::make_shared<ProgressCommitter>(
       Needs.Loop, Needs.Store, Scheduler, Rows, Needs.Settings, Held,
       ProgressCommitter::Callbacks{
-          [this] { pumpSessions(); },
+          [this] { onCommitted(); },
           [this](const char *Reason) { lose(Reason); }});
   Shared.ChangeNumber = [this] { return Committer->changeNumber(); };
   Shared.IsDurable = [this](std::uint64_t Number) {
@@ -49,6 +51,7 @@
 
 ShardOwner::~ShardOwner() {
   *Alive = false;
+  Cleaner->close();
   Needs.Registry.stop();
   Committer->close();
   for (auto &[Id, Session] : Sessions)
@@ -89,8 +92,8 @@
         // The job table is read after the progress table: a job accepted in
         // between is found there, with the progress that it was created with.
         JobFollower = std::make_unique<store::TableFollower>(
-            Needs.Loop, Needs.Store, ShardRows::JobTable, Shard,
-            JobFollowerPace,
+            Needs.Loop, Needs.Store, ShardRows::JobTable,
+            Rows.intakePartitions(), JobFollowerPace,
             store::TableFollower::Observer{
                 [this](std::vector<store::Row> All) { onJobRows(All); },
                 [this](std::vector<store::Row> Changed) { onJobRows(Changed); },
@@ -106,7 +109,7 @@
       onJobRow(Each);
   for (const auto &Each : Changed) {
     const auto Cancelled = ShardRows::cancelledJob(Each.Key.Key);
-    if (Cancelled.empty() || Each.Deleted || Each.Key.Partition != Shard)
+    if (Cancelled.empty() || Each.Deleted || !Rows.isIntake(Each.Key.Partition))
       continue;
     const auto *Job = Scheduler.job(Cancelled);
     if (!Job || isFinal(Job->Progress.State))
@@ -142,7 +145,7 @@
 }
 
 auto ShardOwner::onJobRow(const store::Row &Changed) -> void {
-  if (Changed.Deleted || Changed.Key.Partition != Shard ||
+  if (Changed.Deleted || !Rows.isIntake(Changed.Key.Partition) ||
       Scheduler.job(Changed.Key.Key))
     return;
   auto Spec = decodeJob(Changed.Value);
@@ -151,12 +154,13 @@
              {{"job", Changed.Key.Key}, {"error", Spec.error().message()}});
     return;
   }
-  addJob(Spec.value(), Changed.Version);
+  addJob(Spec.value());
 }
 
-auto ShardOwner::addJob(const scheduling::JobSpec &Spec, std::uint64_t Version)
-    -> void {
+auto ShardOwner::addJob(const scheduling::JobSpec &Spec) -> void {
   scheduling::JobProgress Progress;
+  std::uint64_t Version = 0; // The owner creates the row.
+
   const auto Row = RecoveredProgress.find(Spec.Id);
   if (Row != RecoveredProgress.end()) {
     auto Decoded = decodeProgress(Row->second.Value);
@@ -172,10 +176,10 @@
   constexpr std::int64_t MaxAgeMs = 120000;
   const auto AgeMs =
       std::clamp<std::int64_t>(unixNowMs() - Spec.AcceptedUnixMs, 0, MaxAgeMs);
-  const bool Pending = Progress.State == scheduling::JobState::Pending;
   const auto Age = Recovering ? Milliseconds(AgeMs) : Milliseconds(0);
   Scheduler.addJob(Spec, std::move(Progress), Clock::now() - Age);
-  Committer->noteRow(Spec.Id, Version, Pending);
+  Committer->noteRow(Spec.Id, Version);
+  WaitingRows.insert(Spec.Id);
 }
 
 auto ShardOwner::onWorkers(const std::vector<WorkerChange> &Changes) -> void {
@@ -213,7 +217,8 @@
     std::optional<TimePoint> PredecessorLeases;
     if (Clock::now() - TakenAt < Settings.TakeoverAfter ||
         Scheduler.worker(Worker)->Runs.size() > 0)
-      PredecessorLeases = TakenAt + Settings.GrantLimit + Settings.MaxLease;
+      PredecessorLeases = TakenAt + Settings.GrantLimit +
+                          WorkerSession::longestLease(Settings.Lease);
     Session =
         std::make_shared<WorkerSession>(Shared, Worker, PredecessorLeases);
   }
@@ -256,6 +261,18 @@
               {"percent", std::to_string(Stop.Percent)}});
 }
 
+auto ShardOwner::onCommitted() -> void {
+  std::erase_if(WaitingRows, [this](const std::string &Id) {
+    const auto *Job = Scheduler.job(Id);
+    if (Job && Job->Progress.State == scheduling::JobState::Pending)
+      return false;
+    if (Job)
+      Cleaner->remove({Rows.waiting(Job->Spec.Queue, Id)});
+    return true;
+  });
+  pumpSessions();
+}
+
 auto ShardOwner::pumpSessions() -> void {
   std::vector<std::shared_ptr<WorkerSession>> All;
   for (auto &[Id, Session] : Sessions)
@@ -280,13 +297,16 @@
 
 auto ShardOwner::forgetFinalJobs() -> void {
   const auto Before = Clock::now() - Needs.Settings.KeepFinalJobs;
-  std::vector<std::pair<std::string, std::string>> Old;
+  std::vector<std::string> Old;
   for (const auto &[Id, Job] : Scheduler.jobs())
     if (isFinal(Job.Progress.State) && Job.FinishedAt < Before)
-      Old.emplace_back(Id, Job.Spec.Queue);
-  for (const auto &[Id, Queue] : Old)
+      Old.push_back(Id);
+  for (const auto &Id : Old)
+    // Without its job row a progress row is nothing; a job row alone would be
+    // taken as a new job.
     if (Scheduler.forgetJob(Id))
-      Committer->removeJob(Id, Queue);
+      Cleaner->remove({Rows.job(Id), Rows.cancel(Id)},
+                      [this, Id] { Committer->removeProgress(Id); });
 }
 
 auto ShardOwner::lose(const char *Reason) -> void {
--- a/Source/Shard/ShardOwner.h
+++ b/Source/Shard/ShardOwner.h
@@ -3,6 +3,7 @@
 #include "Net/EventLoop.h"
 #include "Scheduling/ShardScheduler.h"
 #include "Shard/ProgressCommitter.h"
+#include "Shard/RowCleaner.h"
 #include "Shard/ShardRows.h"
 #include "Shard/WorkerRegistry.h"
 #include "Shard/WorkerSession.h"
@@ -12,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace jayramp::shard {
@@ -45,7 +47,8 @@
   auto readProgress(std::string From) -> void;
   auto onJobRows(const std::vector<store::Row> &Changed) -> void;
   auto onJobRow(const store::Row &Changed) -> void;
-  auto addJob(const scheduling::JobSpec &Spec, std::uint64_t Version) -> void;
+  auto addJob(const scheduling::JobSpec &Spec) -> void;
+  auto onCommitted() -> void;
   auto onWorkers(const std::vector<WorkerChange> &Changes) -> void;
   auto onWorker(const WorkerChange &Change) -> void;
   auto sessionOf(const std::string &Worker) -> WorkerSession &;
@@ -64,6 +67,8 @@
   std::function<void()> OnLost;
   scheduling::ShardScheduler Scheduler;
   std::shared_ptr<ProgressCommitter> Committer;
+  std::shared_ptr<RowCleaner> Cleaner;
+  std::set<std::string> WaitingRows; ///< Jobs that may have a waiting row.
   std::unique_ptr<store::TableFollower> JobFollower;
   std::map<std::string, store::Row> RecoveredProgress;
   std::map<std::string, std::shared_ptr<WorkerSession>> Sessions;
--- a/Source/Shard/ShardRows.cpp
+++ b/Source/Shard/ShardRows.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 const std::string CancelSuffix = ".cancel";
+constexpr unsigned IntakePartitions = 4;
+constexpr char IntakeMark = '#';
 
 auto malformed(const char *Kind) -> Error {
   return Error::make(ErrorKind::Internal, Kind, "row cannot be decoded",
@@ -49,11 +51,11 @@
 } // namespace
 
 auto ShardRows::job(const std::string &Id) const -> store::RowKey {
-  return {JobTable, Shard, Id};
+  return {JobTable, intakeOf(Id), Id};
 }
 
 auto ShardRows::cancel(const std::string &Id) const -> store::RowKey {
-  return {JobTable, Shard, Id + CancelSuffix};
+  return {JobTable, intakeOf(Id), Id + CancelSuffix};
 }
 
 auto ShardRows::progress(const std::string &Id) const -> store::RowKey {
@@ -62,12 +64,35 @@
 
 auto ShardRows::waiting(const std::string &Queue, const std::string &Id) const
     -> store::RowKey {
-  return {WaitingTable, Shard, Queue + '/' + Id};
+  return {WaitingTable, intakeOf(Id), Queue + '/' + Id};
 }
 
-auto ShardRows::waitingOf(const std::string &Queue) const -> store::RangeQuery {
+auto ShardRows::waitingOf(const std::string &Queue) const
+    -> std::vector<store::RangeQuery> {
+  std::vector<store::RangeQuery> Queries;
   // '0' follows '/' in byte order.
-  return {WaitingTable, Shard, Queue + '/', Queue + '0'};
+  for (const auto &Partition : intakePartitions())
+    Queries.push_back({WaitingTable, Partition, Queue + '/', Queue + '0'});
+  return Queries;
+}
+
+auto ShardRows::intakePartitions() const -> std::vector<std::string> {
+  std::vector<std::string> Partitions;
+  for (unsigned Number = 0; Number < IntakePartitions; ++Number)
+    Partitions.push_back(Shard + IntakeMark + std::to_string(Number));
+  return Partitions;
+}
+
+auto ShardRows::isIntake(const std::string &Partition) const -> bool {
+  return Partition.size() > Shard.size() && Partition.starts_with(Shard) &&
+         Partition[Shard.size()] == IntakeMark;
+}
+
+auto ShardRows::intakeOf(const std::string &Id) const -> std::string {
+  const auto Number =
+      Id.empty() ? 0U
+                 : static_cast<unsigned char>(Id.back()) % IntakePartitions;
+  return Shard + IntakeMark + std::to_string(Number);
 }
 
 auto ShardRows::owner() const -> store::RowKey {
--- a/Source/Shard/ShardRows.h
+++ b/Source/Shard/ShardRows.h
@@ -6,6 +6,7 @@
 #include "Store/RowStore.h"
 
 #include <string>
+#include <vector>
 
 namespace jayramp::shard {
 
@@ -19,8 +20,11 @@
   auto operator==(const OwnerRecord &) const -> bool = default;
 };
 
-/// Names of the rows of a shard. All lie in one partition, which is named after
-/// the shard, so that one transaction can check the owner and change jobs.
+/// Names of the rows of a shard. The owner's rows lie in one partition, which
+/// is named after the shard, so that one transaction can check the owner and
+/// change progress. Accepted jobs are spread over intake partitions, so that
+/// entry hosts that accept jobs and the owner do not wait for each other: the
+/// store applies the transactions of one partition one after another.
 class ShardRows {
 public:
   static constexpr const char *JobTable = "jobs";
@@ -38,14 +42,20 @@
   /// Exists while no task of the job has started.
   auto waiting(const std::string &Queue, const std::string &Id) const
       -> store::RowKey;
-  /// All waiting rows of a queue.
-  auto waitingOf(const std::string &Queue) const -> store::RangeQuery;
+  /// All waiting rows of a queue: one query for each intake partition.
+  auto waitingOf(const std::string &Queue) const
+      -> std::vector<store::RangeQuery>;
+  auto intakePartitions() const -> std::vector<std::string>;
+  /// Whether a partition is one of this shard's intake partitions.
+  auto isIntake(const std::string &Partition) const -> bool;
   auto owner() const -> store::RowKey;
   auto heartbeat() const -> store::RowKey;
   /// Job of a cancel row's key, empty for other keys of the job table.
   static auto cancelledJob(const std::string &Key) -> std::string;
 
 private:
+  auto intakeOf(const std::string &Id) const -> std::string;
+
   std::string Shard;
 };
 
--- a/Source/Shard/ShardSettings.h
+++ b/Source/Shard/ShardSettings.h
@@ -7,12 +7,10 @@
 /// Times of the owner of a shard.
 struct ShardSettings {
   /// Lease that runs get with each start and hold.
-  Milliseconds Lease{6000};
-  /// Longest lease that a worker grants.
-  Milliseconds MaxLease{10000};
+  Milliseconds Lease{5000};
   /// An owner that could not renew its ownership for this long holds no leases
   /// any more, so that a successor knows when they have run out.
-  Milliseconds GrantLimit{10000};
+  Milliseconds GrantLimit{4000};
   /// How long a worker waits for an end before it answers a hold.
   Milliseconds HoldWait{1000};
   Milliseconds OrderTimeout{400};
--- a/Source/Shard/WorkerSession.cpp
+++ b/Source/Shard/WorkerSession.cpp
@@ -467,11 +467,13 @@
   return HoldFailures == 0 && Shared.MayGrant();
 }
 
+auto WorkerSession::longestLease(Milliseconds Lease) -> Milliseconds {
+  return Lease * (100 + ClockErrorPercent) / 100 + LeaseMargin;
+}
+
 auto WorkerSession::noteGrant() -> void {
-  const auto Until = now() +
-                     Shared.Settings.Lease * (100 + ClockErrorPercent) / 100 +
-                     LeaseMargin;
-  LeasesUntil = std::max(LeasesUntil, Until);
+  LeasesUntil =
+      std::max(LeasesUntil, now() + longestLease(Shared.Settings.Lease));
 }
 
 } // namespace jayramp::shard
--- a/Source/Shard/WorkerSession.h
+++ b/Source/Shard/WorkerSession.h
@@ -40,6 +40,9 @@
   WorkerSession(Context &Shared, std::string Worker,
                 std::optional<TimePoint> PredecessorLeasesUntil);
 
+  /// How long after its grant a lease may last on our clock.
+  static auto longestLease(Milliseconds Lease) -> Milliseconds;
+
   /// A newer report of the worker; \p ClockMs is its clock, 0: not given.
   auto report(std::int64_t ClockMs) -> void;
   /// The worker has left the registry.
--- a/Source/Store/RowStore.h
+++ b/Source/Store/RowStore.h
@@ -110,6 +110,8 @@
   virtual auto changes(std::string Table, std::uint64_t After,
                        Milliseconds Wait,
                        std::function<void(ChangesOutcome)> Done) -> void = 0;
+  /// How long recent calls took, without the time that they asked to wait.
+  virtual auto recentLatency() const -> Milliseconds = 0;
   /// Whether calls made now are likely to be answered.
   virtual auto available() const -> bool = 0;
 };
--- a/Source/Store/TableFollower.cpp
+++ b/Source/Store/TableFollower.cpp
@@ -1,6 +1,8 @@
 #include "Store/TableFollower.h"
 
-#include "Base/Overloaded.h"
+#include <algorithm>
+#include <optional>
+#include <utility>
 
 namespace jayramp::store {
 
@@ -11,14 +13,17 @@
 class TableFollower::Core : public std::enable_shared_from_this<Core> {
 public:
   Core(net::EventLoop &Loop, RowStore &Store, std::string Table,
-       std::string Partition, FollowerPace Pace, Observer Told)
+       std::vector<std::string> Partitions, FollowerPace Pace, Observer Told)
       : Loop(Loop), Store(Store), Table(std::move(Table)),
-        Partition(std::move(Partition)), Pace(Pace), Told(std::move(Told)) {}
+        Partitions(std::move(Partitions)), Pace(Pace), Told(std::move(Told)) {}
 
   auto readSnapshot() -> void {
     Collected.clear();
-    SnapshotVersion = 0;
-    readPage({});
+    SnapshotVersion.reset();
+    ++Attempt;
+    PartitionsLeft = Partitions.size();
+    for (const auto &Partition : Partitions)
+      readPage(Partition, {});
   }
 
   auto stop() -> void {
@@ -27,38 +32,44 @@
   }
 
 private:
-  auto readPage(std::string From) -> void {
+  auto readPage(const std::string &Partition, std::string From) -> void {
     Store.read({Table, Partition, std::move(From), {}}, SnapshotTimeout,
-               [Self = shared_from_this()](ReadOutcome Outcome) {
-                 if (!Self->Stopped)
-                   std::visit([&](auto &Case) { Self->onPage(Case); }, Outcome);
+               [Self = shared_from_this(), Partition,
+                Number = Attempt](ReadOutcome Outcome) {
+                 if (Self->Stopped || Number != Self->Attempt)
+                   return;
+                 if (auto *Page = std::get_if<RowPage>(&Outcome))
+                   Self->onPage(Partition, *Page);
+                 else
+                   Self->retrySnapshot();
                });
   }
 
-  auto onPage(RowPage &Page) -> void {
+  auto onPage(const std::string &Partition, RowPage &Page) -> void {
     // Changes made while the pages were read are told again, which is harmless:
     // a change carries the whole row.
-    if (SnapshotVersion == 0)
-      SnapshotVersion = Page.Version;
+    SnapshotVersion =
+        std::min(SnapshotVersion.value_or(Page.Version), Page.Version);
+    const auto Last = Page.Rows.empty() ? "" : Page.Rows.back().Key.Key;
     for (auto &Each : Page.Rows)
       Collected.push_back(std::move(Each));
-    if (Page.More && !Collected.empty()) {
-      readPage(Collected.back().Key.Key + KeySuccessor);
+    if (Page.More && !Last.empty()) {
+      readPage(Partition, Last + KeySuccessor);
       return;
     }
-    After = SnapshotVersion;
-    Told.OnSnapshot(std::move(Collected));
-    Collected.clear();
+    if (--PartitionsLeft > 0)
+      return;
+    After = *SnapshotVersion;
+    Told.OnSnapshot(std::exchange(Collected, {}));
     if (Stopped)
       return;
     Told.OnCurrent();
     if (!Stopped)
       readChanges();
   }
-  auto onPage(StoreRefused &) -> void { retrySnapshot(); }
-  auto onPage(StoreUnanswered &) -> void { retrySnapshot(); }
 
   auto retrySnapshot() -> void {
+    ++Attempt;
     Delay = Loop.after(Pace.RetryDelay, [this] { readSnapshot(); });
   }
 
@@ -97,21 +108,24 @@
   net::EventLoop &Loop;
   RowStore &Store;
   std::string Table;
-  std::string Partition;
+  std::vector<std::string> Partitions;
   FollowerPace Pace;
   Observer Told;
   std::vector<Row> Collected;
-  std::uint64_t SnapshotVersion = 0;
+  std::optional<std::uint64_t> SnapshotVersion; ///< Of the oldest page.
+  std::size_t PartitionsLeft = 0;
+  unsigned Attempt = 0; ///< Answers to earlier ones are ignored.
   std::uint64_t After = 0;
   net::EventLoop::TimerHandle Delay;
   bool Stopped = false;
 };
 
 TableFollower::TableFollower(net::EventLoop &Loop, RowStore &Store,
-                             std::string Table, std::string Partition,
+                             std::string Table,
+                             std::vector<std::string> Partitions,
                              FollowerPace Pace, Observer Told)
     : State(std::make_shared<Core>(Loop, Store, std::move(Table),
-                                   std::move(Partition), Pace,
+                                   std::move(Partitions), Pace,
                                    std::move(Told))) {}
 
 TableFollower::~TableFollower() { State->stop(); }
--- a/Source/Store/TableFollower.h
+++ b/Source/Store/TableFollower.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace jayramp::store {
 
@@ -18,9 +19,9 @@
   auto operator==(const FollowerPace &) const -> bool = default;
 };
 
-/// Keeps a reader up to date with one table: first all rows of one partition,
-/// then each change. Reads everything anew when the store has dropped its
-/// history.
+/// Keeps a reader up to date with one table: first all rows of some partitions,
+/// then each change, in any partition. Reads everything anew when the store has
+/// dropped its history.
 class TableFollower {
 public:
   /// What the reader is told.
@@ -34,7 +35,8 @@
   };
 
   TableFollower(net::EventLoop &Loop, RowStore &Store, std::string Table,
-                std::string Partition, FollowerPace Pace, Observer Told);
+                std::vector<std::string> Partitions, FollowerPace Pace,
+                Observer Told);
   ~TableFollower();
   TableFollower(const TableFollower &) = delete;
   auto operator=(const TableFollower &) -> TableFollower & = delete;
--- a/Tests/Shard/FakeRowStore.h
+++ b/Tests/Shard/FakeRowStore.h
@@ -41,6 +41,7 @@
     apply({{}, {{Key, std::move(Value)}}, {}});
     return Version;
   }
+  auto setLatency(Milliseconds Next) -> void { Latency = Next; }
   auto heldCount() const -> std::size_t { return Held.size(); }
   auto transactionCount() const -> std::size_t { return Transactions; }
   auto dropHistory() -> void { HistoryFrom = Version + 1; }
@@ -112,6 +113,7 @@
     });
   }
 
+  auto recentLatency() const -> Milliseconds override { return Latency; }
   auto available() const -> bool override {
     return Current != Mode::Silent && Current != Mode::Refusing;
   }
@@ -162,6 +164,7 @@
 
   net::EventLoop &Loop;
   Mode Current = Mode::Serving;
+  Milliseconds Latency{1};
   std::map<store::RowKey, store::Row> Rows;
   std::vector<store::Row> Log;
   std::deque<std::function<void()>> Held;
--- /dev/null
+++ b/Tests/Shard/FrontDoorTest.cpp
@@ -0,0 +1,85 @@
+#include "ShardFixture.h"
+
+namespace jayramp::test {
+namespace {
+
+using Mode = FakeRowStore::Mode;
+using scheduling::JobState;
+using shard::CallOutcome;
+
+class FrontDoorTest : public ShardFixture {
+protected:
+  auto stateCall(const std::string &Id) -> std::pair<CallOutcome, JobState> {
+    std::optional<std::pair<CallOutcome, JobState>> Answer;
+    Door.state("pool", Id, Clock::now() + Milliseconds(300),
+               [&](CallOutcome Outcome, JobState State) {
+                 Answer = {Outcome, State};
+               });
+    runUntil([&] { return Answer.has_value(); });
+    return *Answer;
+  }
+
+  auto waitingCount() -> std::size_t {
+    std::optional<std::size_t> Answer;
+    Door.waiting("pool", "queue", Clock::now() + Milliseconds(300),
+                 [&](CallOutcome, std::size_t Count) { Answer = Count; });
+    runUntil([&] { return Answer.has_value(); });
+    return *Answer;
+  }
+};
+
+TEST_F(FrontDoorTest, anAcceptedJobIsPendingAndWaitsWithoutAnOwner) {
+  submit(job("a"));
+  ASSERT_TRUE(runUntil([&] { return LastSubmit.has_value(); }));
+  EXPECT_EQ(LastSubmit, CallOutcome::Done);
+  EXPECT_EQ(stateCall("a"),
+            std::make_pair(CallOutcome::Done, JobState::Pending));
+  EXPECT_EQ(waitingCount(), 1U);
+  EXPECT_EQ(stateCall("b").first, CallOutcome::NotFound);
+}
+
+TEST_F(FrontDoorTest, aStartedJobDoesNotWait) {
+  Registry.add("w1");
+  startOwner();
+  submit(job("a"));
+  ASSERT_TRUE(runUntil([&] { return stateOf("a") == JobState::Completed; }));
+  EXPECT_TRUE(runUntil([&] { return waitingCount() == 0; }));
+}
+
+// Guards against a false refusal: a write without an answer may have been done.
+TEST_F(FrontDoorTest, doesNotCallAWriteWithoutAnAnswerRefused) {
+  Store.setMode(Mode::LosingAnswers);
+  Door.submit(job("a"), Clock::now() + Milliseconds(200),
+              [this](CallOutcome Outcome) { LastSubmit = Outcome; });
+  ASSERT_TRUE(runUntil([&] { return LastSubmit.has_value(); }));
+  EXPECT_EQ(LastSubmit, CallOutcome::Unknown);
+  Store.setMode(Mode::Serving);
+  LastSubmit.reset();
+  submit(job("a"));
+  ASSERT_TRUE(runUntil([&] { return LastSubmit.has_value(); }));
+  EXPECT_EQ(LastSubmit, CallOutcome::Done);
+}
+
+// Guards against a caller that is kept waiting for what cannot be done.
+TEST_F(FrontDoorTest, refusesAtOnceWhileTheStoreIsUnavailable) {
+  Store.setMode(Mode::Refusing);
+  const auto Start = Clock::now();
+  submit(job("a"));
+  ASSERT_TRUE(runUntil([&] { return LastSubmit.has_value(); }));
+  EXPECT_EQ(LastSubmit, CallOutcome::NotDone);
+  EXPECT_LT(Clock::now() - Start, Milliseconds(100));
+}
+
+// Guards against callers that wait behind the owner's writes: the store applies
+// the transactions of one partition one after another.
+TEST_F(FrontDoorTest, acceptsJobsOutsideTheOwnersPartition) {
+  for (const auto *Id : {"0", "1", "2", "3", "a", "f"}) {
+    EXPECT_NE(Rows.job(Id).Partition, Rows.owner().Partition);
+    EXPECT_EQ(Rows.job(Id).Partition, Rows.cancel(Id).Partition);
+    EXPECT_EQ(Rows.job(Id).Partition, Rows.waiting("q", Id).Partition);
+    EXPECT_EQ(Rows.progress(Id).Partition, Rows.owner().Partition);
+  }
+}
+
+} // namespace
+} // namespace jayramp::test
--- a/Tests/Shard/OwnerElectionTest.cpp
+++ b/Tests/Shard/OwnerElectionTest.cpp
@@ -76,6 +76,17 @@
   EXPECT_EQ(Token, 1U);
 }
 
+// Guards against a storm of takeovers while the store is slow, when heartbeats
+// come late and each attempt makes it slower.
+TEST_F(OwnerElectionTest, waitsLongerWhileTheStoreIsSlow) {
+  Store.put(Rows.owner(), shard::encodeOwner({"one", "life", 1, false}));
+  Store.setLatency(Milliseconds(100));
+  const auto Two = candidate("two");
+  runFor(Milliseconds(600));
+  EXPECT_TRUE(Winners.empty());
+  EXPECT_TRUE(runUntil([&] { return !Winners.empty(); }));
+}
+
 TEST_F(OwnerElectionTest, aReleasedShardIsTakenAtOnce) {
   Settings.TakeoverAfter = Milliseconds(60000);
   const auto One = candidate("one");
--- a/Tests/Shard/ShardFixture.h
+++ b/Tests/Shard/ShardFixture.h
@@ -54,7 +54,6 @@
 protected:
   ShardFixture() : Store(Loop), Workers(Loop), Door(Loop, Store) {
     Settings.Lease = Milliseconds(300);
-    Settings.MaxLease = Milliseconds(300);
     Settings.GrantLimit = Milliseconds(400);
     Settings.HoldWait = Milliseconds(60);
     Settings.HoldSlack = Milliseconds(60);
