Keep more room free for urgent arrivals; place nothing on silent workers

The reserve follows urgent arrivals of the last 3 s, up to 0.6 of the accelerators, until a job has waited for half of its objective.

--- a/Source/Scheduling/SchedulingPolicy.h
+++ b/Source/Scheduling/SchedulingPolicy.h
@@ -26,12 +26,12 @@
   /// ones.
   Milliseconds ArrivalWindow{3000};
   /// Room for arrivals of this time is kept free of less urgent work.
-  Milliseconds ReserveHorizon{1200};
+  Milliseconds ReserveHorizon{6000};
   /// Largest part of all accelerators that is kept free.
-  double MaxReserve = 0.3;
+  double MaxReserve = 0.6;
   /// A less urgent job uses the reserve once it has waited for this part of its
   /// latency objective.
-  double ReserveUntilObjective = 0.35;
+  double ReserveUntilObjective = 0.5;
   /// A task without any progress for this long is restarted elsewhere.
   Milliseconds StallTime{2200};
 };
--- a/Source/Shard/FrontDoor.cpp
+++ b/Source/Shard/FrontDoor.cpp
@@ -10,12 +10,21 @@
 
 namespace {
 
-/// Longest wait for one answer of the store.
-constexpr Milliseconds AttemptTimeout{900};
+/// Wait for one answer of a store that is not slow.
+constexpr Milliseconds AttemptTimeout{800};
+/// A slow store gets this multiple of its latency.
+constexpr int LatenciesOfAttempt = 4;
 /// A shorter rest is not worth another attempt.
 constexpr Milliseconds MinAttempt{40};
 constexpr Milliseconds RetryDelay{60};
 
+auto attemptTimeout(const store::RowStore &Store, Milliseconds Left)
+    -> Milliseconds {
+  const auto Patience =
+      std::max(AttemptTimeout, Store.recentLatency() * LatenciesOfAttempt);
+  return std::min(Left, Patience);
+}
+
 auto remaining(TimePoint Deadline) -> Milliseconds {
   return std::chrono::duration_cast<Milliseconds>(Deadline - Clock::now());
 }
@@ -53,7 +62,7 @@
   const auto Again = [this, Call] {
     Call->Delay = Loop.after(RetryDelay, [this, Call] { attempt(Call); });
   };
-  Store.transact(Call->Change, std::min(Left, AttemptTimeout),
+  Store.transact(Call->Change, attemptTimeout(Store, Left),
                  [Call, Again](store::TransactionOutcome Outcome) {
                    std::visit(
                        Overloaded{[&](store::Committed &) {
@@ -77,7 +86,7 @@
     Call->Done(std::nullopt);
     return;
   }
-  Store.read(Call->Query, std::min(Left, AttemptTimeout),
+  Store.read(Call->Query, attemptTimeout(Store, Left),
              [this, Call](store::ReadOutcome Outcome) {
                if (auto *Page = std::get_if<store::RowPage>(&Outcome)) {
                  Call->Done(std::move(*Page));
--- a/Source/Shard/WorkerSession.cpp
+++ b/Source/Shard/WorkerSession.cpp
@@ -20,7 +20,7 @@
 /// A listing this long may be cut; a run that it lacks may still be there.
 constexpr std::size_t FullListing = 500;
 /// Failed holds after which a worker gets no new tasks.
-constexpr unsigned UnreachableAfter = 2;
+constexpr unsigned UnreachableAfter = 1;
 /// Longest pause between holds of a worker with pending ends.
 constexpr Milliseconds IdleHoldInterval{1000};
 /// Shortest pause between two holds without news.
