--- a/Source/Scheduling/RunId.h
+++ b/Source/Scheduling/RunId.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace jayramp::scheduling {
 
@@ -13,7 +13,11 @@
   std::uint32_t Index = 0; ///< Of the task within its step.
   std::uint32_t Run = 0;
 
-  auto operator<=>(const RunId &) const = default;
+  friend auto operator==(const RunId &, const RunId &) -> bool = default;
+  friend auto operator<(const RunId &Left, const RunId &Right) -> bool {
+    return std::tie(Left.Job, Left.Step, Left.Index, Left.Run) <
+           std::tie(Right.Job, Right.Step, Right.Index, Right.Run);
+  }
 };
 
 /// "JOB/STEP/INDEX#RUN" for logs.
--- a/Source/Scheduling/SchedulingPolicy.h
+++ b/Source/Scheduling/SchedulingPolicy.h
@@ -32,6 +32,9 @@
   /// A less urgent job uses the reserve once it has waited for this part of its
   /// latency objective.
   double ReserveUntilObjective = 0.5;
+  /// A draining worker's task is moved if it would end less than this before
+  /// the worker leaves.
+  Milliseconds LeaveMargin{300};
   /// A task without any progress for this long is restarted elsewhere.
   Milliseconds StallTime{2200};
 };
--- a/Source/Scheduling/ShardScheduler.cpp
+++ b/Source/Scheduling/ShardScheduler.cpp
@@ -103,13 +103,19 @@
   Guarantees = std::move(GpusByTenant);
 }
 
-auto ShardScheduler::updateWorker(const WorkerReport &Report) -> void {
+auto ShardScheduler::updateWorker(const WorkerReport &Report, TimePoint Now)
+    -> void {
   auto &Entry = Workers[Report.Id];
   if (Entry.Report.Incarnation != Report.Incarnation) {
     Entry.FailedJobs.clear();
     Entry.QuarantinedUntil = {};
     Entry.Reachable = true;
   }
+  if (Report.Draining && Report.Remaining) {
+    const auto Leaves = Now + *Report.Remaining;
+    Entry.LeavesAt =
+        Entry.Report.Draining ? std::min(Entry.LeavesAt, Leaves) : Leaves;
+  }
   Entry.Report = Report;
   Entry.Registered = true;
 }
@@ -219,6 +225,7 @@
 
 auto ShardScheduler::decide(TimePoint Now) -> void {
   restartStalledRuns(Now);
+  evacuateLeavingWorkers(Now);
   markGuaranteedJobs();
   PlacementPass(*this, Now).run();
 }
@@ -306,7 +313,8 @@
                                    TimePoint Now) -> void {
   const auto &Step = Job.Spec.Steps[Id.Step];
   auto &Keeper = Job.Progress.Steps[Id.Step][keeperOf(Step, Id.Index)];
-  if (const auto *Alive = run(Id))
+  // A job that has failed elsewhere too is likely to blame itself.
+  if (const auto *Alive = run(Id); Alive && Keeper.Failures == 0)
     blameWorker(Alive->Worker, Id.Job, Now);
   if (Keeper.FailedRun == Id.Run || Keeper.Done)
     return;
@@ -369,27 +377,73 @@
 }
 
 auto ShardScheduler::restartStalledRuns(TimePoint Now) -> void {
+  std::vector<RunId> Stalled;
   for (auto &[Id, Alive] : Runs) {
-    // A member of a gang that is done waits for the slower ones.
-    if (Alive.Phase != RunPhase::Started || Alive.Percent >= AllDonePercent ||
-        Now - Alive.ProgressAt < Policy.StallTime)
-      continue;
     const auto *Job = findJob(Id.Job);
-    const auto Holder = Workers.find(Alive.Worker);
-    if (!Job || Holder == Workers.end() || !Holder->second.Reachable)
-      continue;
-    // Percents of long tasks change rarely.
-    const auto Patience = std::max<Milliseconds>(
-        Policy.StallTime, Job->Spec.Steps[Id.Step].Estimate / 4);
-    if (Now - Alive.ProgressAt < Patience)
+    if (Job && isStalled(Alive, *Job, Now))
+      Stalled.push_back(Id);
+  }
+  for (const auto &Id : Stalled) {
+    const auto &Alive = Runs.at(Id);
+    if (Alive.Phase != RunPhase::Started)
       continue;
     stopRun(Id, StopReason::Stalled);
-    blameWorker(Alive.Worker, Id.Job, Now);
-    if (Job->Spec.Steps[Id.Step].Gang)
+    auto Holder = Workers.find(Alive.Worker);
+    if (Holder != Workers.end())
+      Holder->second.QuarantinedUntil = Now + Policy.QuarantineTime;
+    if (Jobs.at(Id.Job).Spec.Steps[Id.Step].Gang)
       breakGang(Id);
   }
 }
 
+auto ShardScheduler::isStalled(const Run &Alive, const JobEntry &Job,
+                               TimePoint Now) const -> bool {
+  // A member of a gang that is done waits for the slower ones.
+  if (Alive.Phase != RunPhase::Started || Alive.Percent >= AllDonePercent)
+    return false;
+  const auto *Holder = worker(Alive.Worker);
+  if (!Holder || !Holder->Reachable)
+    return false;
+  const auto &Step = Job.Spec.Steps[Alive.Id.Step];
+  const auto Still = Now - Alive.ProgressAt;
+  // Percents of long tasks change rarely.
+  return Still >= std::max<Milliseconds>(Policy.StallTime, Step.Estimate / 4);
+}
+
+auto ShardScheduler::evacuateLeavingWorkers(TimePoint Now) -> void {
+  std::vector<RunId> Leaving;
+  for (const auto &[Name, Entry] : Workers) {
+    if (!Entry.Report.Draining || Entry.LeavesAt == TimePoint())
+      continue;
+    for (const auto &Id : Entry.Runs) {
+      const auto &Alive = Runs.at(Id);
+      const auto *Job = findJob(Id.Job);
+      if (Job && Alive.Phase == RunPhase::Started &&
+          Now + expectedRest(Alive, *Job, Now) + Policy.LeaveMargin >
+              Entry.LeavesAt)
+        Leaving.push_back(Id);
+    }
+  }
+  for (const auto &Id : Leaving) {
+    stopRun(Id, StopReason::WorkerLeaves);
+    if (Jobs.at(Id.Job).Spec.Steps[Id.Step].Gang)
+      breakGang(Id);
+  }
+}
+
+auto ShardScheduler::expectedRest(const Run &Alive, const JobEntry &Job,
+                                  TimePoint Now) const -> Milliseconds {
+  constexpr std::uint32_t TellingPercent = 5;
+  const auto Elapsed =
+      std::chrono::duration_cast<Milliseconds>(Now - Alive.StartedAt);
+  if (Alive.Percent >= TellingPercent)
+    return Elapsed *
+           (AllDonePercent - std::min(Alive.Percent, AllDonePercent)) /
+           Alive.Percent;
+  return std::max(Milliseconds(0),
+                  Job.Spec.Steps[Alive.Id.Step].Estimate - Elapsed);
+}
+
 auto ShardScheduler::urgentReserve(TimePoint Now) -> std::int64_t {
   while (!UrgentArrivals.empty() &&
          UrgentArrivals.front().first < Now - Policy.ArrivalWindow)
--- a/Source/Scheduling/ShardScheduler.h
+++ b/Source/Scheduling/ShardScheduler.h
@@ -35,6 +35,7 @@
   std::set<RunId> Runs;
   std::set<std::string> FailedJobs; ///< Since the last success.
   TimePoint QuarantinedUntil;
+  TimePoint LeavesAt; ///< Of a draining worker, as far as it has said.
 };
 
 /// Decides which task runs on which worker of one shard. Pure: time and
@@ -56,7 +57,7 @@
   auto forgetJob(const std::string &Id) -> bool;
   /// Guaranteed accelerators by client account.
   auto setGuarantees(std::map<std::string, std::int64_t> GpusByTenant) -> void;
-  auto updateWorker(const WorkerReport &Report) -> void;
+  auto updateWorker(const WorkerReport &Report, TimePoint Now) -> void;
   /// The worker is no longer listed; its runs stay until they are over.
   auto unregisterWorker(const std::string &Id) -> void;
   auto setReachable(const std::string &Id, bool Reachable) -> void;
@@ -115,6 +116,12 @@
                    TimePoint Now) -> void;
   auto finishJob(JobEntry &Job, JobState State, TimePoint Now) -> void;
   auto restartStalledRuns(TimePoint Now) -> void;
+  auto isStalled(const Run &Alive, const JobEntry &Job, TimePoint Now) const
+      -> bool;
+  /// Moves tasks that would not end before their worker leaves.
+  auto evacuateLeavingWorkers(TimePoint Now) -> void;
+  auto expectedRest(const Run &Alive, const JobEntry &Job, TimePoint Now) const
+      -> Milliseconds;
   auto markGuaranteedJobs() -> void;
   /// Accelerators that less urgent work leaves free for urgent arrivals.
   auto urgentReserve(TimePoint Now) -> std::int64_t;
--- a/Source/Scheduling/WorkerReport.h
+++ b/Source/Scheduling/WorkerReport.h
@@ -20,8 +20,9 @@
   std::vector<std::string> Labels;
   Resources Capacity; ///< In total, whether in use or not.
   bool Draining = false;
-  std::optional<Milliseconds> Remaining; ///< Until a draining worker leaves.
-  std::int64_t Incarnation = 0;          ///< Unix milliseconds of its start.
+  /// Time until a draining worker leaves, when the report was made.
+  std::optional<Milliseconds> Remaining;
+  std::int64_t Incarnation = 0; ///< Unix milliseconds of its start.
 
   auto operator==(const WorkerReport &) const -> bool = default;
 };
--- a/Source/Shard/ShardOwner.cpp
+++ b/Source/Shard/ShardOwner.cpp
@@ -205,7 +205,7 @@
   const auto *Before = Scheduler.worker(Change.Id);
   if (Change.Report->Draining && (!Before || !Before->Report.Draining))
     logEvent(LogLevel::Info, "worker-draining", {{"worker", Change.Id}});
-  Scheduler.updateWorker(*Change.Report);
+  Scheduler.updateWorker(*Change.Report, Clock::now());
   sessionOf(Change.Id).report(Change.ClockMs);
 }
 
--- a/Source/Store/RowStore.h
+++ b/Source/Store/RowStore.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -16,7 +17,11 @@
   std::string Partition;
   std::string Key;
 
-  auto operator<=>(const RowKey &) const = default;
+  friend auto operator==(const RowKey &, const RowKey &) -> bool = default;
+  friend auto operator<(const RowKey &Left, const RowKey &Right) -> bool {
+    return std::tie(Left.Table, Left.Partition, Left.Key) <
+           std::tie(Right.Table, Right.Partition, Right.Key);
+  }
 };
 
 /// Appended to a key, gives a bound behind it and before all other keys: keys
--- a/Tests/Shard/ShardSchedulerTest.cpp
+++ b/Tests/Shard/ShardSchedulerTest.cpp
@@ -59,7 +59,8 @@
       for (int Number = 0; Number < PerRack; ++Number)
         Scheduler.updateWorker(
             workerReport("w" + std::to_string(Rack) + std::to_string(Number),
-                         "r" + std::to_string(Rack)));
+                         "r" + std::to_string(Rack)),
+            at(0));
   }
 
   auto add(const std::string &Id, const JobShape &Shape, std::int64_t Ms = 0)
@@ -253,6 +254,43 @@
   EXPECT_TRUE(runsOf("task").empty());
 }
 
+// Guards against work that is lost with a worker that said when it leaves.
+TEST_F(ShardSchedulerTest, movesATaskThatWouldNotEndBeforeItsWorkerLeaves) {
+  addWorkers(1, 2);
+  add("long", {1, 1, 8, false, false, Milliseconds(10000)});
+  add("short", {1, 1, 8, false, false, Milliseconds(10000)});
+  Scheduler.decide(at(0));
+  startAll(0);
+  Scheduler.runProgressed({"long", 0, 0, 1}, 10, {}, at(1000));
+  Scheduler.runProgressed({"short", 0, 0, 1}, 90, {}, at(1000));
+  for (const auto *Job : {"long", "short"}) {
+    auto Report = Scheduler.worker(runsOf(Job).at(0).Worker)->Report;
+    Report.Draining = true;
+    Report.Remaining = Milliseconds(2000);
+    Scheduler.updateWorker(Report, at(1000));
+  }
+  Scheduler.decide(at(1000));
+  const auto Stops = Scheduler.takeStops();
+  ASSERT_EQ(Stops.size(), 1U);
+  EXPECT_EQ(Stops[0].Run.Job, "long");
+  EXPECT_EQ(Stops[0].Reason, StopReason::WorkerLeaves);
+}
+
+// Guards against tasks that follow each other onto a worker where work stands
+// still.
+TEST_F(ShardSchedulerTest, avoidsAWorkerOnWhichATaskStoodStill) {
+  addWorkers(1, 2);
+  add("task", {1, 1, 8});
+  Scheduler.decide(at(0));
+  startAll(0);
+  const auto Stuck = runsOf("task").at(0);
+  Scheduler.decide(at(3000));
+  Scheduler.runEnded(Stuck.Id, RunEnd::Stopped, {}, at(3300));
+  Scheduler.decide(at(3300));
+  ASSERT_EQ(runsOf("task").size(), 1U);
+  EXPECT_NE(runsOf("task")[0].Worker, Stuck.Worker);
+}
+
 // Guards against attempts that are used up on one bad worker.
 TEST_F(ShardSchedulerTest, triesAFailedTaskOnAnotherWorker) {
   addWorkers(1, 2);
@@ -288,7 +326,8 @@
   int NextJob = 0;
   for (int Number = 0; Number < 6; ++Number)
     Scheduler.updateWorker(workerReport("w" + std::to_string(Number),
-                                        "r" + std::to_string(Number / 3)));
+                                        "r" + std::to_string(Number / 3)),
+                           at(0));
   const auto Steps = *rc::gen::inRange(20, 80);
   for (int Step = 0; Step < Steps; ++Step) {
     Ms += *rc::gen::inRange(1, 400);
