--- a/Source/Base/EventLog.cpp
+++ b/Source/Base/EventLog.cpp
@@ -45,8 +45,17 @@
   return spdlog::level::err;
 }
 
+auto observer() -> EventObserver & {
+  static EventObserver Current;
+  return Current;
+}
+
 } // namespace
 
+auto setEventObserver(EventObserver Observer) -> void {
+  observer() = std::move(Observer);
+}
+
 auto initializeLog(std::string_view Host, LogLevel Threshold) -> void {
   auto Logger = spdlog::stderr_logger_mt("jayramp");
   Logger->set_pattern(
@@ -72,6 +81,8 @@
 
 auto logEvent(LogLevel Level, std::string_view Event,
               std::initializer_list<LogField> Fields) -> void {
+  if (const auto &Observer = observer())
+    Observer(Event, Fields);
   auto SpdlogLevel = toSpdlog(Level);
   if (!spdlog::should_log(SpdlogLevel))
     return;
