--- a/Source/Shard/OwnerElection.cpp
+++ b/Source/Shard/OwnerElection.cpp
@@ -60,8 +60,14 @@
   Change.Conditions.push_back({Rows.owner(), OwnerVersion});
   Change.Writes.push_back({Rows.owner(), encodeOwner(Released)});
   Store.transact(std::move(Change), Settings.StoreTimeout,
-                 [Done = std::move(Done)](const store::TransactionOutcome &) {
+                 [Done = std::move(Done),
+                  Name = Shard](const store::TransactionOutcome &Outcome) {
                    // If this failed, others take the shard after its silence.
+                   const bool Written =
+                       std::holds_alternative<store::Committed>(Outcome);
+                   logEvent(LogLevel::Info, "shard-released",
+                            {{"shard", Name},
+                             {"outcome", Written ? "written" : "unknown"}});
                    Done();
                  });
 }
