Spread urgent gangs over racks only after 1.8 s

Cause: a gang that is spread works three times as long, so it is late in any case; most of those that were spread after 0.9 s would have found a rack by 1.8 s. The reclaim bound of 2.9 s is kept: a stop takes 0.4 s there.

--- a/Source/Scheduling/SchedulingPolicy.h
+++ b/Source/Scheduling/SchedulingPolicy.h
@@ -10,7 +10,7 @@
 struct SchedulingPolicy {
   /// A gang that should stay in one rack may be spread after this wait, if it
   /// is of the most urgent priority.
-  Milliseconds SpreadAfter{900};
+  Milliseconds SpreadAfter{1800};
   /// How long a worker takes no tasks after several jobs failed there.
   Milliseconds QuarantineTime{8000};
   /// Failures of different jobs without a success that cause a quarantine.
--- a/Tests/Shard/ShardSchedulerTest.cpp
+++ b/Tests/Shard/ShardSchedulerTest.cpp
@@ -241,7 +241,12 @@
   Scheduler.decide(at(100));
   EXPECT_TRUE(runsOf("gang").empty());
   startAll(100);
-  Scheduler.decide(at(1100));
+  // Neither task stands still meanwhile.
+  for (const auto &[Id, Alive] : Scheduler.runs())
+    Scheduler.runProgressed(Id, 50, {}, at(1500));
+  Scheduler.decide(at(1500));
+  EXPECT_TRUE(runsOf("gang").empty());
+  Scheduler.decide(at(100 + SchedulingPolicy{}.SpreadAfter.count()));
   EXPECT_EQ(racksOf("gang").size(), 2U);
 }
 
