--- a/Source/Shard/ShardOwner.cpp
+++ b/Source/Shard/ShardOwner.cpp
@@ -253,7 +253,7 @@
               {"racks", std::to_string(Placed.Racks)},
               {"waited-s", std::to_string(Placed.WaitedSeconds)}});
   for (const auto &Stop : Scheduler.takeStops())
-    logEvent(LogLevel::Info, "run-stopped",
+    logEvent(LogLevel::Info, "task-stopped",
              {{"run", toString(Stop.Run)},
               {"worker", Stop.Worker},
               {"reason", std::string(toString(Stop.Reason))},
--- a/Source/Shard/WorkerSession.cpp
+++ b/Source/Shard/WorkerSession.cpp
@@ -330,7 +330,7 @@
       continue;
     LastEndTaken = End.Number;
     Shared.Scheduler.runEnded(End.Run, End.How, End.Checkpoint, now());
-    logEvent(LogLevel::Info, "run-ended",
+    logEvent(LogLevel::Info, "task-ended",
              {{"run", toString(End.Run)},
               {"worker", Worker},
               {"how", std::to_string(static_cast<int>(End.How))}});
@@ -347,7 +347,7 @@
       continue;
     }
     // Nobody waits for this run, for example a late start of a dropped job.
-    logEvent(LogLevel::Warning, "stray-run-stopped",
+    logEvent(LogLevel::Warning, "stray-task-stopped",
              {{"run", toString(Each.Run)}, {"worker", Worker}});
     Shared.Port.stop(target(), {Each.Run, Shared.FencingToken},
                      Shared.Settings.OrderTimeout, [](const OrderReply &) {});
--- a/Tests/Shard/WireCodecTest.cpp
+++ b/Tests/Shard/WireCodecTest.cpp
@@ -2,6 +2,7 @@
 
 #include "Base64.h"
 #include "HostSettings.h"
+#include "StoreCodec.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
