Refuse jobs that do not fit into a row; survive malformed answers

Causes, found by reading the change: the progress of a job of 5,000 tasks does not fit into a row of 64 KiB, so its owner could never write it and the whole shard would stand still; a worker's clock or reason of another type threw through the event loop; one row whose value is not base64 made its whole page unreadable.

--- a/Tests/Shard/WireCodecTest.cpp
+++ b/Tests/Shard/WireCodecTest.cpp
@@ -83,6 +83,39 @@
   EXPECT_EQ(decodeOrderReply(421, "").Outcome, OrderOutcome::OtherIncarnation);
 }
 
+// Guards against a shard that stands still: a job whose progress does not fit
+// into a row could never be written.
+TEST(WireCodecTest, refusesJobsThatDoNotFitIntoARow) {
+  EXPECT_TRUE(decodeSubmission(R"({"steps":[{"count":1000}]})").has_value());
+  EXPECT_FALSE(decodeSubmission(R"({"steps":[{"count":1001}]})").has_value());
+  EXPECT_FALSE(decodeSubmission(R"({"steps":[{"count":600},{"count":600}]})")
+                   .has_value());
+  const auto Long = std::string(70000, 'x');
+  EXPECT_FALSE(
+      decodeSubmission(R"({"steps":[{"requirements":")" + Long + "\"}]}")
+          .has_value());
+}
+
+// Guards against a crash by an answer with a field of another type.
+TEST(WireCodecTest, survivesFieldsOfOtherTypes) {
+  EXPECT_EQ(decodeOrderReply(409, R"({"clock-ms":"x","reason":7})").Outcome,
+            OrderOutcome::Refused);
+  EXPECT_EQ(decodeHoldReply(200, R"({"clock-ms":-1,"born":[],"running":7})")
+                .WorkerClockMs,
+            0);
+}
+
+// Guards against a page of rows that is lost by one row of another writer.
+TEST(WireCodecTest, readsOtherRowsBesideOneThatCannotBeRead) {
+  const auto Page = decodeRows(
+      R"({"rows":[{"table":"t","part":"","key":"a","value":"%%%","ver":1},)"
+      R"({"table":"t","part":"","key":"b","value":"eA==","ver":2}],"ver":3})");
+  ASSERT_TRUE(Page.has_value());
+  ASSERT_EQ(Page.value().Rows.size(), 2U);
+  EXPECT_EQ(Page.value().Rows[0].Value, "");
+  EXPECT_EQ(Page.value().Rows[1].Value, "x");
+}
+
 // Guards against a worker entry of another writer that is used.
 TEST(WireCodecTest, ignoresEntriesThatNameNoWorker) {
   for (const auto *Entry :
