--- a/Source/Shard/OwnerElection.cpp
+++ b/Source/Shard/OwnerElection.cpp
@@ -12,6 +12,9 @@
 constexpr Milliseconds AttemptPause{500};
 /// A heartbeat may take this multiple of the store's latency to be heard of.
 constexpr int LatenciesOfSilence = 12;
+/// Changes of the owner within this time lengthen the allowed silence.
+constexpr Milliseconds RecentChanges{15000};
+constexpr std::size_t MaxDoublings = 4;
 constexpr store::FollowerPace OwnerFollowerPace{
     Milliseconds{1000}, Milliseconds{200}, Milliseconds{150}};
 
@@ -80,6 +83,7 @@
         Each.Version > HeartbeatVersion) {
       HeartbeatVersion = Each.Version;
       LastSign = Clock::now();
+      HeardOfOwner = Each.Version > OwnerVersion;
     }
     if (Each.Key.Key != ShardRows::OwnerKey)
       continue;
@@ -94,6 +98,9 @@
     LastSign = Clock::now();
     Owner = Decoded.value();
     OwnerVersion = Each.Version;
+    HeardOfOwner = HeartbeatVersion > OwnerVersion;
+    if (!Owner->Released)
+      noteOwnerChange();
   }
 }
 
@@ -121,10 +128,26 @@
     return false;
   if (isVacant())
     return Now - LastSign >= Self.Delay;
+  return Now - LastSign >= allowedSilence() + Self.Delay;
+}
+
+auto OwnerElection::allowedSilence() const -> Milliseconds {
   // Where the store is slow, heartbeats are late too.
-  const auto Silence = std::max(Settings.TakeoverAfter,
-                                Store.recentLatency() * LatenciesOfSilence);
-  return Now - LastSign >= Silence + Self.Delay;
+  auto Silence = std::max(Settings.TakeoverAfter,
+                          Store.recentLatency() * LatenciesOfSilence);
+  // A new owner has much to read before it beats. Owners that follow each other
+  // fast are slow rather than dead.
+  auto Doublings = OwnerChanges.size() > 1 ? OwnerChanges.size() - 1 : 0;
+  if (!HeardOfOwner)
+    ++Doublings;
+  return Silence * (1U << std::min<std::size_t>(Doublings, MaxDoublings));
+}
+
+auto OwnerElection::noteOwnerChange() -> void {
+  const auto Now = Clock::now();
+  OwnerChanges.push_back(Now);
+  while (OwnerChanges.front() < Now - RecentChanges)
+    OwnerChanges.pop_front();
 }
 
 auto OwnerElection::take() -> void {
@@ -166,6 +189,7 @@
 auto OwnerElection::onOutcome(store::StoreUnanswered &Outcome) -> void {
   logEvent(LogLevel::Warning, "take-shard-unanswered",
            {{"shard", Shard}, {"reason", Outcome.Reason}});
+  backOff();
 }
 
 auto OwnerElection::backOff() -> void {
--- a/Source/Shard/OwnerElection.h
+++ b/Source/Shard/OwnerElection.h
@@ -7,6 +7,7 @@
 #include "Store/RowStore.h"
 #include "Store/TableFollower.h"
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -43,6 +44,9 @@
   auto tick() -> void;
   auto isVacant() const -> bool;
   auto mayTake() const -> bool;
+  /// Silence of the owner that allows a takeover.
+  auto allowedSilence() const -> Milliseconds;
+  auto noteOwnerChange() -> void;
   auto backOff() -> void;
   auto take() -> void;
   auto onOutcome(store::Committed &Outcome) -> void;
@@ -64,7 +68,9 @@
   std::uint64_t OwnerVersion = 0;
   OwnerRecord Attempted;
   std::uint64_t HeartbeatVersion = 0;
-  TimePoint LastSign; ///< The owner's rows last changed.
+  TimePoint LastSign;                 ///< The owner's rows last changed.
+  std::deque<TimePoint> OwnerChanges; ///< Recent ones, oldest first.
+  bool HeardOfOwner = false; ///< The present owner has sent a heartbeat.
   TimePoint NextAttempt;
   bool Started = false;
   bool Attempting = false;
--- a/Tests/Shard/OwnerElectionTest.cpp
+++ b/Tests/Shard/OwnerElectionTest.cpp
@@ -87,6 +87,20 @@
   EXPECT_TRUE(runUntil([&] { return !Winners.empty(); }));
 }
 
+// Guards against hosts that take a shard from each other for ever, because each
+// new owner needs longer to recover than silence is allowed.
+TEST_F(OwnerElectionTest, waitsLongerAfterEachChangeOfTheOwner) {
+  const auto Two = candidate("two");
+  Store.put(Rows.owner(), shard::encodeOwner({"a", "life", 1, false}));
+  runFor(Milliseconds(30));
+  Store.put(Rows.owner(), shard::encodeOwner({"b", "life", 2, false}));
+  runFor(Milliseconds(30));
+  Store.put(Rows.owner(), shard::encodeOwner({"c", "life", 3, false}));
+  runFor(Milliseconds(600));
+  EXPECT_TRUE(Winners.empty());
+  EXPECT_TRUE(runUntil([&] { return !Winners.empty(); }));
+}
+
 TEST_F(OwnerElectionTest, aReleasedShardIsTakenAtOnce) {
   Settings.TakeoverAfter = Milliseconds(60000);
   const auto One = candidate("one");
