--- a/Source/Shard/WorkerSession.cpp
+++ b/Source/Shard/WorkerSession.cpp
@@ -118,6 +118,11 @@
 
 auto WorkerSession::pumpRun(const Run &Alive, Orders &State) -> void {
   const auto Id = Alive.Id;
+  if (Alive.Phase == RunPhase::Assigned && isDraining()) {
+    if (!State.StartInFlight && (HeldOnce || !State.Recovered))
+      withdrawStart(Id, State);
+    return;
+  }
   if (Alive.Phase == RunPhase::Assigned) {
     const bool Known = HeldOnce || !State.Recovered;
     if (Known && ClockKnown && !State.StartInFlight &&
@@ -129,14 +134,28 @@
   if (Alive.Phase != RunPhase::Stopping)
     return;
   if (!State.Recovered && State.StartsSent == 0) {
-    Shared.Scheduler.runVanished(Id, now());
-    Shared.OnChange();
+    withdrawStart(Id, State);
     return;
   }
   if (!State.StopInFlight && !State.OverUnlessListed && now() >= State.NextStop)
     sendStop(Id);
 }
 
+auto WorkerSession::isDraining() const -> bool {
+  const auto *Entry = Shared.Scheduler.worker(Worker);
+  return Entry && Entry->Report.Draining;
+}
+
+auto WorkerSession::withdrawStart(const RunId &Id, const Orders &State)
+    -> void {
+  // A start that was sent may still arrive; a stop makes its number unusable.
+  if (!State.Recovered && State.StartsSent == 0)
+    Shared.Scheduler.runVanished(Id, now());
+  else
+    Shared.Scheduler.stopRun(Id, scheduling::StopReason::WorkerLeaves);
+  Shared.OnChange();
+}
+
 auto WorkerSession::sendStart(const Run &Alive, Orders &State) -> void {
   const auto *Job = Shared.Scheduler.job(Alive.Id.Job);
   if (!Job)
--- a/Source/Shard/WorkerSession.h
+++ b/Source/Shard/WorkerSession.h
@@ -77,6 +77,9 @@
   auto target() const -> WorkerTarget;
   auto syncOrders() -> void;
   auto pumpRun(const scheduling::Run &Alive, Orders &State) -> void;
+  auto isDraining() const -> bool;
+  /// Gives up a run that was not confirmed.
+  auto withdrawStart(const scheduling::RunId &Id, const Orders &State) -> void;
   auto sendStart(const scheduling::Run &Alive, Orders &State) -> void;
   auto onStartReply(const scheduling::RunId &Id, const OrderReply &Reply)
       -> void;
--- a/Tests/Shard/ShardFixture.h
+++ b/Tests/Shard/ShardFixture.h
@@ -33,6 +33,13 @@
     Report.Incarnation = 1;
     tell({Id, Report, 0});
   }
+  auto drain(const std::string &Id) -> void {
+    for (auto Each : std::vector(Workers))
+      if (Each.Id == Id) {
+        Each.Report->Draining = true;
+        tell(Each);
+      }
+  }
   auto remove(const std::string &Id) -> void { tell({Id, std::nullopt, 0}); }
 
 private:
--- a/Tests/Shard/ShardOwnerTest.cpp
+++ b/Tests/Shard/ShardOwnerTest.cpp
@@ -109,6 +109,30 @@
   EXPECT_EQ(Workers.startsOf("a"), 1U);
 }
 
+// Guards against a start on a worker that is known to leave: the decision was
+// made before, its write took long.
+TEST_F(ShardOwnerTest, startsNothingOnAWorkerThatHasBegunToDrain) {
+  Registry.add("w1");
+  startOwner();
+  runFor(Milliseconds(30));
+  submit(job("a"));
+  ASSERT_TRUE(runUntil([&] { return Store.transactionCount() > 1; }));
+  runFor(Milliseconds(2));
+  Store.setMode(Mode::Holding);
+  submit(job("b"));
+  Store.release();
+  Store.setMode(Mode::Holding);
+  ASSERT_TRUE(runUntil([&] { return Owner->scheduler().job("b") != nullptr; }));
+  runFor(Milliseconds(10));
+  Registry.drain("w1");
+  Registry.add("w2");
+  runFor(Milliseconds(10));
+  Store.release();
+  EXPECT_TRUE(runUntil([&] { return stateOf("b") == JobState::Completed; }));
+  for (const auto &Started : Workers["w1"].Started)
+    EXPECT_NE(Started.Job, "b");
+}
+
 // Guards against a run that counts as alive for ever after its worker's process
 // started anew under the same id.
 TEST_F(ShardOwnerTest, restartsRunsOfAWorkerThatWasReborn) {
