Choose the cheapest layout in one place; define the time of day once

Placing now, claiming room that is being freed and stopping others repeated the same loop over racks; it is cheapestLayout() now. unixNowMs() stood in two files and is in Base/Clock. A local name hid a member of the placement pass.

--- a/Source/Scheduling/PlacementPass.cpp
+++ b/Source/Scheduling/PlacementPass.cpp
@@ -171,13 +171,21 @@
   return claimSoon(Waiting) || preempt(Waiting);
 }
 
-auto PlacementPass::placeNow(const Unit &Waiting) -> bool {
+auto PlacementPass::cheapestLayout(const Unit &Waiting, Room Source) const
+    -> std::optional<Layout> {
   std::optional<Layout> Best;
   for (const auto &Group : groupsFor(Waiting)) {
-    auto Found = layoutWithin(Waiting, Group, false);
+    auto Found = Source == Room::WithVictims
+                     ? layoutWithVictims(Waiting, Group)
+                     : layoutWithin(Waiting, Group, Source == Room::Soon);
     if (Found && (!Best || Found->Cost < Best->Cost))
       Best = std::move(Found);
   }
+  return Best;
+}
+
+auto PlacementPass::placeNow(const Unit &Waiting) -> bool {
+  const auto Best = cheapestLayout(Waiting, Room::Now);
   if (!Best)
     return false;
   assignLayout(Waiting, *Best);
@@ -185,12 +193,7 @@
 }
 
 auto PlacementPass::claimSoon(const Unit &Waiting) -> bool {
-  std::optional<Layout> Best;
-  for (const auto &Group : groupsFor(Waiting)) {
-    auto Found = layoutWithin(Waiting, Group, true);
-    if (Found && (!Best || Found->Cost < Best->Cost))
-      Best = std::move(Found);
-  }
+  const auto Best = cheapestLayout(Waiting, Room::Soon);
   if (!Best)
     return false;
   claimLayout(Waiting, *Best);
@@ -198,12 +201,7 @@
 }
 
 auto PlacementPass::preempt(const Unit &Waiting) -> bool {
-  std::optional<Layout> Best;
-  for (const auto &Group : groupsFor(Waiting)) {
-    auto Found = layoutWithVictims(Waiting, Group);
-    if (Found && (!Best || Found->Cost < Best->Cost))
-      Best = std::move(Found);
-  }
+  const auto Best = cheapestLayout(Waiting, Room::WithVictims);
   if (!Best || Best->Cost > lossBudget(Waiting))
     return false;
   for (const auto &Victim : Best->Victims) {
@@ -317,12 +315,12 @@
   };
   std::vector<Option> Options;
   std::uint32_t Total = 0;
-  std::int64_t FreeGpus = 0;
+  std::int64_t GroupFreeGpus = 0;
   for (const auto Position : Group) {
     const auto &Candidate = Slots[Position];
     const auto Available =
         UseSoon ? Candidate.Soon : smallest(Candidate.Free, Candidate.Soon);
-    FreeGpus += std::max<std::int64_t>(Available.Gpus, 0);
+    GroupFreeGpus += std::max<std::int64_t>(Available.Gpus, 0);
     const auto Room = std::min(Available.timesHolding(Spec.Need),
                                limitOn(Waiting, Candidate));
     if (Room == 0)
@@ -358,7 +356,7 @@
       break;
   }
   // Among groups, the one that is left with the least.
-  Found.Cost += static_cast<double>(FreeGpus);
+  Found.Cost += static_cast<double>(GroupFreeGpus);
   return Found;
 }
 
--- a/Source/Scheduling/PlacementPass.h
+++ b/Source/Scheduling/PlacementPass.h
@@ -53,6 +53,9 @@
     double Cost = 0;         ///< Core-seconds of work lost with the victims.
   };
 
+  /// Where the room for a layout comes from.
+  enum class Room { Now, Soon, WithVictims };
+
   auto collectSlots() -> void;
   auto collectUnits() -> std::vector<Unit>;
   auto addUnits(JobEntry &Job, std::vector<Unit> &Units) -> void;
@@ -62,6 +65,9 @@
   auto placeUnit(const Unit &Waiting) -> bool;
   /// Whether the unit has to leave the reserve for urgent arrivals alone.
   auto waitsForReserve(const Unit &Waiting) const -> bool;
+  /// The layout of least cost among the groups that may hold the unit.
+  auto cheapestLayout(const Unit &Waiting, Room Source) const
+      -> std::optional<Layout>;
   auto placeNow(const Unit &Waiting) -> bool;
   auto claimSoon(const Unit &Waiting) -> bool;
   auto preempt(const Unit &Waiting) -> bool;
--- a/Source/Shard/ShardOwner.cpp
+++ b/Source/Shard/ShardOwner.cpp
@@ -15,12 +15,6 @@
 constexpr store::FollowerPace JobFollowerPace{
     Milliseconds{1000}, Milliseconds{0}, Milliseconds{100}};
 
-auto unixNowMs() -> std::int64_t {
-  return std::chrono::duration_cast<Milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 } // namespace
 
 ShardOwner::ShardOwner(Dependencies Needs, std::string Shard,
