--- a/Source/Net/EventLoop.cpp
+++ b/Source/Net/EventLoop.cpp
@@ -4,8 +4,17 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
+
 namespace jayramp::net {
 
+namespace {
+
+/// Shorter waits are the usual inaccuracy of timers.
+constexpr Milliseconds MinLag{10};
+
+} // namespace
+
 class EventLoop::Timer {
 public:
   Timer(boost::asio::io_context &Context, Milliseconds Delay)
@@ -18,14 +27,25 @@
     -> TimerHandle {
   auto Handle = std::make_shared<Timer>(Context, Delay);
   Handle->AsioTimer.async_wait(
-      [Weak = std::weak_ptr<Timer>(Handle),
+      [this, Weak = std::weak_ptr<Timer>(Handle), Due = Clock::now() + Delay,
        Action = std::move(Action)](const boost::system::error_code &Failure) {
-        if (!Failure && !Weak.expired())
-          Action();
+        if (Failure || Weak.expired())
+          return;
+        recordTimer(Due);
+        Action();
       });
   return Handle;
 }
 
+auto EventLoop::recordTimer(TimePoint Due) -> void {
+  const auto Now = Clock::now();
+  const auto Begin = std::max(Due, LagCountedUntil);
+  if (Now - Begin < MinLag)
+    return;
+  TotalLag += Now - Begin;
+  LagCountedUntil = Now;
+}
+
 auto EventLoop::post(std::function<void()> Action) -> void {
   boost::asio::post(Context, std::move(Action));
 }
--- a/Source/Net/EventLoop.h
+++ b/Source/Net/EventLoop.h
@@ -31,10 +31,19 @@
   auto run() -> void;
   auto stop() -> void;
 
+  /// Records that a timer that was due at \p Due runs only now.
+  auto recordTimer(TimePoint Due) -> void;
+  /// Returns for how long, in total, timers that were due have had to wait
+  /// because the loop was busy or the process did not run. Waits of several
+  /// timers at the same time count once.
+  auto totalLag() const -> Clock::duration { return TotalLag; }
+
   auto context() -> boost::asio::io_context & { return Context; }
 
 private:
   boost::asio::io_context Context{1};
+  Clock::duration TotalLag{0};
+  TimePoint LagCountedUntil; ///< Waits before this time are in TotalLag.
 };
 
 } // namespace jayramp::net
--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <unordered_map>
 
@@ -22,6 +23,9 @@
 constexpr std::size_t MaxIdleConnectionsPerAddress = 4;
 /// Maximum size of a response body.
 constexpr std::uint64_t MaxResponseBodyBytes = 16U << 20U;
+/// The time limit of a call is extended by the lag of the event loop, but in
+/// total at most by this multiple of the limit.
+constexpr int MaxLagExtensionFactor = 3;
 
 auto parseAddress(const std::string &Address) -> std::optional<tcp::endpoint> {
   const auto Colon = Address.rfind(':');
@@ -103,11 +107,9 @@
         Deadline(this->Owner->Loop.context()) {}
 
   auto start(Milliseconds Timeout) -> void {
-    Deadline.expires_after(Timeout);
-    Deadline.async_wait([Self = this->shared_from_this()](ErrorCode Failure) {
-      if (!Failure)
-        Self->expire();
-    });
+    ExtensionLeft = Timeout * MaxLagExtensionFactor;
+    LagCounted = Owner->Loop.totalLag();
+    waitUntil(Clock::now() + Timeout);
     if (auto Pooled = Owner->takeIdleSocket(Address)) {
       Socket = std::move(*Pooled);
       send();
@@ -132,6 +134,32 @@
   }
 
 private:
+  auto waitUntil(TimePoint Due) -> void {
+    Deadline.expires_at(Due);
+    Deadline.async_wait(
+        [Self = this->shared_from_this(), Due](ErrorCode Failure) {
+          if (Failure)
+            return;
+          Self->Owner->Loop.recordTimer(Due);
+          if (!Self->extendByLag())
+            Self->expire();
+        });
+  }
+
+  /// Waits longer if the event loop has lagged since the last extension: the
+  /// response may have arrived, or the request may have been sent late. Returns
+  /// whether it does.
+  auto extendByLag() -> bool {
+    const auto Lag = Owner->Loop.totalLag() - LagCounted;
+    const auto Extension = std::min(Lag, ExtensionLeft);
+    if (!Done || Extension <= Clock::duration(0))
+      return false;
+    LagCounted += Lag;
+    ExtensionLeft -= Extension;
+    waitUntil(Clock::now() + Extension);
+    return true;
+  }
+
   auto send() -> void {
     Sent = true;
     http::async_write(
@@ -202,6 +230,8 @@
   boost::beast::flat_buffer Buffer;
   http::response_parser<http::string_body> Parser;
   bool Sent = false;
+  Clock::duration LagCounted{0}; ///< Part of the loop's lag that was allowed.
+  Clock::duration ExtensionLeft{0};
 };
 
 } // namespace
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -30,7 +30,9 @@
   auto operator=(const HttpClient &) -> HttpClient & = delete;
 
   /// Sends \p Request to \p Address ("ip:port") and calls \p Done exactly once,
-  /// no later than after \p Timeout.
+  /// no later than after \p Timeout. While the event loop lags, the timeout is
+  /// extended by the lag, up to four times \p Timeout in total, so that an
+  /// overloaded host does not take its peers for dead.
   auto call(const std::string &Address, HttpRequest Request,
             Milliseconds Timeout, Callback Done) -> void;
   /// Closes the pooled idle connections to \p Address; the next call opens a
--- /dev/null
+++ b/Source/Scheduling/JobEntry.cpp
@@ -0,0 +1,115 @@
+#include "Scheduling/JobEntry.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jayramp::scheduling {
+
+namespace {
+
+auto seconds(Milliseconds Duration) -> double {
+  return std::chrono::duration<double>(Duration).count();
+}
+
+/// Returns the estimated duration of the critical path through the steps.
+auto criticalPathEstimate(const JobSpec &Spec) -> Milliseconds {
+  std::vector<Milliseconds> Ends(Spec.Steps.size(), Milliseconds{0});
+  Milliseconds Longest{0};
+  for (std::size_t Step = 0; Step < Spec.Steps.size(); ++Step) {
+    Milliseconds Start{0};
+    for (const auto Predecessor : Spec.Steps[Step].After)
+      Start = std::max(Start, Ends[Predecessor]);
+    Ends[Step] = Start + Spec.Steps[Step].Estimate;
+    Longest = std::max(Longest, Ends[Step]);
+  }
+  return Longest;
+}
+
+} // namespace
+
+JobEntry::JobEntry(JobSpec JobSpecification, JobProgress StoredProgress,
+                   TimePoint SubmittedAt, std::uint64_t Sequence)
+    : Spec(std::move(JobSpecification)), Progress(std::move(StoredProgress)),
+      SubmittedAt(SubmittedAt), Sequence(Sequence), FinishedAt(SubmittedAt),
+      CriticalPathSeconds(seconds(criticalPathEstimate(Spec))),
+      ObjectiveSeconds(CriticalPathSeconds * Spec.Stretch +
+                       seconds(Spec.TargetLatency)),
+      Steps(Spec.Steps.size()) {
+  Progress.Steps.resize(Spec.Steps.size());
+  for (std::uint32_t Step = 0; Step < Spec.Steps.size(); ++Step) {
+    const auto &Declared = Spec.Steps[Step];
+    Progress.Steps[Step].resize(Declared.Count);
+    TotalGpus += Declared.Need.Gpus * static_cast<std::int64_t>(Declared.Count);
+    Work += Declared.Need.coreEquivalents() * Declared.Count *
+            seconds(Declared.Estimate);
+    for (const auto &Task : Progress.Steps[Step]) {
+      if (Task.Done)
+        continue;
+      ++Steps[Step].Undone;
+      ++UndoneTasks;
+      if (Task.Worker.empty())
+        addToWaiting(Step);
+    }
+  }
+}
+
+auto JobEntry::placeTask(std::uint32_t Step, std::uint32_t Index,
+                         std::uint32_t RunNumber, std::string Worker,
+                         std::int64_t Incarnation) -> void {
+  auto &Task = Progress.Steps[Step][Index];
+  if (Task.Worker.empty() && !Task.Done)
+    removeFromWaiting(Step);
+  Task.LastRunNumber = RunNumber;
+  Task.Worker = std::move(Worker);
+  Task.Incarnation = Incarnation;
+}
+
+auto JobEntry::vacateTask(std::uint32_t Step, std::uint32_t Index) -> void {
+  auto &Task = Progress.Steps[Step][Index];
+  if (Task.Worker.empty())
+    return;
+  Task.Worker.clear();
+  if (!Task.Done)
+    addToWaiting(Step);
+}
+
+auto JobEntry::markTaskDone(std::uint32_t Step, std::uint32_t Index) -> void {
+  auto &Task = Progress.Steps[Step][Index];
+  if (Task.Done)
+    return;
+  Task.Done = true;
+  --Steps[Step].Undone;
+  --UndoneTasks;
+  if (Task.Worker.empty())
+    removeFromWaiting(Step);
+}
+
+auto JobEntry::isReady(std::uint32_t Step) const -> bool {
+  const auto &After = Spec.Steps[Step].After;
+  return std::all_of(After.begin(), After.end(), [this](auto Predecessor) {
+    return Steps[Predecessor].Undone == 0;
+  });
+}
+
+auto JobEntry::waitingIndices(std::uint32_t Step, std::uint32_t MaxCount) const
+    -> std::vector<std::uint32_t> {
+  std::vector<std::uint32_t> Indices;
+  const auto &Tasks = Progress.Steps[Step];
+  for (std::uint32_t Index = 0;
+       Index < Tasks.size() && Indices.size() < MaxCount; ++Index)
+    if (!Tasks[Index].Done && Tasks[Index].Worker.empty())
+      Indices.push_back(Index);
+  return Indices;
+}
+
+auto JobEntry::addToWaiting(std::uint32_t Step) -> void {
+  ++Steps[Step].Waiting;
+  ++WaitingTasks;
+}
+
+auto JobEntry::removeFromWaiting(std::uint32_t Step) -> void {
+  --Steps[Step].Waiting;
+  --WaitingTasks;
+}
+
+} // namespace jayramp::scheduling
--- /dev/null
+++ b/Source/Scheduling/JobEntry.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Scheduling/JobProgress.h"
+#include "Scheduling/JobSpec.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace jayramp::scheduling {
+
+/// A job with its state in the scheduler. The counts of its tasks are kept with
+/// every change, so that a scheduling pass need not walk the tasks.
+class JobEntry {
+public:
+  JobEntry(JobSpec Spec, JobProgress Progress, TimePoint SubmittedAt,
+           std::uint64_t Sequence);
+
+  // Commands.
+
+  /// Records that the task's run \p RunNumber occupies a worker.
+  auto placeTask(std::uint32_t Step, std::uint32_t Index,
+                 std::uint32_t RunNumber, std::string Worker,
+                 std::int64_t Incarnation) -> void;
+  /// Records that no run of the task occupies a worker any more.
+  auto vacateTask(std::uint32_t Step, std::uint32_t Index) -> void;
+  auto markTaskDone(std::uint32_t Step, std::uint32_t Index) -> void;
+
+  // Queries.
+
+  /// Returns whether all steps that \p Step depends on are done.
+  auto isReady(std::uint32_t Step) const -> bool;
+  auto isAllDone() const -> bool { return UndoneTasks == 0; }
+  /// Returns the number of tasks of \p Step that are neither done nor placed.
+  auto waitingTasks(std::uint32_t Step) const -> std::uint32_t {
+    return Steps[Step].Waiting;
+  }
+  /// Returns the number of tasks of all steps that are neither done nor placed.
+  auto waitingTasks() const -> std::uint32_t { return WaitingTasks; }
+  /// Returns the indices of the first waiting tasks of \p Step, at most
+  /// \p MaxCount.
+  auto waitingIndices(std::uint32_t Step, std::uint32_t MaxCount) const
+      -> std::vector<std::uint32_t>;
+
+  JobSpec Spec;
+  JobProgress Progress;
+  TimePoint SubmittedAt;
+  std::uint64_t Sequence = 0; ///< Position in the order of submission.
+  bool Guaranteed = false;    ///< Within the guarantee of its client account.
+  bool OnHold = false;        ///< None of its tasks are placed.
+  TimePoint FinishedAt;
+  /// No runs are searched that the job could preempt before this time.
+  TimePoint NextPreemptionSearch;
+  double CriticalPathSeconds = 0; ///< Estimated duration without waiting.
+  double ObjectiveSeconds = 0;    ///< Latency objective.
+  std::int64_t TotalGpus = 0; ///< Accelerators that all tasks need together.
+  double Work = 0;            ///< Estimated work of all tasks, in core-seconds.
+
+private:
+  struct StepCounts {
+    std::uint32_t Undone = 0;
+    std::uint32_t Waiting = 0; ///< Neither done nor placed.
+  };
+
+  auto addToWaiting(std::uint32_t Step) -> void;
+  auto removeFromWaiting(std::uint32_t Step) -> void;
+
+  std::vector<StepCounts> Steps;
+  std::uint32_t UndoneTasks = 0;
+  std::uint32_t WaitingTasks = 0;
+};
+
+} // namespace jayramp::scheduling
--- a/Source/Scheduling/PlacementFailureCache.cpp
+++ b/Source/Scheduling/PlacementFailureCache.cpp
@@ -26,8 +26,14 @@
     -> void {
   // If the tasks failed because of a per-worker limit, other tasks of the same
   // size may still fit.
-  if (!Shape.HasPerWorkerLimit)
-    Failures.push_back({Shape, LowestCost});
+  if (Shape.HasPerWorkerLimit)
+    return;
+  // A failure that the new one implies would only make lookups slower.
+  if (LowestCost == InfeasibleCost)
+    std::erase_if(Failures, [&](const Failure &Known) {
+      return requestsAtLeast(Known.Shape, Shape);
+    });
+  Failures.push_back({Shape, LowestCost});
 }
 
 auto PlacementFailureCache::isKnownToFail(const TaskGroupShape &Shape,
--- a/Source/Scheduling/PlacementPass.cpp
+++ b/Source/Scheduling/PlacementPass.cpp
@@ -3,9 +3,11 @@
 #include "Scheduling/ShardScheduler.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <map>
 #include <tuple>
+#include <utility>
 
 namespace jayramp::scheduling {
 
@@ -19,28 +21,8 @@
   return std::chrono::duration<double>(Duration).count();
 }
 
-/// Returns whether all steps that \p Step depends on are done.
-auto isReady(const JobEntry &Job, std::uint32_t Step) -> bool {
-  for (const auto Predecessor : Job.Spec.Steps[Step].After)
-    for (const auto &Task : Job.Progress.Steps[Predecessor])
-      if (!Task.Done)
-        return false;
-  return true;
-}
-
-/// Returns the estimated duration of the critical path through the steps.
-auto criticalPathEstimate(const JobSpec &Spec) -> Milliseconds {
-  std::vector<Milliseconds> Ends(Spec.Steps.size(), Milliseconds{0});
-  Milliseconds Longest{0};
-  for (std::size_t Step = 0; Step < Spec.Steps.size(); ++Step) {
-    Milliseconds Start{0};
-    for (const auto Predecessor : Spec.Steps[Step].After)
-      Start = std::max(Start, Ends[Predecessor]);
-    Ends[Step] = Start + Spec.Steps[Step].Estimate;
-    Longest = std::max(Longest, Ends[Step]);
-  }
-  return Longest;
-}
+/// Limits the time of one pass: a search compares the runs of all workers.
+constexpr unsigned MaxPreemptionSearches = 8;
 
 } // namespace
 
@@ -53,56 +35,43 @@
 
 auto PlacementPass::run() -> void {
   collectCandidates();
-  ReservedGpus = Scheduler.urgentReserve(Now);
-  auto Groups = collectTaskGroups();
-  // The tasks of a step that is not a gang have equal requirements: once one
-  // does not fit, the others of the step do not either.
-  const JobEntry *UnplacedJob = nullptr;
-  std::uint32_t UnplacedStep = 0;
-  for (const auto &Group : Groups) {
-    if (Group.Job == UnplacedJob && Group.Step == UnplacedStep &&
-        !Group.spec().Gang && Group.Job->Spec.Priority > 0)
-      continue;
-    if (place(Group))
-      continue;
-    UnplacedJob = Group.Job;
-    UnplacedStep = Group.Step;
-  }
+  for (const auto &Group : collectTaskGroups())
+    if (Group.spec().Gang)
+      placeGang(Group);
+    else
+      placeTasks(Group);
 }
 
 auto PlacementPass::collectCandidates() -> void {
-  std::map<std::string, std::size_t> Racks;
+  RackFreeGpus.resize(Scheduler.RackNumbers.size());
+  Candidates.reserve(Scheduler.Workers.size());
+  std::int64_t TotalGpus = 0;
   for (auto &[Id, Entry] : Scheduler.Workers) {
+    if (Entry.Registered)
+      TotalGpus += Entry.Report.Capacity.Gpus;
     if (!Entry.Registered || !Entry.Reachable || Entry.Report.Draining ||
         Now < Entry.QuarantinedUntil)
       continue;
-    const auto Rack = Racks.emplace(Entry.Report.Rack, Racks.size());
-    RackFreeGpus.resize(Racks.size());
-    CandidateWorker Candidate{
-        &Entry, Rack.first->second, Entry.Report.Capacity, {}};
+    CandidateWorker Candidate{&Entry, Entry.Report.Capacity, {}};
     Candidate.Free -= Entry.Used;
-    RackFreeGpus[Candidate.Rack] += Candidate.Free.Gpus;
-    FreeGpus += Candidate.Free.Gpus;
     Candidate.FreeAfterStops = Candidate.Free;
-    for (const auto &Id : Entry.Runs) {
-      const auto &LiveRun = Scheduler.Runs.at(Id);
-      const auto *Job = Scheduler.job(Id.Job);
-      if (LiveRun.Phase == RunPhase::Stopping && Job)
-        Candidate.FreeAfterStops += Job->Spec.Steps[Id.Step].Need;
-    }
+    Candidate.FreeAfterStops += Entry.Stopping;
+    RackFreeGpus[Entry.Rack] += Candidate.Free.Gpus;
+    FreeGpus += Candidate.Free.Gpus;
     Candidates.push_back(Candidate);
   }
+  ReservedGpus = Scheduler.urgentReserve(TotalGpus, Now);
 }
 
 auto PlacementPass::collectTaskGroups() -> std::vector<TaskGroup> {
   // The submission order is unique, so the order of the jobs is total.
   using SortKey = std::tuple<std::uint32_t, bool, Lateness, std::uint64_t>;
   std::vector<std::pair<SortKey, JobEntry *>> SortedJobs;
-  for (auto &[Id, Job] : Scheduler.Jobs)
-    if (!isFinal(Job.Progress.State) && !Job.OnHold)
+  for (const auto &[Sequence, Job] : Scheduler.ActiveJobs)
+    if (Job->waitingTasks() > 0 && !Job->OnHold)
       SortedJobs.push_back(
-          {{Job.Spec.Priority, !Job.Guaranteed, latenessOf(Job), Job.Sequence},
-           &Job});
+          {{Job->Spec.Priority, !Job->Guaranteed, latenessOf(*Job), Sequence},
+           Job});
   std::sort(SortedJobs.begin(), SortedJobs.end(),
             [](const auto &Left, const auto &Right) {
               return Left.first < Right.first;
@@ -116,66 +85,70 @@
 auto PlacementPass::addTaskGroups(JobEntry &Job, Lateness JobLateness,
                                   std::vector<TaskGroup> &Groups) -> void {
   for (std::uint32_t Step = 0; Step < Job.Spec.Steps.size(); ++Step) {
-    const auto &Tasks = Job.Progress.Steps[Step];
-    if (!isReady(Job, Step))
-      continue;
-    if (!Job.Spec.Steps[Step].Gang) {
-      for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index)
-        if (!Tasks[Index].Done && Tasks[Index].Worker.empty())
-          Groups.push_back({&Job, Step, Index, 1,
-                            Tasks[Index].LastRunNumber + 1, JobLateness});
+    const auto &Spec = Job.Spec.Steps[Step];
+    const auto Waiting = Job.waitingTasks(Step);
+    if (Waiting == 0 || (Spec.Gang && Waiting < Spec.Count) ||
+        !Job.isReady(Step))
       continue;
-    }
-    TaskGroup Gang{&Job, Step,
-                   0,    static_cast<std::uint32_t>(Tasks.size()),
-                   0,    JobLateness};
-    bool IsWaiting = true;
-    for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index) {
-      IsWaiting =
-          IsWaiting && !Tasks[Index].Done && Tasks[Index].Worker.empty();
-      Gang.RunNumber = std::max(Gang.RunNumber, Tasks[Index].LastRunNumber + 1);
-    }
-    if (IsWaiting)
-      Groups.push_back(Gang);
+    Groups.push_back({&Job, Step, Waiting, JobLateness});
   }
 }
 
-auto PlacementPass::latencyObjective(const JobSpec &Spec) -> double {
-  return seconds(criticalPathEstimate(Spec)) * Spec.Stretch +
-         seconds(Spec.TargetLatency);
-}
-
 auto PlacementPass::latenessOf(const JobEntry &Job) const -> Lateness {
-  const auto Estimate = criticalPathEstimate(Job.Spec);
-  const auto Objective = latencyObjective(Job.Spec);
   const auto Elapsed = seconds(Now - Job.SubmittedAt);
-  if (Elapsed + seconds(Estimate) <= Objective)
+  if (Elapsed + Job.CriticalPathSeconds <= Job.ObjectiveSeconds)
     return Lateness::OnTime;
-  return Elapsed <= Objective * MaxLatenessFactor ? Lateness::Late
-                                                  : Lateness::TooLate;
+  return Elapsed <= Job.ObjectiveSeconds * MaxLatenessFactor
+             ? Lateness::Late
+             : Lateness::TooLate;
 }
 
-auto PlacementPass::isBlockedByReserve(const TaskGroup &Group) const -> bool {
+auto PlacementPass::mayUseReserve(const TaskGroup &Group) const -> bool {
   const auto &Job = *Group.Job;
   if (Job.Spec.Priority == 0 || Group.JobLateness != Lateness::OnTime)
-    return false;
+    return true;
   const auto Waited = seconds(Now - Job.SubmittedAt);
-  if (Waited >
-      latencyObjective(Job.Spec) * Scheduler.Policy.ReserveWaitFraction)
-    return false;
-  const auto NeededGpus =
-      Group.spec().Need.Gpus * std::int64_t(Group.TaskCount);
-  return FreeGpus - NeededGpus < ReservedGpus;
+  return Waited > Job.ObjectiveSeconds * Scheduler.Policy.ReserveWaitFraction;
 }
 
-auto PlacementPass::place(const TaskGroup &Group) -> bool {
-  if (isBlockedByReserve(Group))
-    return false;
+auto PlacementPass::tasksOutsideReserve(const TaskGroup &Group) const
+    -> std::uint32_t {
+  const auto Gpus = Group.spec().Need.Gpus;
+  if (mayUseReserve(Group))
+    return Group.TaskCount;
+  const auto Available = FreeGpus - ReservedGpus;
+  if (Available < 0)
+    return 0;
+  if (Gpus == 0)
+    return Group.TaskCount;
+  return static_cast<std::uint32_t>(
+      std::min<std::int64_t>(Group.TaskCount, Available / Gpus));
+}
+
+auto PlacementPass::placeGang(const TaskGroup &Gang) -> void {
+  if (tasksOutsideReserve(Gang) < Gang.TaskCount)
+    return;
+  const auto Shape = shapeOf(Gang);
+  if (placeNow(Gang, Shape) == 0 && Gang.Job->Spec.Priority == 0)
+    placeAfterStops(Gang, Shape);
+}
+
+auto PlacementPass::placeTasks(TaskGroup Group) -> void {
+  Group.TaskCount = tasksOutsideReserve(Group);
+  if (Group.TaskCount == 0)
+    return;
   const auto Shape = shapeOf(Group);
-  if (placeNow(Group, Shape))
-    return true;
+  auto Remaining = Group.TaskCount - placeNow(Group, Shape);
   if (Group.Job->Spec.Priority != 0)
-    return false;
+    return;
+  // The tasks are equal, so once one does not fit, the others do not either.
+  Group.TaskCount = 1;
+  while (Remaining > 0 && placeAfterStops(Group, Shape))
+    --Remaining;
+}
+
+auto PlacementPass::placeAfterStops(const TaskGroup &Group,
+                                    const TaskGroupShape &Shape) -> bool {
   return reserveFreeAfterStops(Group, Shape) || preempt(Group, Shape);
 }
 
@@ -197,9 +170,12 @@
 
 auto PlacementPass::shapeOf(const TaskGroup &Group) const -> TaskGroupShape {
   const auto &Spec = Group.spec();
-  return {
-      Group.Job->Spec.Service, Spec.RequiredLabel,    Spec.Need,
-      Group.TaskCount,         mustStayInRack(Group), Spec.MaxPerWorker > 0};
+  return {Group.Job->Spec.Service,
+          Spec.RequiredLabel,
+          Spec.Need,
+          Spec.Gang ? Group.TaskCount : 1,
+          mustStayInRack(Group),
+          Spec.MaxPerWorker > 0};
 }
 
 auto PlacementPass::findLayout(const TaskGroup &Group,
@@ -218,13 +194,13 @@
 }
 
 auto PlacementPass::placeNow(const TaskGroup &Group,
-                             const TaskGroupShape &Shape) -> bool {
+                             const TaskGroupShape &Shape) -> std::uint32_t {
   const auto BestLayout =
       findLayout(Group, Shape, ResourceSource::Free, FreeFailures);
   if (!BestLayout)
-    return false;
+    return 0;
   assignLayout(Group, *BestLayout);
-  return true;
+  return BestLayout->TaskCount;
 }
 
 auto PlacementPass::reserveFreeAfterStops(const TaskGroup &Group,
@@ -239,29 +215,32 @@
 
 auto PlacementPass::preempt(const TaskGroup &Group, const TaskGroupShape &Shape)
     -> bool {
-  if (!PreemptableRuns.isCollected()) {
-    std::vector<const WorkerEntry *> Workers;
-    for (const auto &Candidate : Candidates)
-      Workers.push_back(Candidate.Worker);
-    PreemptableRuns.collect(Workers);
-  }
-  const auto BestLayout = findLayout(
-      Group, Shape, ResourceSource::WithVictims,
-      reclaimsGuarantee(Group) ? ReclaimFailures : PreemptionFailures,
-      preemptionBudget(Group));
-  if (!BestLayout)
+  if (Now < Group.Job->NextPreemptionSearch ||
+      PreemptionSearches >= MaxPreemptionSearches)
     return false;
+  auto &KnownFailures =
+      reclaimsGuarantee(Group) ? ReclaimFailures : PreemptionFailures;
+  const auto Budget = preemptionBudget(Group);
+  if (KnownFailures.isKnownToFail(Shape, Budget))
+    return false;
+  ++PreemptionSearches;
+  if (!PreemptableRuns.isCollected())
+    collectPreemptableRuns();
+  const auto BestLayout = findLayout(Group, Shape, ResourceSource::WithVictims,
+                                     KnownFailures, Budget);
+  if (!BestLayout) {
+    Group.Job->NextPreemptionSearch =
+        Now + Scheduler.Policy.PreemptionSearchInterval;
+    return false;
+  }
   for (const auto &Victim : BestLayout->Victims) {
     const auto *LiveRun = Scheduler.run(Victim);
     if (!LiveRun || LiveRun->Phase == RunPhase::Stopping)
       continue;
-    for (std::size_t Position = 0; Position < Candidates.size(); ++Position) {
-      auto &Candidate = Candidates[Position];
-      if (Candidate.Worker->Report.Id != LiveRun->Worker)
-        continue;
-      Candidate.FreeAfterStops +=
-          Scheduler.Jobs.at(Victim.Job).Spec.Steps[Victim.Step].Need;
-      PreemptableRuns.remove(Position, Victim);
+    if (const auto Position = positionOf(*LiveRun)) {
+      Candidates[*Position].FreeAfterStops +=
+          LiveRun->Job->Spec.Steps[Victim.Step].Need;
+      PreemptableRuns.remove(*Position, Victim);
     }
     Scheduler.stopRun(Victim, StopReason::Preempted, Group.Job->Spec.Id);
   }
@@ -273,25 +252,53 @@
   return true;
 }
 
+auto PlacementPass::collectPreemptableRuns() -> void {
+  std::vector<const WorkerEntry *> Workers;
+  for (std::size_t Position = 0; Position < Candidates.size(); ++Position) {
+    Workers.push_back(Candidates[Position].Worker);
+    PositionByWorker.emplace(Workers.back()->Report.Id, Position);
+  }
+  PreemptableRuns.collect(Workers);
+}
+
+auto PlacementPass::positionOf(const Run &LiveRun) const
+    -> std::optional<std::size_t> {
+  const auto Found = PositionByWorker.find(LiveRun.Worker);
+  if (Found == PositionByWorker.end())
+    return std::nullopt;
+  return Found->second;
+}
+
 auto PlacementPass::assignLayout(const TaskGroup &Group,
                                  const Layout &ChosenLayout) -> void {
-  std::uint32_t Next = 0;
+  auto &Job = *Group.Job;
+  const auto &Spec = Group.spec();
+  const auto &Tasks = Job.Progress.Steps[Group.Step];
+  const auto Indices = Job.waitingIndices(Group.Step, ChosenLayout.TaskCount);
+  std::uint32_t RunNumber = 0;
+  for (const auto Index : Indices)
+    RunNumber = std::max(RunNumber, Tasks[Index].LastRunNumber + 1);
+  std::size_t Next = 0;
   std::set<std::size_t> Racks;
-  const auto &Need = Group.spec().Need;
-  for (const auto &[Position, Count] : ChosenLayout.TaskCounts)
+  for (const auto &[Position, Count] : ChosenLayout.TaskCounts) {
+    auto &Target = Candidates[Position];
+    const auto Rack = Target.Worker->Rack;
+    Racks.insert(Rack);
     for (std::uint32_t Task = 0; Task < Count; ++Task) {
-      auto &Target = Candidates[Position];
-      Scheduler.assign(*Group.Job, Group.Step, Group.FirstIndex + Next++,
-                       Group.RunNumber, *Target.Worker, Now);
-      Target.Free -= Need;
-      Target.FreeAfterStops -= Need;
-      RackFreeGpus[Target.Rack] -= Need.Gpus;
-      FreeGpus -= Need.Gpus;
-      Racks.insert(Target.Rack);
+      const auto Index = Indices[Next++];
+      // The members of a gang share one run number.
+      Scheduler.assign(Job, Group.Step, Index,
+                       Spec.Gang ? RunNumber : Tasks[Index].LastRunNumber + 1,
+                       *Target.Worker, Now);
+      Target.Free -= Spec.Need;
+      Target.FreeAfterStops -= Spec.Need;
+      RackFreeGpus[Rack] -= Spec.Need.Gpus;
+      FreeGpus -= Spec.Need.Gpus;
     }
-  Scheduler.PlacementDecisions.push_back(
-      {Group.Job->Spec.Id, Group.Step, Group.RunNumber, Group.TaskCount,
-       Racks.size(), seconds(Now - Group.Job->SubmittedAt)});
+  }
+  Scheduler.PlacementDecisions.push_back({Job.Spec.Id, Group.Step, RunNumber,
+                                          ChosenLayout.TaskCount, Racks.size(),
+                                          seconds(Now - Job.SubmittedAt)});
 }
 
 auto PlacementPass::reserveLayout(const TaskGroup &Group,
@@ -312,30 +319,36 @@
 
 auto PlacementPass::eligibleWorkerSets(const TaskGroup &Group) const
     -> std::vector<std::vector<std::size_t>> {
-  std::map<std::string, std::vector<std::size_t>> ByRack;
-  const bool SingleRack = mustStayInRack(Group);
+  if (mustStayInRack(Group))
+    return racksThatMayHold(Group);
+  std::vector<std::size_t> AllWorkers;
+  AllWorkers.reserve(Candidates.size());
   for (std::size_t Position = 0; Position < Candidates.size(); ++Position)
     if (mayRunOn(Group, Candidates[Position]))
-      ByRack[SingleRack ? Candidates[Position].Worker->Report.Rack
-                        : std::string()]
-          .push_back(Position);
-  std::vector<std::vector<std::size_t>> WorkerSets;
+      AllWorkers.push_back(Position);
+  return {std::move(AllWorkers)};
+}
+
+auto PlacementPass::racksThatMayHold(const TaskGroup &Gang) const
+    -> std::vector<std::vector<std::size_t>> {
+  std::vector<std::vector<std::size_t>> ByRack(RackFreeGpus.size());
+  std::vector<std::uint32_t> Capacities(RackFreeGpus.size());
   std::vector<std::size_t> AllWorkers;
-  bool AnyRackIsLargeEnough = false;
-  for (auto &[Rack, WorkerSet] : ByRack) {
-    std::uint32_t Capacity = 0;
-    for (const auto Position : WorkerSet)
-      Capacity += Candidates[Position].Worker->Report.Capacity.maxTaskCount(
-          Group.spec().Need);
-    AnyRackIsLargeEnough = AnyRackIsLargeEnough || Capacity >= Group.TaskCount;
-    AllWorkers.insert(AllWorkers.end(), WorkerSet.begin(), WorkerSet.end());
-    WorkerSets.push_back(std::move(WorkerSet));
+  for (std::size_t Position = 0; Position < Candidates.size(); ++Position) {
+    if (!mayRunOn(Gang, Candidates[Position]))
+      continue;
+    const auto &Entry = *Candidates[Position].Worker;
+    ByRack[Entry.Rack].push_back(Position);
+    Capacities[Entry.Rack] +=
+        Entry.Report.Capacity.maxTaskCount(Gang.spec().Need);
+    AllWorkers.push_back(Position);
   }
   // A gang that is too large for every rack is spread over racks: it runs more
   // slowly, but otherwise it would never run.
-  if (!AnyRackIsLargeEnough && WorkerSets.size() > 1)
-    return {AllWorkers};
-  return WorkerSets;
+  if (std::none_of(Capacities.begin(), Capacities.end(),
+                   [&](auto Capacity) { return Capacity >= Gang.TaskCount; }))
+    return {std::move(AllWorkers)};
+  return ByRack;
 }
 
 auto PlacementPass::mayRunOn(const TaskGroup &Group,
@@ -355,7 +368,7 @@
   if (Limit == 0)
     return std::numeric_limits<std::uint16_t>::max();
   std::uint32_t PresentCount = 0;
-  for (const auto &Id : Candidate.Worker->Runs)
+  for (const auto &[Id, LiveRun] : Candidate.Worker->Runs)
     if (Id.Job == Group.Job->Spec.Id && Id.Step == Group.Step)
       ++PresentCount;
   return PresentCount >= Limit ? 0 : Limit - PresentCount;
@@ -366,9 +379,12 @@
     bool IncludeStoppingRuns) const -> std::optional<Layout> {
   const auto &Spec = Group.spec();
   struct Option {
-    std::size_t Position;
+    std::tuple<bool, bool, std::int64_t, std::int64_t, std::int64_t,
+               std::size_t>
+        Preference;
     std::uint32_t MaxTasks;
-    std::tuple<bool, bool, std::int64_t, std::int64_t, std::int64_t> Preference;
+
+    auto position() const -> std::size_t { return std::get<5>(Preference); }
   };
   std::vector<Option> Options;
   std::uint32_t Total = 0;
@@ -380,6 +396,8 @@
             ? Candidate.FreeAfterStops
             : componentwiseMin(Candidate.Free, Candidate.FreeAfterStops);
     FreeGpusOfSet += std::max<std::int64_t>(Available.Gpus, 0);
+    if (!Available.covers(Spec.Need))
+      continue;
     const auto MaxTasks = std::min(Available.maxTaskCount(Spec.Need),
                                    remainingWorkerLimit(Group, Candidate));
     if (MaxTasks == 0)
@@ -391,91 +409,127 @@
     // Fill the racks and workers with the least free resources first, so that
     // whole racks and workers stay free.
     Options.push_back(
-        {Position,
-         MaxTasks,
-         {HasRecentFailure, IsFarFromData, RackFreeGpus[Candidate.Rack],
-          Available.Gpus, Available.MemoryMb}});
+        {{HasRecentFailure, IsFarFromData, RackFreeGpus[Entry.Rack],
+          Available.Gpus, Available.MemoryMb, Position},
+         MaxTasks});
     Total += MaxTasks;
   }
-  if (Total < Group.TaskCount)
+  if (Total == 0 || (Spec.Gang && Total < Group.TaskCount))
     return std::nullopt;
-  std::sort(Options.begin(), Options.end(),
-            [](const Option &Left, const Option &Right) {
-              return Left.Preference < Right.Preference;
-            });
+  // Few of the options are needed, so they are not sorted as a whole.
+  const auto IsWorse = [](const Option &Left, const Option &Right) {
+    return Right.Preference < Left.Preference;
+  };
+  std::make_heap(Options.begin(), Options.end(), IsWorse);
   Layout Result;
-  auto Remaining = Group.TaskCount;
   constexpr double RecentFailureCost = 1e6;
   constexpr double RemoteDataCost = 1e4;
-  for (const auto &Choice : Options) {
-    const auto TaskCount = std::min(Remaining, Choice.MaxTasks);
-    Result.TaskCounts.emplace_back(Choice.Position, TaskCount);
+  while (Result.TaskCount < Group.TaskCount && !Options.empty()) {
+    std::pop_heap(Options.begin(), Options.end(), IsWorse);
+    const auto &Choice = Options.back();
+    const auto TaskCount =
+        std::min(Group.TaskCount - Result.TaskCount, Choice.MaxTasks);
+    Result.TaskCounts.emplace_back(Choice.position(), TaskCount);
+    Result.TaskCount += TaskCount;
     Result.Cost += std::get<0>(Choice.Preference) ? RecentFailureCost : 0;
     Result.Cost += std::get<1>(Choice.Preference) ? RemoteDataCost : 0;
-    Remaining -= TaskCount;
-    if (Remaining == 0)
-      break;
+    Options.pop_back();
   }
   // Prefer the set of workers that has the fewest free accelerators.
   Result.Cost += static_cast<double>(FreeGpusOfSet);
   return Result;
 }
 
+auto PlacementPass::victimChoice(const TaskGroup &Group, std::size_t Position,
+                                 Resources Available, std::uint32_t PlacedCount,
+                                 const std::set<RunId> &ChosenVictims) const
+    -> std::optional<VictimChoice> {
+  if (PlacedCount >= remainingWorkerLimit(Group, Candidates[Position]))
+    return std::nullopt;
+  const auto &Need = Group.spec().Need;
+  VictimChoice Choice{0, Position, {}};
+  if (Available.covers(Need))
+    return Choice;
+  for (const auto &Candidate : PreemptableRuns.on(Position)) {
+    if (!mayPreempt(Group, Candidate) || ChosenVictims.contains(Candidate.Id))
+      continue;
+    Available += Candidate.Need;
+    Choice.Victims.push_back(Candidate.Id);
+    Choice.Cost += Candidate.Cost;
+    if (Available.covers(Need))
+      return Choice;
+  }
+  return std::nullopt;
+}
+
 auto PlacementPass::layoutWithVictims(
     const TaskGroup &Group, const std::vector<std::size_t> &WorkerSet) const
     -> std::optional<Layout> {
-  const auto &Spec = Group.spec();
+  const auto &Need = Group.spec().Need;
   Layout Result;
-  std::vector<Resources> FreeAfterStops(Candidates.size());
-  std::vector<std::uint32_t> PlacedCounts(Candidates.size());
-  for (const auto Position : WorkerSet)
-    FreeAfterStops[Position] = Candidates[Position].FreeAfterStops;
-  for (std::size_t Member = 0; Member < Group.TaskCount; ++Member) {
-    std::optional<std::size_t> BestPosition;
-    std::vector<RunId> BestVictims;
-    double LowestCost = 0;
-    for (const auto Position : WorkerSet) {
-      const auto &Candidate = Candidates[Position];
-      if (PlacedCounts[Position] >= remainingWorkerLimit(Group, Candidate))
-        continue;
-      auto Available = FreeAfterStops[Position];
-      std::vector<RunId> Victims;
-      double Cost = 0;
-      if (!Available.covers(Spec.Need)) {
-        for (const auto &Choice : PreemptableRuns.on(Position)) {
-          if (!mayPreempt(Group, Choice) || Result.Victims.contains(Choice.Id))
-            continue;
-          Available += Choice.Need;
-          Victims.push_back(Choice.Id);
-          Cost += Choice.Cost;
-          if (Available.covers(Spec.Need))
-            break;
-        }
-        if (!Available.covers(Spec.Need))
-          continue;
-      }
-      if (BestPosition && Cost >= LowestCost)
-        continue;
-      BestPosition = Position;
-      BestVictims = std::move(Victims);
-      LowestCost = Cost;
+  /// Resources and number of tasks of the group on each worker as far as the
+  /// layout has been determined; missing if not changed yet.
+  struct Planned {
+    Resources Free;
+    std::uint32_t TaskCount = 0;
+  };
+  std::map<std::size_t, Planned> PlannedByPosition;
+  const auto PlannedAt = [&](std::size_t Position) -> Planned & {
+    return PlannedByPosition
+        .try_emplace(Position, Planned{Candidates[Position].FreeAfterStops, 0})
+        .first->second;
+  };
+  // Each worker has at most one choice that is up to date.
+  const auto IsLess = [](const VictimChoice &Left, const VictimChoice &Right) {
+    return std::tie(Left.Cost, Left.Position) <
+           std::tie(Right.Cost, Right.Position);
+  };
+  std::set<VictimChoice, decltype(IsLess)> Choices(IsLess);
+  std::map<std::size_t, double> CostByPosition;
+  const auto UpdateChoice = [&](std::size_t Position) {
+    if (const auto Known = CostByPosition.find(Position);
+        Known != CostByPosition.end()) {
+      Choices.erase(VictimChoice{Known->second, Position, {}});
+      CostByPosition.erase(Known);
     }
-    if (!BestPosition)
+    const auto Plan = PlannedByPosition.find(Position);
+    const bool IsChanged = Plan != PlannedByPosition.end();
+    auto Choice = victimChoice(
+        Group, Position,
+        IsChanged ? Plan->second.Free : Candidates[Position].FreeAfterStops,
+        IsChanged ? Plan->second.TaskCount : 0, Result.Victims);
+    if (!Choice)
+      return;
+    CostByPosition[Position] = Choice->Cost;
+    Choices.insert(std::move(*Choice));
+  };
+  for (const auto Position : WorkerSet)
+    UpdateChoice(Position);
+  const std::set<std::size_t> InSet(WorkerSet.begin(), WorkerSet.end());
+  for (std::uint32_t Member = 0; Member < Group.TaskCount; ++Member) {
+    if (Choices.empty())
       return std::nullopt;
-    for (const auto &Victim : BestVictims)
+    const auto Best = *Choices.begin();
+    std::set<std::size_t> Changed{Best.Position};
+    for (const auto &Victim : Best.Victims)
       for (const auto &Id : PreemptableRuns.gangOf(Victim)) {
         if (!Result.Victims.insert(Id).second)
           continue;
         const auto *LiveRun = Scheduler.run(Id);
-        for (const auto Position : WorkerSet)
-          if (Candidates[Position].Worker->Report.Id == LiveRun->Worker)
-            FreeAfterStops[Position] +=
-                Scheduler.Jobs.at(Id.Job).Spec.Steps[Id.Step].Need;
+        const auto Position = positionOf(*LiveRun);
+        if (!Position || !InSet.contains(*Position))
+          continue;
+        PlannedAt(*Position).Free += LiveRun->Job->Spec.Steps[Id.Step].Need;
+        Changed.insert(*Position);
       }
-    FreeAfterStops[*BestPosition] -= Spec.Need;
-    ++PlacedCounts[*BestPosition];
-    Result.Cost += LowestCost;
-    Result.TaskCounts.emplace_back(*BestPosition, 1);
+    auto &Plan = PlannedAt(Best.Position);
+    Plan.Free -= Need;
+    ++Plan.TaskCount;
+    ++Result.TaskCount;
+    Result.Cost += Best.Cost;
+    Result.TaskCounts.emplace_back(Best.Position, 1);
+    for (const auto Position : Changed)
+      UpdateChoice(Position);
   }
   return Result;
 }
@@ -484,10 +538,7 @@
   const auto &Policy = Scheduler.Policy;
   if (reclaimsGuarantee(Group))
     return PlacementFailureCache::UnlimitedBudget;
-  double Work = 0;
-  for (const auto &Step : Group.Job->Spec.Steps)
-    Work += Step.Need.coreEquivalents() * Step.Count * seconds(Step.Estimate);
-  return Work * Policy.MaxPreemptionCostRatio;
+  return Group.Job->Work * Policy.MaxPreemptionCostRatio;
 }
 
 auto PlacementPass::reclaimsGuarantee(const TaskGroup &Group) const -> bool {
--- a/Source/Scheduling/PlacementPass.h
+++ b/Source/Scheduling/PlacementPass.h
@@ -9,15 +9,17 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace jayramp::scheduling {
 
+class JobEntry;
 class ShardScheduler;
-struct JobEntry;
-struct JobSpec;
-struct WorkerEntry;
+struct Run;
 struct StepSpec;
+struct WorkerEntry;
 
 /// One pass over the waiting tasks of a shard: places the tasks that fit and
 /// preempts runs for jobs of the most urgent priority. Used by
@@ -37,13 +39,12 @@
     TooLate, ///< The result has no value for the client any more.
   };
 
-  /// Tasks that are placed together: all tasks of a gang, or a single task.
+  /// Tasks with equal requirements that wait: all tasks of a gang, which are
+  /// placed together, or tasks of a step that are placed one by one.
   struct TaskGroup {
     JobEntry *Job = nullptr;
     std::uint32_t Step = 0;
-    std::uint32_t FirstIndex = 0; ///< Index of the first task in its step.
-    std::uint32_t TaskCount = 1;  ///< Number of tasks; indices are consecutive.
-    std::uint32_t RunNumber = 0;
+    std::uint32_t TaskCount = 1;
     Lateness JobLateness = Lateness::OnTime;
 
     auto spec() const -> const StepSpec &;
@@ -52,23 +53,30 @@
   /// A worker that may take tasks in this pass.
   struct CandidateWorker {
     WorkerEntry *Worker = nullptr;
-    std::size_t Rack = 0; ///< Index into RackFreeGpus.
-    Resources Free;       ///< Available now.
+    Resources Free; ///< Available now.
     /// Available once the stopping runs have ended, minus the resources that
     /// are reserved for waiting task groups.
     Resources FreeAfterStops;
   };
 
-  /// The workers that a task group is placed on.
+  /// The workers that a task group, or a part of it, is placed on.
   struct Layout {
     /// Index into Candidates, and number of tasks on that worker.
     std::vector<std::pair<std::size_t, std::uint32_t>> TaskCounts;
-    std::set<RunId> Victims; ///< Runs that must be stopped first.
+    std::uint32_t TaskCount = 0; ///< Number of tasks on all workers.
+    std::set<RunId> Victims;     ///< Runs that must be stopped first.
     /// Core-seconds of work that are lost with the victims; without victims, a
     /// penalty that ranks layouts.
     double Cost = 0;
   };
 
+  /// A worker that could take one more task of a group.
+  struct VictimChoice {
+    double Cost = 0; ///< Core-seconds of work that are lost with the victims.
+    std::size_t Position = 0;
+    std::vector<RunId> Victims;
+  };
+
   /// The resources that a layout may use.
   enum class ResourceSource {
     Free,           ///< Available now.
@@ -81,12 +89,13 @@
   auto addTaskGroups(JobEntry &Job, Lateness JobLateness,
                      std::vector<TaskGroup> &Groups) -> void;
   auto latenessOf(const JobEntry &Job) const -> Lateness;
-  /// Returns the latency objective of a job in seconds.
-  static auto latencyObjective(const JobSpec &Spec) -> double;
-  auto place(const TaskGroup &Group) -> bool;
-  /// Returns whether the group must not be placed because it would use the
+  auto placeGang(const TaskGroup &Gang) -> void;
+  /// Places as many tasks of the group as fit.
+  auto placeTasks(TaskGroup Group) -> void;
+  /// Returns how many tasks of the group may be placed without using the
   /// accelerators that are reserved for urgent arrivals.
-  auto isBlockedByReserve(const TaskGroup &Group) const -> bool;
+  auto tasksOutsideReserve(const TaskGroup &Group) const -> std::uint32_t;
+  auto mayUseReserve(const TaskGroup &Group) const -> bool;
   /// Returns the layout of least cost, or none if the group does not fit.
   auto cheapestLayout(const TaskGroup &Group, ResourceSource Source) const
       -> std::optional<Layout>;
@@ -98,8 +107,14 @@
                   double Budget = PlacementFailureCache::UnlimitedBudget) const
       -> std::optional<Layout>;
   auto shapeOf(const TaskGroup &Group) const -> TaskGroupShape;
-  /// Starts the group on free resources. Returns whether it fits.
-  auto placeNow(const TaskGroup &Group, const TaskGroupShape &Shape) -> bool;
+  /// Starts the group on free resources: a gang as a whole, other tasks as far
+  /// as they fit. Returns the number of tasks that were placed.
+  auto placeNow(const TaskGroup &Group, const TaskGroupShape &Shape)
+      -> std::uint32_t;
+  /// Waits for stopping runs, or stops further ones, for the group. Returns
+  /// whether it fits.
+  auto placeAfterStops(const TaskGroup &Group, const TaskGroupShape &Shape)
+      -> bool;
   /// Reserves resources of stopping runs for the group, which a later pass
   /// places. Returns whether the group fits.
   auto reserveFreeAfterStops(const TaskGroup &Group,
@@ -111,11 +126,13 @@
   auto reserveLayout(const TaskGroup &Group, const Layout &ChosenLayout)
       -> void;
 
-  /// Returns the sets of workers that may each hold the whole group, as indices
-  /// into Candidates: one set for each rack if the group must stay in one rack,
-  /// else a single set.
+  /// Returns the sets of workers that may each hold the group, as indices into
+  /// Candidates: one set for each rack if the group must stay in one rack, else
+  /// a single set.
   auto eligibleWorkerSets(const TaskGroup &Group) const
       -> std::vector<std::vector<std::size_t>>;
+  auto racksThatMayHold(const TaskGroup &Gang) const
+      -> std::vector<std::vector<std::size_t>>;
   auto mayRunOn(const TaskGroup &Group, const CandidateWorker &Candidate) const
       -> bool;
   /// Returns how many more tasks of the group the per-worker limit allows on
@@ -133,6 +150,16 @@
   auto layoutWithVictims(const TaskGroup &Group,
                          const std::vector<std::size_t> &WorkerSet) const
       -> std::optional<Layout>;
+  /// Returns the cheapest way to take one more task of the group on the worker
+  /// at \p Position, of which \p Available is free; none if it cannot.
+  auto victimChoice(const TaskGroup &Group, std::size_t Position,
+                    Resources Available, std::uint32_t PlacedCount,
+                    const std::set<RunId> &ChosenVictims) const
+      -> std::optional<VictimChoice>;
+  /// Returns the index into Candidates of the worker of a run; none if the
+  /// worker takes no tasks in this pass.
+  auto positionOf(const Run &LiveRun) const -> std::optional<std::size_t>;
+  auto collectPreemptableRuns() -> void;
   /// Returns how many core-seconds of work may be lost by preemption for the
   /// group.
   auto preemptionBudget(const TaskGroup &Group) const -> double;
@@ -145,6 +172,8 @@
   ShardScheduler &Scheduler;
   TimePoint Now;
   std::vector<CandidateWorker> Candidates;
+  /// Index into Candidates by worker; filled with PreemptableRuns.
+  std::unordered_map<std::string_view, std::size_t> PositionByWorker;
   std::vector<std::int64_t> RackFreeGpus; ///< Free accelerators by rack.
   std::int64_t FreeGpus = 0;              ///< Free accelerators of all workers.
   PlacementFailureCache FreeFailures;
@@ -156,6 +185,7 @@
   PreemptionCandidates PreemptableRuns;
   /// Number of accelerators that less urgent jobs leave free.
   std::int64_t ReservedGpus = 0;
+  unsigned PreemptionSearches = 0; ///< Searches for runs to stop so far.
 };
 
 } // namespace jayramp::scheduling
--- a/Source/Scheduling/PreemptionCandidates.cpp
+++ b/Source/Scheduling/PreemptionCandidates.cpp
@@ -25,14 +25,13 @@
   for (std::size_t WorkerIndex = 0; WorkerIndex < Workers.size();
        ++WorkerIndex) {
     auto &Candidates = ByWorker[WorkerIndex];
-    for (const auto &Id : Workers[WorkerIndex]->Runs) {
-      const auto *LiveRun = Scheduler.run(Id);
-      const auto *Job = Scheduler.job(Id.Job);
-      if (!LiveRun || !Job || LiveRun->Phase == RunPhase::Stopping ||
-          Job->Progress.Steps[Id.Step][Id.Index].Done)
+    for (const auto &[Id, LiveRun] : Workers[WorkerIndex]->Runs) {
+      const auto &Job = *LiveRun->Job;
+      if (LiveRun->Phase == RunPhase::Stopping ||
+          Job.Progress.Steps[Id.Step][Id.Index].Done)
         continue;
-      Candidates.push_back({Id, Job->Spec.Steps[Id.Step].Need, costOf(Id),
-                            Job->Spec.Priority, Job->Guaranteed});
+      Candidates.push_back({Id, Job.Spec.Steps[Id.Step].Need, costOf(*LiveRun),
+                            Job.Spec.Priority, Job.Guaranteed});
     }
     std::sort(
         Candidates.begin(), Candidates.end(),
@@ -50,17 +49,24 @@
                 });
 }
 
-auto PreemptionCandidates::costOf(const RunId &Candidate) const -> double {
-  double Cost = 0;
-  for (const auto &Id : gangOf(Candidate)) {
-    const auto &LiveRun = *Scheduler.run(Id);
-    const auto &Spec = Scheduler.job(Id.Job)->Spec.Steps[Id.Step];
-    auto LostSeconds = seconds(Now - LiveRun.StartedAt);
-    if (Spec.Checkpointing)
-      LostSeconds = std::min(LostSeconds, MaxCheckpointedLossSeconds);
-    Cost += LostSeconds * Spec.Need.coreEquivalents();
-  }
-  return Cost;
+auto PreemptionCandidates::costOf(const Run &Candidate) -> double {
+  const auto &Id = Candidate.Id;
+  if (!Candidate.Job->Spec.Steps[Id.Step].Gang)
+    return ownCost(Candidate);
+  const auto [Known, IsNew] =
+      GangCosts.try_emplace({Candidate.Job, Id.Step, Id.Run}, 0);
+  if (IsNew)
+    for (const auto &Member : gangOf(Id))
+      Known->second += ownCost(*Scheduler.run(Member));
+  return Known->second;
+}
+
+auto PreemptionCandidates::ownCost(const Run &LiveRun) const -> double {
+  const auto &Spec = LiveRun.Job->Spec.Steps[LiveRun.Id.Step];
+  auto LostSeconds = seconds(Now - LiveRun.StartedAt);
+  if (Spec.Checkpointing)
+    LostSeconds = std::min(LostSeconds, MaxCheckpointedLossSeconds);
+  return LostSeconds * Spec.Need.coreEquivalents();
 }
 
 auto PreemptionCandidates::gangOf(const RunId &Member) const
--- a/Source/Scheduling/PreemptionCandidates.h
+++ b/Source/Scheduling/PreemptionCandidates.h
@@ -4,11 +4,16 @@
 #include "Scheduling/Resources.h"
 #include "Scheduling/RunId.h"
 
+#include <cstdint>
+#include <map>
+#include <tuple>
 #include <vector>
 
 namespace jayramp::scheduling {
 
+class JobEntry;
 class ShardScheduler;
+struct Run;
 struct WorkerEntry;
 
 /// A run that may be preempted.
@@ -47,11 +52,17 @@
   auto gangOf(const RunId &Member) const -> std::vector<RunId>;
 
 private:
-  auto costOf(const RunId &Candidate) const -> double;
+  /// Returns the cost of stopping \p Candidate and the rest of its gang.
+  auto costOf(const Run &Candidate) -> double;
+  /// Returns the cost of stopping \p LiveRun alone.
+  auto ownCost(const Run &LiveRun) const -> double;
 
   const ShardScheduler &Scheduler;
   TimePoint Now;
   std::vector<std::vector<PreemptionCandidate>> ByWorker;
+  /// Costs of whole gangs, by job, step and run number.
+  std::map<std::tuple<const JobEntry *, std::uint32_t, std::uint32_t>, double>
+      GangCosts;
 };
 
 } // namespace jayramp::scheduling
--- a/Source/Scheduling/Run.h
+++ b/Source/Scheduling/Run.h
@@ -8,6 +8,8 @@
 
 namespace jayramp::scheduling {
 
+class JobEntry;
+
 /// How a run ended, as reported by its worker.
 enum class RunOutcome {
   Succeeded,
@@ -27,6 +29,7 @@
 /// A run that may be alive on a worker.
 struct Run {
   RunId Id;
+  JobEntry *Job = nullptr; ///< Its job, which is kept as long as the run.
   std::string Worker;
   std::int64_t Incarnation = 0; ///< Of the worker when the run was assigned.
   RunPhase Phase = RunPhase::Assigned;
@@ -34,7 +37,9 @@
   TimePoint StartedAt;
   std::uint32_t ProgressPercent = 0; ///< Latest progress that was reported.
   TimePoint LastProgressAt;          ///< When ProgressPercent last changed.
-  TimePoint LastReportAt; ///< When the worker last included it in a report.
+  /// When the worker last reported the state of its runs, or StartedAt before
+  /// the first such report.
+  TimePoint LastReportAt;
 };
 
 } // namespace jayramp::scheduling
--- a/Source/Scheduling/RunSupervision.cpp
+++ b/Source/Scheduling/RunSupervision.cpp
@@ -3,7 +3,7 @@
 #include "Scheduling/ShardScheduler.h"
 
 #include <algorithm>
-#include <tuple>
+#include <utility>
 
 namespace jayramp::scheduling {
 
@@ -20,20 +20,27 @@
 RunSupervision::RunSupervision(ShardScheduler &Scheduler, TimePoint Now)
     : Scheduler(Scheduler), Now(Now) {}
 
-auto RunSupervision::stopStalledRuns() -> void {
+auto RunSupervision::stopStalledGangMembers() -> void {
   std::vector<RunId> StalledRuns;
-  std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, Gang> Gangs;
-  for (const auto &[Id, LiveRun] : Scheduler.Runs) {
-    const auto *Job = Scheduler.job(Id.Job);
-    if (!Job || LiveRun.Phase == RunPhase::Stopping)
-      continue;
-    if (Job->Spec.Steps[Id.Step].Gang)
-      Gangs[{Id.Job, Id.Step, Id.Run}].push_back(&LiveRun);
-    else if (isStalled(LiveRun, *Job))
-      StalledRuns.push_back(Id);
-  }
-  for (const auto &[Name, Members] : Gangs)
-    collectStalledMembers(Members, StalledRuns);
+  auto ToCheck = std::exchange(Scheduler.GangsToCheck, {});
+  std::erase_if(Scheduler.StartingGangs, [&](const RunId &FirstMember) {
+    const auto Members = membersOf(FirstMember);
+    const bool IsStarting =
+        std::any_of(Members.begin(), Members.end(), [](const auto *Each) {
+          return Each->Phase == RunPhase::Assigned;
+        });
+    if (IsStarting)
+      ToCheck.insert(FirstMember);
+    return !IsStarting;
+  });
+  for (const auto &FirstMember : ToCheck)
+    if (const auto Members = membersOf(FirstMember); !Members.empty())
+      collectStalledMembers(Members, StalledRuns);
+  stopAsStalled(StalledRuns);
+}
+
+auto RunSupervision::stopAsStalled(const std::vector<RunId> &StalledRuns)
+    -> void {
   for (const auto &Id : StalledRuns) {
     const auto WorkerIt = Scheduler.Workers.find(Scheduler.Runs.at(Id).Worker);
     if (WorkerIt != Scheduler.Workers.end())
@@ -47,6 +54,19 @@
     stopRestOfGang(Id);
 }
 
+auto RunSupervision::membersOf(const RunId &FirstMember) const -> Gang {
+  Gang Members;
+  for (auto Next = Scheduler.Runs.lower_bound(
+           {FirstMember.Job, FirstMember.Step, 0, 0});
+       Next != Scheduler.Runs.end() && Next->first.Job == FirstMember.Job &&
+       Next->first.Step == FirstMember.Step;
+       ++Next)
+    if (Next->first.Run == FirstMember.Run &&
+        Next->second.Phase != RunPhase::Stopping)
+      Members.push_back(&Next->second);
+  return Members;
+}
+
 auto RunSupervision::stopRestOfGang(const RunId &Id) -> void {
   if (Scheduler.Jobs.at(Id.Job).Spec.Steps[Id.Step].Gang)
     Scheduler.stopGang(Id);
@@ -57,18 +77,16 @@
   return Entry && Entry->Reachable;
 }
 
-auto RunSupervision::isStalled(const Run &LiveRun, const JobEntry &Job) const
-    -> bool {
+auto RunSupervision::isStalled(const Run &LiveRun) const -> bool {
   // A gang member that has reached 100% waits for the slower members and is not
   // stalled.
   if (LiveRun.Phase != RunPhase::Started ||
       LiveRun.ProgressPercent >= CompletePercent || !isReachable(LiveRun))
     return false;
-  const auto &Step = Job.Spec.Steps[LiveRun.Id.Step];
-  const auto TimeSinceProgress = Now - LiveRun.LastProgressAt;
+  const auto &Step = LiveRun.Job->Spec.Steps[LiveRun.Id.Step];
   // The progress percentage of a long task changes rarely, so its timeout is
   // longer.
-  return TimeSinceProgress >=
+  return LiveRun.LastReportAt - LiveRun.LastProgressAt >=
          std::max<Milliseconds>(Scheduler.Policy.StallTimeout,
                                 Step.Estimate / 4);
 }
@@ -84,9 +102,8 @@
   // No member lags behind the others, so nothing shows which worker is at
   // fault. If the gang is stalled, only one member is stopped as stalled, so
   // that only one worker is quarantined.
-  const auto &Job = Scheduler.Jobs.at(Members.front()->Id.Job);
   for (const auto *LiveRun : Members)
-    if (isStalled(*LiveRun, Job)) {
+    if (isStalled(*LiveRun)) {
       StalledRuns.push_back(LiveRun->Id);
       return;
     }
@@ -146,18 +163,16 @@
 
 auto RunSupervision::evacuateLeavingWorkers() -> void {
   std::vector<RunId> RunsToStop;
-  for (const auto &[Name, Entry] : Scheduler.Workers) {
-    if (!Entry.Report.Draining || Entry.LeavesAt == TimePoint())
+  for (const auto &Name : Scheduler.DrainingWorkers) {
+    const auto &Entry = Scheduler.Workers.at(Name);
+    if (Entry.LeavesAt == TimePoint())
       continue;
-    for (const auto &Id : Entry.Runs) {
-      const auto &LiveRun = Scheduler.Runs.at(Id);
-      const auto *Job = Scheduler.job(Id.Job);
-      if (Job && LiveRun.Phase == RunPhase::Started &&
-          Now + expectedRemainingTime(LiveRun, *Job) +
+    for (const auto &[Id, LiveRun] : Entry.Runs)
+      if (LiveRun->Phase == RunPhase::Started &&
+          Now + expectedRemainingTime(*LiveRun) +
                   Scheduler.Policy.DrainSafetyMargin >
               Entry.LeavesAt)
         RunsToStop.push_back(Id);
-    }
   }
   for (const auto &Id : RunsToStop) {
     Scheduler.stopRun(Id, StopReason::WorkerLeaves);
@@ -165,8 +180,7 @@
   }
 }
 
-auto RunSupervision::expectedRemainingTime(const Run &LiveRun,
-                                           const JobEntry &Job) const
+auto RunSupervision::expectedRemainingTime(const Run &LiveRun) const
     -> Milliseconds {
   constexpr std::uint32_t MinPercentForEstimate = 5;
   const auto RunTime = elapsed(LiveRun.StartedAt, Now);
@@ -176,7 +190,7 @@
             std::min(LiveRun.ProgressPercent, CompletePercent)) /
            LiveRun.ProgressPercent;
   return std::max(Milliseconds(0),
-                  Job.Spec.Steps[LiveRun.Id.Step].Estimate - RunTime);
+                  LiveRun.Job->Spec.Steps[LiveRun.Id.Step].Estimate - RunTime);
 }
 
 } // namespace jayramp::scheduling
--- a/Source/Scheduling/RunSupervision.h
+++ b/Source/Scheduling/RunSupervision.h
@@ -5,35 +5,40 @@
 #include "Scheduling/SchedulingDecisions.h"
 
 #include <cstdint>
-#include <map>
 #include <vector>
 
 namespace jayramp::scheduling {
 
 class ShardScheduler;
-struct JobEntry;
 struct Run;
 
-/// One pass over the live runs of a shard that stops runs which would end
-/// earlier if they were restarted on another worker. Used by
-/// ShardScheduler::schedule().
+/// Stops runs that would end earlier if they were restarted on another worker.
+/// Used by ShardScheduler. Whether a run makes progress is judged by its
+/// worker's reports alone: without a newer report, nothing is known about it.
 class RunSupervision {
 public:
   RunSupervision(ShardScheduler &Scheduler, TimePoint Now);
 
-  /// Stops runs that make no progress and quarantines their workers.
-  auto stopStalledRuns() -> void;
+  /// Returns whether reports show no progress of a run for the stall timeout.
+  /// Does not compare it with other runs.
+  auto isStalled(const Run &LiveRun) const -> bool;
+  /// Stops the runs, and the gangs that they belong to, and quarantines their
+  /// workers.
+  auto stopAsStalled(const std::vector<RunId> &StalledRuns) -> void;
+  /// Checks the gangs that are starting or for which a report showed no
+  /// progress, and stops members that hold up the others.
+  auto stopStalledGangMembers() -> void;
   /// Stops runs that are not expected to end before their worker leaves.
   auto evacuateLeavingWorkers() -> void;
 
 private:
   /// The live members of one run of a gang.
   using Gang = std::vector<const Run *>;
+
+  /// Returns the members that are not stopping; \p FirstMember names the gang.
+  auto membersOf(const RunId &FirstMember) const -> Gang;
   /// Stops the other members if \p Id belongs to a gang.
   auto stopRestOfGang(const RunId &Id) -> void;
-  /// Returns whether a run has made no progress for the stall timeout. Does not
-  /// compare it with other runs.
-  auto isStalled(const Run &LiveRun, const JobEntry &Job) const -> bool;
   auto collectStalledMembers(const Gang &Members,
                              std::vector<RunId> &StalledRuns) const -> void;
   /// Returns whether the start of \p LiveRun is still not confirmed long after
@@ -44,8 +49,7 @@
   auto lagsBehindGang(const Run &LiveRun, const Gang &Members) const -> bool;
   auto isReachable(const Run &LiveRun) const -> bool;
   /// Returns the expected time until the run ends.
-  auto expectedRemainingTime(const Run &LiveRun, const JobEntry &Job) const
-      -> Milliseconds;
+  auto expectedRemainingTime(const Run &LiveRun) const -> Milliseconds;
 
   ShardScheduler &Scheduler;
   TimePoint Now;
--- a/Source/Scheduling/SchedulingPolicy.h
+++ b/Source/Scheduling/SchedulingPolicy.h
@@ -21,6 +21,9 @@
   /// Work that may be lost by preemption for a job of the most urgent priority,
   /// as a multiple of the work that the job itself does.
   double MaxPreemptionCostRatio = 4.0;
+  /// After a search found no runs that a job may preempt, none is made for the
+  /// job for this time, so that the searches of many waiting jobs take turns.
+  Milliseconds PreemptionSearchInterval{200};
   /// A job within the guarantee of its client account may preempt other work
   /// regardless of the loss after waiting this long.
   Milliseconds GuaranteeReclaimDelay{1200};
--- a/Source/Scheduling/ShardScheduler.cpp
+++ b/Source/Scheduling/ShardScheduler.cpp
@@ -18,66 +18,50 @@
   return Step.Gang ? 0 : Index;
 }
 
-/// Returns the number of accelerators that all tasks of a job need together.
-auto totalGpus(const JobSpec &Spec) -> std::int64_t {
-  std::int64_t Sum = 0;
-  for (const auto &Step : Spec.Steps)
-    Sum += Step.Need.Gpus * static_cast<std::int64_t>(Step.Count);
-  return Sum;
-}
-
-auto isAllDone(const JobProgress &Progress) -> bool {
-  for (const auto &Step : Progress.Steps)
-    for (const auto &Task : Step)
-      if (!Task.Done)
-        return false;
-  return true;
+/// Returns the id that stands for the gang of \p Member.
+auto gangId(const RunId &Member) -> RunId {
+  return {Member.Job, Member.Step, 0, Member.Run};
 }
 
 } // namespace
 
 auto ShardScheduler::addJob(JobSpec Spec, JobProgress Progress,
                             TimePoint SubmittedAt) -> void {
-  if (Jobs.contains(Spec.Id))
-    return;
-  Progress.Steps.resize(Spec.Steps.size());
-  for (std::size_t Step = 0; Step < Spec.Steps.size(); ++Step)
-    Progress.Steps[Step].resize(Spec.Steps[Step].Count);
   const auto Id = Spec.Id;
-  auto &Job = Jobs[Id];
-  Job.Spec = std::move(Spec);
-  Job.Progress = std::move(Progress);
-  Job.SubmittedAt = SubmittedAt;
-  Job.FinishedAt = SubmittedAt;
-  Job.Sequence = NextSequence++;
+  const auto [Position, IsNew] = Jobs.try_emplace(
+      Id, std::move(Spec), std::move(Progress), SubmittedAt, NextSequence);
+  if (!IsNew)
+    return;
+  auto &Job = Position->second;
+  ++NextSequence;
+  PassNeeded = true;
+  if (!isFinal(Job.Progress.State))
+    ActiveJobs.emplace(Job.Sequence, &Job);
   if (Job.Spec.Priority == 0 && Job.Progress.State == JobState::Pending)
-    UrgentArrivals.emplace_back(SubmittedAt, totalGpus(Job.Spec));
+    UrgentArrivals.emplace_back(SubmittedAt, Job.TotalGpus);
   for (std::uint32_t Step = 0; Step < Job.Progress.Steps.size(); ++Step) {
     const auto &Tasks = Job.Progress.Steps[Step];
     for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index) {
       const auto &Task = Tasks[Index];
       if (Task.Worker.empty())
         continue;
-      const RunId Key{Id, Step, Index, Task.LastRunNumber};
-      Run LiveRun{Key,
-                  Task.Worker,
-                  Task.Incarnation,
-                  RunPhase::Assigned,
-                  SubmittedAt,
-                  SubmittedAt,
-                  0,
-                  SubmittedAt,
-                  SubmittedAt};
-      if (isFinal(Job.Progress.State))
-        LiveRun.Phase = RunPhase::Stopping;
-      Runs.emplace(Key, LiveRun);
       auto &Entry = Workers[Task.Worker];
       if (Entry.Report.Id.empty()) {
         Entry.Report.Id = Task.Worker;
         Entry.Registered = false;
       }
-      Entry.Runs.insert(Key);
-      Entry.Used += Job.Spec.Steps[Step].Need;
+      addRun({{Id, Step, Index, Task.LastRunNumber},
+              &Job,
+              Task.Worker,
+              Task.Incarnation,
+              isFinal(Job.Progress.State) ? RunPhase::Stopping
+                                          : RunPhase::Assigned,
+              SubmittedAt,
+              SubmittedAt,
+              0,
+              SubmittedAt,
+              SubmittedAt},
+             Entry);
     }
   }
 }
@@ -104,13 +88,21 @@
 }
 
 auto ShardScheduler::setOnHold(const std::string &Id, bool OnHold) -> void {
-  if (auto *Job = findJob(Id))
-    Job->OnHold = OnHold;
+  auto *Job = findJob(Id);
+  if (!Job || Job->OnHold == OnHold)
+    return;
+  Job->OnHold = OnHold;
+  PassNeeded = true;
+  // Starts that have not been sent yet are withdrawn or resumed.
+  for (auto Next = Runs.lower_bound({Id, 0, 0, 0});
+       Next != Runs.end() && Next->first.Job == Id; ++Next)
+    markWorkerChanged(Next->second.Worker);
 }
 
 auto ShardScheduler::setGuarantees(
     std::map<std::string, std::int64_t> GpusByAccount) -> void {
   Guarantees = std::move(GpusByAccount);
+  PassNeeded = true;
 }
 
 auto ShardScheduler::updateWorker(const WorkerReport &Report, TimePoint Now)
@@ -126,24 +118,43 @@
     Entry.LeavesAt =
         Entry.Report.Draining ? std::min(Entry.LeavesAt, LeavesAt) : LeavesAt;
   }
-  Entry.Report = Report;
+  auto Before = std::exchange(Entry.Report, Report);
+  // The remaining time changes with every report of a draining worker.
+  Before.Remaining = Report.Remaining;
+  if (Before == Report && std::exchange(Entry.Registered, true))
+    return;
   Entry.Registered = true;
+  Entry.Rack =
+      RackNumbers.emplace(Report.Rack, RackNumbers.size()).first->second;
+  if (Report.Draining)
+    DrainingWorkers.insert(Report.Id);
+  else
+    DrainingWorkers.erase(Report.Id);
+  markWorkerChanged(Report.Id);
 }
 
 auto ShardScheduler::unregisterWorker(const std::string &Id) -> void {
   auto Found = Workers.find(Id);
   if (Found == Workers.end())
     return;
+  markWorkerChanged(Id);
   Found->second.Registered = false;
   if (Found->second.Runs.empty())
-    Workers.erase(Found);
+    removeWorker(Found);
+}
+
+auto ShardScheduler::removeWorker(
+    std::map<std::string, WorkerEntry>::iterator Position) -> void {
+  DrainingWorkers.erase(Position->first);
+  Workers.erase(Position);
 }
 
 auto ShardScheduler::setReachable(const std::string &Id, bool Reachable)
     -> void {
   auto Found = Workers.find(Id);
-  if (Found != Workers.end())
-    Found->second.Reachable = Reachable;
+  if (Found != Workers.end() &&
+      std::exchange(Found->second.Reachable, Reachable) != Reachable)
+    markWorkerChanged(Id);
 }
 
 auto ShardScheduler::pauseWorker(const std::string &Id, TimePoint Now) -> void {
@@ -157,12 +168,16 @@
   auto Found = Runs.find(Id);
   if (Found == Runs.end() || Found->second.Phase != RunPhase::Assigned)
     return;
-  Found->second.Phase = RunPhase::Started;
-  Found->second.StartedAt = Now;
-  Found->second.LastProgressAt = Now;
-  auto *Job = findJob(Id.Job);
-  if (Job && Job->Progress.State == JobState::Pending) {
-    Job->Progress.State = JobState::Running;
+  auto &LiveRun = Found->second;
+  LiveRun.Phase = RunPhase::Started;
+  LiveRun.StartedAt = Now;
+  LiveRun.LastProgressAt = Now;
+  LiveRun.LastReportAt = Now;
+  auto &Job = *LiveRun.Job;
+  if (Job.Spec.Steps[Id.Step].Gang)
+    StartingGangs.insert(gangId(Id));
+  if (Job.Progress.State == JobState::Pending) {
+    Job.Progress.State = JobState::Running;
     markChanged(Id.Job);
   }
 }
@@ -172,21 +187,43 @@
     -> void {
   runStarted(Id, Now);
   auto Found = Runs.find(Id);
-  auto *Job = findJob(Id.Job);
-  if (Found == Runs.end() || !Job)
+  if (Found == Runs.end())
     return;
   auto &LiveRun = Found->second;
+  const auto &Step = LiveRun.Job->Spec.Steps[Id.Step];
+  // A new checkpoint alone does not mark the job as changed. It is stored with
+  // the next change: it is needed only if this run is lost.
+  if (Step.Checkpointing && !Checkpoint.empty())
+    LiveRun.Job->Progress.Steps[Id.Step][sharedProgressIndex(Step, Id.Index)]
+        .Checkpoint = Checkpoint;
   LiveRun.LastReportAt = Now;
   if (LiveRun.ProgressPercent != Percent) {
     LiveRun.ProgressPercent = Percent;
     LiveRun.LastProgressAt = Now;
+    return;
   }
-  const auto &Step = Job->Spec.Steps[Id.Step];
-  // A new checkpoint alone does not mark the job as changed. It is stored with
-  // the next change: it is needed only if this run is lost.
-  if (Step.Checkpointing && !Checkpoint.empty())
-    Job->Progress.Steps[Id.Step][sharedProgressIndex(Step, Id.Index)]
-        .Checkpoint = Checkpoint;
+  checkProgress(LiveRun, Now);
+}
+
+auto ShardScheduler::runUnlisted(const RunId &Id, TimePoint Now) -> void {
+  auto Found = Runs.find(Id);
+  if (Found == Runs.end() || Found->second.Phase != RunPhase::Started)
+    return;
+  Found->second.LastReportAt = Now;
+  checkProgress(Found->second, Now);
+}
+
+auto ShardScheduler::checkProgress(Run &LiveRun, TimePoint Now) -> void {
+  if (LiveRun.Phase != RunPhase::Started)
+    return;
+  if (LiveRun.Job->Spec.Steps[LiveRun.Id.Step].Gang) {
+    GangsToCheck.insert(gangId(LiveRun.Id));
+    PassNeeded = true;
+    return;
+  }
+  RunSupervision Supervision(*this, Now);
+  if (Supervision.isStalled(LiveRun))
+    Supervision.stopAsStalled({LiveRun.Id});
 }
 
 auto ShardScheduler::runEnded(const RunId &Id, RunOutcome Outcome,
@@ -211,7 +248,7 @@
   releaseRun(Id);
   if (Outcome != RunOutcome::Succeeded && Step.Gang)
     stopGang(Id);
-  if (!isFinal(Job->Progress.State) && isAllDone(Job->Progress))
+  if (!isFinal(Job->Progress.State) && Job->isAllDone())
     finishJob(*Job, JobState::Completed, Now);
 }
 
@@ -229,14 +266,15 @@
   auto Found = Runs.find(Id);
   if (Found == Runs.end() || Found->second.Phase == RunPhase::Stopping)
     return;
-  Found->second.Phase = RunPhase::Stopping;
+  markStopping(Found->second);
   StopDecisions.push_back({Id, Found->second.Worker, Reason, PreemptingJob,
                            Found->second.ProgressPercent});
 }
 
 auto ShardScheduler::schedule(TimePoint Now) -> void {
+  PassNeeded = false;
   RunSupervision Supervision(*this, Now);
-  Supervision.stopStalledRuns();
+  Supervision.stopStalledGangMembers();
   Supervision.evacuateLeavingWorkers();
   updateGuaranteedJobs();
   PlacementPass(*this, Now).run();
@@ -279,46 +317,70 @@
     ChangedJobs.push_back(Id);
 }
 
+auto ShardScheduler::markWorkerChanged(const std::string &Id) -> void {
+  ChangedWorkers.insert(Id);
+  PassNeeded = true;
+}
+
+auto ShardScheduler::addRun(Run NewRun, WorkerEntry &Target) -> void {
+  const auto &Need = NewRun.Job->Spec.Steps[NewRun.Id.Step].Need;
+  const auto Id = NewRun.Id;
+  Target.Used += Need;
+  if (NewRun.Phase == RunPhase::Stopping)
+    Target.Stopping += Need;
+  const auto Position = Runs.emplace(Id, std::move(NewRun)).first;
+  Target.Runs.emplace(Id, &Position->second);
+  ChangedWorkers.insert(Target.Report.Id);
+}
+
 auto ShardScheduler::assign(JobEntry &Job, std::uint32_t Step,
                             std::uint32_t Index, std::uint32_t RunNumber,
                             WorkerEntry &Target, TimePoint Now) -> void {
-  auto &Task = Job.Progress.Steps[Step][Index];
-  Task.LastRunNumber = RunNumber;
-  Task.Worker = Target.Report.Id;
-  Task.Incarnation = Target.Report.Incarnation;
-  const RunId Id{Job.Spec.Id, Step, Index, RunNumber};
-  Run LiveRun{Id,
-              Target.Report.Id,
-              Target.Report.Incarnation,
-              RunPhase::Assigned,
-              Now,
-              Now,
-              0,
-              Now,
-              Now};
-  Runs.emplace(Id, LiveRun);
-  Target.Runs.insert(Id);
-  Target.Used += Job.Spec.Steps[Step].Need;
+  const auto &Report = Target.Report;
+  Job.placeTask(Step, Index, RunNumber, Report.Id, Report.Incarnation);
+  addRun({{Job.Spec.Id, Step, Index, RunNumber},
+          &Job,
+          Report.Id,
+          Report.Incarnation,
+          RunPhase::Assigned,
+          Now,
+          Now,
+          0,
+          Now,
+          Now},
+         Target);
   markChanged(Job.Spec.Id);
 }
 
+auto ShardScheduler::markStopping(Run &LiveRun) -> void {
+  LiveRun.Phase = RunPhase::Stopping;
+  const auto Found = Workers.find(LiveRun.Worker);
+  if (Found != Workers.end())
+    Found->second.Stopping += LiveRun.Job->Spec.Steps[LiveRun.Id.Step].Need;
+  markWorkerChanged(LiveRun.Worker);
+}
+
 auto ShardScheduler::releaseRun(const RunId &Id) -> void {
   auto Found = Runs.find(Id);
   if (Found == Runs.end())
     return;
-  auto *Job = findJob(Id.Job);
+  auto &Job = *Found->second.Job;
+  const auto &Need = Job.Spec.Steps[Id.Step].Need;
   auto WorkerIt = Workers.find(Found->second.Worker);
-  if (WorkerIt != Workers.end() && WorkerIt->second.Runs.erase(Id) > 0 && Job)
-    WorkerIt->second.Used -= Job->Spec.Steps[Id.Step].Need;
-  if (WorkerIt != Workers.end() && !WorkerIt->second.Registered &&
-      WorkerIt->second.Runs.empty())
-    Workers.erase(WorkerIt);
+  if (WorkerIt != Workers.end()) {
+    auto &Entry = WorkerIt->second;
+    Entry.Runs.erase(Id);
+    Entry.Used -= Need;
+    if (Found->second.Phase == RunPhase::Stopping)
+      Entry.Stopping -= Need;
+    markWorkerChanged(WorkerIt->first);
+    if (!Entry.Registered && Entry.Runs.empty())
+      removeWorker(WorkerIt);
+  }
   Runs.erase(Found);
-  if (!Job)
-    return;
-  auto &Task = Job->Progress.Steps[Id.Step][Id.Index];
-  if (Task.LastRunNumber == Id.Run)
-    Task.Worker.clear();
+  if (Job.Progress.Steps[Id.Step][Id.Index].LastRunNumber == Id.Run)
+    Job.vacateTask(Id.Step, Id.Index);
+  PassNeeded = true;
   markChanged(Id.Job);
 }
 
@@ -349,14 +411,14 @@
     if (WorkerIt != Workers.end())
       WorkerIt->second.FailedJobs.clear();
   }
-  auto &Tasks = Job.Progress.Steps[Id.Step];
   if (Job.Spec.Steps[Id.Step].Gang) {
     // The members of a gang succeed together, so the success of one member
     // marks all of them as done.
-    for (auto &Task : Tasks)
-      Task.Done = true;
+    for (std::uint32_t Index = 0; Index < Job.Spec.Steps[Id.Step].Count;
+         ++Index)
+      Job.markTaskDone(Id.Step, Index);
   } else {
-    Tasks[Id.Index].Done = true;
+    Job.markTaskDone(Id.Step, Id.Index);
   }
   markChanged(Id.Job);
 }
@@ -385,6 +447,8 @@
     -> void {
   Job.Progress.State = State;
   Job.FinishedAt = Now;
+  ActiveJobs.erase(Job.Sequence);
+  PassNeeded = true;
   markChanged(Job.Spec.Id);
   if (State == JobState::Completed)
     return;
@@ -397,11 +461,10 @@
 auto ShardScheduler::pollRateOf(const RunId &Id, TimePoint Now) const
     -> RunPollRate {
   const auto *LiveRun = run(Id);
-  const auto *Job = job(Id.Job);
   // Only a stalled member of a gang can be detected early, by comparing it with
   // the others, so frequent polling pays off only for gangs.
-  if (!LiveRun || !Job || Job->Spec.Priority != 0 ||
-      !Job->Spec.Steps[Id.Step].Gang ||
+  if (!LiveRun || LiveRun->Job->Spec.Priority != 0 ||
+      !LiveRun->Job->Spec.Steps[Id.Step].Gang ||
       LiveRun->ProgressPercent >= CompletePercent)
     return RunPollRate::Normal;
   return Now - LiveRun->AssignedAt < Policy.HighPollRateDuration
@@ -409,39 +472,28 @@
              : RunPollRate::Elevated;
 }
 
-auto ShardScheduler::urgentReserve(TimePoint Now) -> std::int64_t {
+auto ShardScheduler::urgentReserve(std::int64_t TotalGpus, TimePoint Now)
+    -> std::int64_t {
   while (!UrgentArrivals.empty() &&
          UrgentArrivals.front().first < Now - Policy.ArrivalWindow)
     UrgentArrivals.pop_front();
   std::int64_t RecentArrivals = 0;
   for (const auto &[Time, Gpus] : UrgentArrivals)
     RecentArrivals += Gpus;
-  std::int64_t Total = 0;
-  for (const auto &[Id, Entry] : Workers)
-    if (Entry.Registered)
-      Total += Entry.Report.Capacity.Gpus;
   const auto ExpectedGpus = RecentArrivals * Policy.ReserveHorizon.count() /
                             Policy.ArrivalWindow.count();
   return std::min(ExpectedGpus,
-                  static_cast<std::int64_t>(static_cast<double>(Total) *
+                  static_cast<std::int64_t>(static_cast<double>(TotalGpus) *
                                             Policy.MaxReserveFraction));
 }
 
 auto ShardScheduler::updateGuaranteedJobs() -> void {
-  std::vector<JobEntry *> UrgentJobs;
-  for (auto &[Id, Job] : Jobs) {
-    Job.Guaranteed = false;
-    if (Job.Spec.Priority == 0 && !isFinal(Job.Progress.State))
-      UrgentJobs.push_back(&Job);
-  }
-  std::sort(UrgentJobs.begin(), UrgentJobs.end(),
-            [](const auto *Left, const auto *Right) {
-              return Left->Sequence < Right->Sequence;
-            });
   std::map<std::string, std::int64_t> RequestedGpus;
-  for (auto *Job : UrgentJobs) {
+  for (const auto &[Sequence, Job] : ActiveJobs) {
+    if (Job->Spec.Priority != 0)
+      continue;
     auto &Sum = RequestedGpus[Job->Spec.Tenant];
-    Sum += totalGpus(Job->Spec);
+    Sum += Job->TotalGpus;
     const auto Limit = Guarantees.find(Job->Spec.Tenant);
     Job->Guaranteed = Limit != Guarantees.end() && Sum <= Limit->second;
   }
--- a/Source/Scheduling/ShardScheduler.h
+++ b/Source/Scheduling/ShardScheduler.h
@@ -1,12 +1,11 @@
 #pragma once
 
-#include "Scheduling/JobProgress.h"
-#include "Scheduling/JobSpec.h"
+#include "Scheduling/JobEntry.h"
 #include "Scheduling/Run.h"
 #include "Scheduling/RunPollRate.h"
 #include "Scheduling/SchedulingDecisions.h"
 #include "Scheduling/SchedulingPolicy.h"
-#include "Scheduling/WorkerReport.h"
+#include "Scheduling/WorkerEntry.h"
 
 #include <deque>
 #include <map>
@@ -17,30 +16,6 @@
 
 namespace jayramp::scheduling {
 
-/// A job with its state in the scheduler.
-struct JobEntry {
-  JobSpec Spec;
-  JobProgress Progress;
-  TimePoint SubmittedAt;
-  std::uint64_t Sequence = 0; ///< Position in the order of submission.
-  bool Guaranteed = false;    ///< Within the guarantee of its client account.
-  bool OnHold = false;        ///< None of its tasks are placed.
-  TimePoint FinishedAt;
-};
-
-/// A worker with the runs placed on it.
-struct WorkerEntry {
-  WorkerReport Report;
-  bool Registered = true; ///< Listed by service discovery.
-  bool Reachable = true;  ///< Answers start and stop orders.
-  Resources Used;         ///< Resources of runs that may be alive.
-  std::set<RunId> Runs;
-  /// Jobs that failed on the worker since its last success.
-  std::set<std::string> FailedJobs;
-  TimePoint QuarantinedUntil;
-  TimePoint LeavesAt; ///< When a draining worker leaves; zero if unknown.
-};
-
 /// Decides which task runs on which worker of one shard. Performs no I/O and
 /// reads no clock: callers pass in the time and their observations, and read
 /// the decisions from the tables. A run occupies its worker until runEnded() or
@@ -75,8 +50,13 @@
   /// Records that the worker confirmed the start or reports the run as running.
   auto runStarted(const RunId &Id, TimePoint Now) -> void;
   /// Records a progress report. An empty \p Checkpoint leaves the stored one.
+  /// Stops the run if the reports show that it makes no progress.
   auto runProgressed(const RunId &Id, std::uint32_t Percent,
                      const std::string &Checkpoint, TimePoint Now) -> void;
+  /// Records that the worker reported the state of its runs and that this run,
+  /// which it had started, is not among them. The run counts as one without
+  /// progress.
+  auto runUnlisted(const RunId &Id, TimePoint Now) -> void;
   /// Records that the worker reported the end of a run.
   auto runEnded(const RunId &Id, RunOutcome Outcome,
                 const std::string &Checkpoint, TimePoint Now) -> void;
@@ -103,8 +83,18 @@
     return std::exchange(PlacementDecisions, {});
   }
 
+  /// Returns the ids of the workers whose runs, registration or drain state
+  /// changed since the last call.
+  auto takeChangedWorkers() -> std::set<std::string> {
+    return std::exchange(ChangedWorkers, {});
+  }
+
   // Queries. Those that look up one object return null if it is unknown.
 
+  /// Returns whether something changed since the last pass that can change its
+  /// result. The passing of time is not counted.
+  auto needsPass() const -> bool { return PassNeeded; }
+
   auto job(const std::string &Id) const -> const JobEntry *;
   auto jobs() const -> const std::map<std::string, JobEntry> & { return Jobs; }
   auto worker(const std::string &Id) const -> const WorkerEntry *;
@@ -123,9 +113,17 @@
 
   auto findJob(const std::string &Id) -> JobEntry *;
   auto markChanged(const std::string &Id) -> void;
+  auto markWorkerChanged(const std::string &Id) -> void;
+  /// Adds a run, which occupies \p Target, to the tables.
+  auto addRun(Run NewRun, WorkerEntry &Target) -> void;
   auto assign(JobEntry &Job, std::uint32_t Step, std::uint32_t Index,
               std::uint32_t RunNumber, WorkerEntry &Target, TimePoint Now)
       -> void;
+  auto markStopping(Run &LiveRun) -> void;
+  auto removeWorker(std::map<std::string, WorkerEntry>::iterator Position)
+      -> void;
+  /// Handles a report that shows no progress of a run.
+  auto checkProgress(Run &LiveRun, TimePoint Now) -> void;
   /// Removes a run and frees its resources.
   auto releaseRun(const RunId &Id) -> void;
   auto recordFailure(JobEntry &Job, const RunId &Id, TimePoint Now) -> void;
@@ -138,14 +136,25 @@
                            TimePoint Now) -> void;
   auto finishJob(JobEntry &Job, JobState State, TimePoint Now) -> void;
   auto updateGuaranteedJobs() -> void;
-  /// Returns the number of accelerators that less urgent jobs leave free for
-  /// arriving jobs of the most urgent priority.
-  auto urgentReserve(TimePoint Now) -> std::int64_t;
+  /// Returns the number of accelerators, of \p TotalGpus, that less urgent jobs
+  /// leave free for arriving jobs of the most urgent priority.
+  auto urgentReserve(std::int64_t TotalGpus, TimePoint Now) -> std::int64_t;
 
   SchedulingPolicy Policy;
   std::map<std::string, JobEntry> Jobs;
+  /// The jobs that are not final, in the order of submission.
+  std::map<std::uint64_t, JobEntry *> ActiveJobs;
   std::map<std::string, WorkerEntry> Workers;
+  std::map<std::string, std::size_t> RackNumbers;
+  std::set<std::string> DrainingWorkers;
+  std::set<std::string> ChangedWorkers;
   std::map<RunId, Run> Runs;
+  /// Gangs that the next pass checks for stalled members, by their first
+  /// member.
+  std::set<RunId> GangsToCheck;
+  /// Gangs of which some members have started, by their first member.
+  std::set<RunId> StartingGangs;
+  bool PassNeeded = true;
   std::map<std::string, std::int64_t> Guarantees;
   std::deque<std::string> ChangedJobs;
   std::set<std::string> ChangedJobSet;
--- /dev/null
+++ b/Source/Scheduling/WorkerEntry.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Scheduling/Resources.h"
+#include "Scheduling/RunId.h"
+#include "Scheduling/WorkerReport.h"
+
+#include <cstddef>
+#include <map>
+#include <set>
+#include <string>
+
+namespace jayramp::scheduling {
+
+struct Run;
+
+/// A worker with the runs placed on it.
+struct WorkerEntry {
+  WorkerReport Report;
+  bool Registered = true; ///< Listed by service discovery.
+  bool Reachable = true;  ///< Answers start and stop orders.
+  std::size_t Rack = 0;   ///< Number of the rack, from 0.
+  Resources Used;         ///< Resources of runs that may be alive.
+  Resources Stopping;     ///< The part of Used that stopping runs occupy.
+  std::map<RunId, Run *> Runs;
+  /// Jobs that failed on the worker since its last success.
+  std::set<std::string> FailedJobs;
+  TimePoint QuarantinedUntil;
+  TimePoint LeavesAt; ///< When a draining worker leaves; zero if unknown.
+};
+
+} // namespace jayramp::scheduling
--- a/Source/Shard/JournalPartition.cpp
+++ b/Source/Shard/JournalPartition.cpp
@@ -322,7 +322,7 @@
     }
   if (std::exchange(Failures, 0) >= UnavailableAfterFailures)
     SharedContext.OnAvailabilityChanged();
-  SharedContext.OnCommitted();
+  SharedContext.OnCommitted(InFlightJobs);
   if (!Closed)
     flush();
 }
--- a/Source/Shard/JournalPartition.h
+++ b/Source/Shard/JournalPartition.h
@@ -28,8 +28,8 @@
     const ShardSettings &Settings;
     ShardRows Rows;
     Ownership CurrentOwnership;
-    /// Called after each successful write.
-    std::function<void()> OnCommitted;
+    /// Called after each successful write, with the jobs that it contained.
+    std::function<void(const std::vector<std::string> &Jobs)> OnCommitted;
     /// Called when isAvailable() has changed.
     std::function<void()> OnAvailabilityChanged;
     /// Called if another host owns the shard, or if a row differs from what
--- a/Source/Shard/ShardOwner.cpp
+++ b/Source/Shard/ShardOwner.cpp
@@ -13,6 +13,11 @@
 /// Longest delay between an event and the scheduling decision that it causes;
 /// events within this time share one decision.
 constexpr Milliseconds DecisionDelay{2};
+/// After a decision, at least this multiple of the time that it took is left
+/// for other events, so that replies are not kept waiting by decisions.
+constexpr int DecisionPauseFactor = 4;
+/// Orders of several sessions that are due within this time are sent together.
+constexpr Milliseconds OrderBatchInterval{10};
 constexpr Milliseconds TickInterval{100};
 /// If the last successful heartbeat is older than this, writes to the journal
 /// check whether this process still owns the shard.
@@ -29,7 +34,8 @@
       Journal(Scheduler,
               JournalPartition::Context{
                   Deps.Loop, Deps.Store, Scheduler, Deps.Settings, Rows,
-                  CurrentOwnership, [this] { onCommitted(); },
+                  CurrentOwnership,
+                  [this](const auto &Jobs) { onCommitted(Jobs); },
                   [this] { holdBackUnwritableJobs(); },
                   [this](const char *Reason) { loseOwnership(Reason); }}),
       SharedContext{Deps.Loop, Deps.Transport,
@@ -50,6 +56,9 @@
   };
   SharedContext.MayStartRuns = [this] { return isWorkerListFresh(); };
   SharedContext.OnStateChanged = [this] { scheduleDecision(); };
+  SharedContext.OnOrdersSent = [this](const WorkerSession &Session) {
+    onOrdersSent(Session);
+  };
   SharedContext.OnFenced = [this] { loseOwnership("fenced-by-worker"); };
 }
 
@@ -131,8 +140,12 @@
     }
     onWorkerChanges(Changes);
   });
-  for (const auto &[Id, Entry] : Scheduler.workers())
+  std::set<std::string> Workers;
+  for (const auto &[Id, Entry] : Scheduler.workers()) {
     sessionFor(Id);
+    Workers.insert(Id);
+  }
+  sendOrders(Workers);
 }
 
 auto ShardOwner::onCancelRow(const std::string &Job, const store::Row &Changed)
@@ -238,21 +251,30 @@
 }
 
 auto ShardOwner::scheduleDecision() -> void {
-  if (OwnershipLost || Recovering || DecisionDue)
+  if (OwnershipLost || Recovering || DecisionDue || !Scheduler.needsPass())
     return;
   DecisionDue = true;
-  DecisionTimer = Deps.Loop.after(DecisionDelay, [this] { decide(); });
+  const auto Pause =
+      std::chrono::ceil<Milliseconds>(NextDecision - Clock::now());
+  DecisionTimer =
+      Deps.Loop.after(std::max(DecisionDelay, Pause), [this] { decide(); });
 }
 
 auto ShardOwner::decide() -> void {
   DecisionDue = false;
   if (OwnershipLost)
     return;
-  Scheduler.schedule(Clock::now());
+  const auto Begin = Clock::now();
+  Scheduler.schedule(Begin);
   logDecisions();
-  sendDueOrders();
-  if (!OwnershipLost)
-    Journal.flush();
+  const auto End = Clock::now();
+  NextDecision = End + (End - Begin) * DecisionPauseFactor;
+  // Orders may change the scheduler's state again, which needs another pass.
+  sendOrders(Scheduler.takeChangedWorkers());
+  if (OwnershipLost)
+    return;
+  Journal.flush();
+  scheduleDecision();
 }
 
 auto ShardOwner::logDecisions() -> void {
@@ -273,9 +295,8 @@
               {"percent", std::to_string(Stop.ProgressPercent)}});
 }
 
-auto ShardOwner::onCommitted() -> void {
-  removeObsoleteWaitingRows();
-  sendDueOrders();
+auto ShardOwner::onCommitted(const std::vector<std::string> &Jobs) -> void {
+  sendOrders(Schedule.takeAwaiting(Jobs));
 }
 
 auto ShardOwner::removeObsoleteWaitingRows() -> void {
@@ -291,15 +312,44 @@
   });
 }
 
+auto ShardOwner::sendOrders(const std::set<std::string> &Workers) -> void {
+  for (const auto &Worker : Workers) {
+    const auto Found = Sessions.find(Worker);
+    if (Found == Sessions.end() || OwnershipLost)
+      continue;
+    // Keeps the session while it sends orders.
+    const auto Session = Found->second;
+    Session->sendDueOrders();
+    if (!Session->isIdle())
+      continue;
+    Schedule.remove(Worker);
+    Sessions.erase(Worker);
+  }
+}
+
 auto ShardOwner::sendDueOrders() -> void {
-  std::vector<std::shared_ptr<WorkerSession>> All;
-  for (auto &[Id, Session] : Sessions)
-    All.push_back(Session);
-  for (auto &Session : All)
-    if (!OwnershipLost)
-      Session->sendDueOrders();
-  std::erase_if(Sessions,
-                [](const auto &Item) { return Item.second->isIdle(); });
+  const auto Due = Schedule.takeDue(Clock::now() + OrderBatchInterval);
+  sendOrders({Due.begin(), Due.end()});
+}
+
+auto ShardOwner::onOrdersSent(const WorkerSession &Session) -> void {
+  const auto &Worker = Session.worker();
+  const auto Due = Session.nextDue();
+  if (Due == TimePoint::max())
+    Schedule.remove(Worker);
+  else
+    Schedule.setDue(Worker, Due);
+  for (const auto &Job : Session.awaitedJobs())
+    Schedule.awaitCommit(Worker, Job);
+  const auto Earliest = Schedule.earliestDue();
+  if (Earliest >= OrderTimerDue)
+    return;
+  OrderTimerDue = Earliest;
+  const auto Delay = std::chrono::ceil<Milliseconds>(Earliest - Clock::now());
+  OrderTimer = Deps.Loop.after(std::max(Delay, OrderBatchInterval), [this] {
+    OrderTimerDue = TimePoint::max();
+    sendDueOrders();
+  });
 }
 
 auto ShardOwner::isWorkerListFresh() const -> bool {
@@ -326,7 +376,7 @@
   removeObsoleteWaitingRows();
   if (suspendAwareNow() - Heartbeat->lastConfirmedAt() > MaxHeartbeatAge)
     Journal.confirmClaims();
-  if (!Recovering)
+  if (!Recovering && Clock::now() >= NextDecision)
     decide();
   TickTimer = Deps.Loop.after(TickInterval, [this] { tick(); });
 }
--- a/Source/Shard/ShardOwner.h
+++ b/Source/Shard/ShardOwner.h
@@ -6,6 +6,7 @@
 #include "Shard/Ownership.h"
 #include "Shard/ProgressJournal.h"
 #include "Shard/RowCleaner.h"
+#include "Shard/SessionSchedule.h"
 #include "Shard/ShardRows.h"
 #include "Shard/WorkerRegistry.h"
 #include "Shard/WorkerSession.h"
@@ -57,14 +58,18 @@
   auto onCancelRow(const std::string &Job, const store::Row &Changed) -> void;
   auto finishRecovery() -> void;
   auto addJob(const scheduling::JobSpec &Spec) -> void;
-  auto onCommitted() -> void;
+  auto onCommitted(const std::vector<std::string> &Jobs) -> void;
   auto onWorkerChanges(const std::vector<WorkerChange> &Changes) -> void;
   auto onWorkerChange(const WorkerChange &Change) -> void;
   auto sessionFor(const std::string &Worker) -> WorkerSession &;
+  /// Makes a decision soon if the scheduler needs one.
   auto scheduleDecision() -> void;
   auto decide() -> void;
   auto logDecisions() -> void;
+  /// Lets the sessions of \p Workers send their orders.
+  auto sendOrders(const std::set<std::string> &Workers) -> void;
   auto sendDueOrders() -> void;
+  auto onOrdersSent(const WorkerSession &Session) -> void;
   /// Returns true if the list of workers is recent enough to start runs: an old
   /// list may lack a worker's drain notice.
   auto isWorkerListFresh() const -> bool;
@@ -98,17 +103,21 @@
   std::unique_ptr<store::TableFollower> JobFollower;
   ProgressJournal::RecoveredRows RecoveredProgress;
   std::map<std::string, std::shared_ptr<WorkerSession>> Sessions;
+  SessionSchedule Schedule;
   WorkerSession::Context SharedContext;
   TimePoint OwnershipTakenAt;
   bool WorkerListWasFresh = true;
   bool Recovering = true;
   bool DecisionDue = false;
+  TimePoint NextDecision; ///< No decision is made before this time.
   bool OwnershipLost = false;
   /// Copied into callbacks; the destructor sets it to false, so that later
   /// callbacks have no effect.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   net::EventLoop::TimerHandle TickTimer;
   net::EventLoop::TimerHandle DecisionTimer;
+  net::EventLoop::TimerHandle OrderTimer;
+  TimePoint OrderTimerDue = TimePoint::max();
 };
 
 } // namespace jayramp::shard
--- a/Source/Shard/WorkerSession.cpp
+++ b/Source/Shard/WorkerSession.cpp
@@ -25,6 +25,10 @@
 /// The runs of a draining worker that leaves the registry are dropped at once
 /// if the worker has answered within this time.
 constexpr Milliseconds RecentContactAge{3000};
+/// Interval at which an order that must not be sent yet is tried again, and at
+/// least which a session with runs is visited.
+constexpr Milliseconds BlockedOrderInterval{50};
+constexpr Milliseconds MaxVisitInterval{1000};
 
 } // namespace
 
@@ -35,7 +39,8 @@
   RunsKnown = !PredecessorLeasesExpireAt;
   if (const auto *Entry = SharedContext.Scheduler.worker(this->Worker)) {
     Incarnation = Entry->Report.Incarnation;
-    RecoveredRuns = Entry->Runs;
+    for (const auto &[Id, LiveRun] : Entry->Runs)
+      RecoveredRuns.insert(Id);
   }
   // The runs on the worker are known only after the first renewal.
   if (!RunsKnown)
@@ -88,8 +93,51 @@
     if (ActiveRun && State != OrdersByRun.end() && !Closed)
       sendRunOrder(*ActiveRun, State->second);
   }
-  if (!Closed)
-    renewIfDue();
+  if (Closed)
+    return;
+  renewIfDue();
+  SharedContext.OnOrdersSent(*this);
+}
+
+auto WorkerSession::nextDue() const -> TimePoint {
+  auto Due = nextRenewal();
+  for (const auto &[Id, State] : OrdersByRun) {
+    const auto *ActiveRun = SharedContext.Scheduler.run(Id);
+    if (!ActiveRun)
+      continue;
+    if (ActiveRun->Phase == RunPhase::Assigned && !State.StartInFlight &&
+        SharedContext.Journal.isDurable(State.Assignment))
+      Due = std::min(Due,
+                     std::max(State.NextStart, now() + BlockedOrderInterval));
+    if (ActiveRun->Phase == RunPhase::Stopping && !State.StopInFlight &&
+        !State.EndedIfUnlistedAfter)
+      Due = std::min(Due, State.NextStop);
+  }
+  return OrdersByRun.empty() ? Due : std::min(Due, now() + MaxVisitInterval);
+}
+
+auto WorkerSession::nextRenewal() const -> TimePoint {
+  if (RenewInFlight || Address.empty())
+    return TimePoint::max();
+  if (!PendingEnds.empty())
+    return std::max(NextRenew, LastContact + UncommittedEndsRenewInterval);
+  const auto *Entry = SharedContext.Scheduler.worker(Worker);
+  const bool MustProbe = Entry && Entry->Registered && !Entry->Reachable;
+  if (OrdersByRun.empty() && RunsKnown && !MustProbe &&
+      LastDurableEnd <= LastAcknowledgedEnd)
+    return TimePoint::max();
+  return NextRenew;
+}
+
+auto WorkerSession::awaitedJobs() const -> std::set<std::string> {
+  std::set<std::string> Jobs;
+  for (const auto &[Id, State] : OrdersByRun)
+    if (!SharedContext.Journal.isDurable(State.Assignment))
+      Jobs.insert(State.Assignment.Job);
+  for (const auto &End : PendingEnds)
+    if (!SharedContext.Journal.isDurable(End.Change))
+      Jobs.insert(End.Change.Job);
+  return Jobs;
 }
 
 auto WorkerSession::syncOrders() -> void {
@@ -99,7 +147,7 @@
   });
   if (!Entry)
     return;
-  for (const auto &Id : Entry->Runs) {
+  for (const auto &[Id, LiveRun] : Entry->Runs) {
     if (OrdersByRun.contains(Id))
       continue;
     RunOrders State;
@@ -356,7 +404,7 @@
   RemoteClock.update(Reply.WorkerClockMs);
   recordEnds(Reply.Ended);
   recordRunning(Reply.Running);
-  dropUnlistedRuns(SentAt, Reply);
+  handleUnlistedRuns(SentAt, Reply);
   RunsKnown = true;
   NextRenew = now() - SentAt < MinRenewInterval && Reply.Ended.empty()
                   ? now() + MinRenewInterval
@@ -400,18 +448,26 @@
   }
 }
 
-auto WorkerSession::dropUnlistedRuns(TimePoint SentAt, const RenewReply &Reply)
-    -> void {
+auto WorkerSession::handleUnlistedRuns(TimePoint SentAt,
+                                       const RenewReply &Reply) -> void {
   if (Reply.Ended.size() >= TruncatedListingSize)
     return;
   std::set<RunId> Listed;
   for (const auto &Each : Reply.Running)
     Listed.insert(Each.Run);
   std::vector<RunId> EndedRuns;
-  for (const auto &[Id, State] : OrdersByRun)
+  for (const auto &[Id, State] : OrdersByRun) {
+    if (Listed.contains(Id))
+      continue;
     if (State.EndedIfUnlistedAfter && *State.EndedIfUnlistedAfter <= SentAt &&
-        !State.StartInFlight && !Listed.contains(Id))
+        !State.StartInFlight) {
       EndedRuns.push_back(Id);
+      continue;
+    }
+    const auto *ActiveRun = SharedContext.Scheduler.run(Id);
+    if (ActiveRun && ActiveRun->StartedAt <= SentAt)
+      SharedContext.Scheduler.runUnlisted(Id, now());
+  }
   for (const auto &Id : EndedRuns)
     SharedContext.Scheduler.runLost(Id, now());
 }
--- a/Source/Shard/WorkerSession.h
+++ b/Source/Shard/WorkerSession.h
@@ -36,6 +36,8 @@
     std::function<bool()> MayStartRuns;
     /// Called when the session has changed the scheduler's state.
     std::function<void()> OnStateChanged;
+    /// Called after the session has sent the orders that were due.
+    std::function<void(const WorkerSession &)> OnOrdersSent;
     /// Called when the worker has seen a higher fencing token.
     std::function<void()> OnFenced;
   };
@@ -50,13 +52,19 @@
   auto onReport(std::int64_t ClockMs) -> void;
   /// Handles the removal of the worker from the registry.
   auto onUnregistered(bool WasDraining) -> void;
-  /// Sends the orders that are due. Call after scheduling decisions and journal
-  /// commits, and at each tick.
+  /// Sends the orders that are due. Call when the scheduler has changed the
+  /// worker's runs, when a job in awaitedJobs() is committed, and at nextDue().
   auto sendDueOrders() -> void;
   /// Ends the session; pending callbacks have no effect afterwards.
   auto close() -> void { Closed = true; }
+  auto worker() const -> const std::string & { return Worker; }
   /// Returns true if the worker is unregistered and has no runs.
   auto isIdle() const -> bool;
+  /// Returns when the next orders are due, apart from those that wait for a
+  /// reply, a commit or a decision.
+  auto nextDue() const -> TimePoint;
+  /// Returns the ids of the jobs whose commit permits further orders.
+  auto awaitedJobs() const -> std::set<std::string>;
 
 private:
   /// State of the orders for one run.
@@ -96,13 +104,17 @@
   auto onStopReply(const scheduling::RunId &Id, const OrderReply &Reply)
       -> void;
   auto renewIfDue() -> void;
+  /// Returns when a renewal is due; the latest possible time if none is needed.
+  auto nextRenewal() const -> TimePoint;
   /// Returns how long the worker may delay the reply to the next renewal.
   auto renewWait() const -> Milliseconds;
   auto sendRenewal(Milliseconds Wait) -> void;
   auto onRenewReply(TimePoint SentAt, const RenewReply &Reply) -> void;
   auto recordEnds(const std::vector<ReportedEnd> &Ended) -> void;
   auto recordRunning(const std::vector<ReportedRun> &Running) -> void;
-  auto dropUnlistedRuns(TimePoint SentAt, const RenewReply &Reply) -> void;
+  /// Handles the runs that the reply to a renewal sent at \p SentAt should
+  /// list but does not.
+  auto handleUnlistedRuns(TimePoint SentAt, const RenewReply &Reply) -> void;
   auto onNewIncarnation(const RenewReply &Reply) -> void;
   auto switchIncarnation(std::int64_t Started) -> void;
   auto onRenewFailure() -> void;
--- a/Tests/Shard/ShardSchedulerTest.cpp
+++ b/Tests/Shard/ShardSchedulerTest.cpp
@@ -60,12 +60,39 @@
   Scheduler.schedule(at(0));
   confirmStarts(0);
   Scheduler.runProgressed({"task", 0, 0, 1}, 10, {}, at(100));
+  Scheduler.runProgressed({"task", 0, 0, 1}, 10, {}, at(6000));
   Scheduler.schedule(at(6000));
   const auto Stops = Scheduler.takeStopDecisions();
   ASSERT_EQ(Stops.size(), 1U);
   EXPECT_EQ(Stops[0].Reason, StopReason::Stalled);
 }
 
+// Guards against restarting the task of a worker whose reports are only late,
+// for example because this host handles them late.
+TEST_F(ShardSchedulerTest, keepsATaskWhoseWorkerHasNotReported) {
+  addWorkers(1, 2);
+  addJob("task", {1, 1, 8});
+  Scheduler.schedule(at(0));
+  confirmStarts(0);
+  Scheduler.runProgressed({"task", 0, 0, 1}, 10, {}, at(100));
+  Scheduler.schedule(at(6000));
+  Scheduler.runProgressed({"task", 0, 0, 1}, 90, {}, at(6000));
+  Scheduler.schedule(at(6001));
+  EXPECT_TRUE(Scheduler.takeStopDecisions().empty());
+}
+
+// Guards against a task that never ends because its worker has lost it.
+TEST_F(ShardSchedulerTest, stopsATaskThatItsWorkerNoLongerLists) {
+  addWorkers(1, 2);
+  addJob("task", {1, 1, 8});
+  Scheduler.schedule(at(0));
+  confirmStarts(0);
+  Scheduler.runUnlisted({"task", 0, 0, 1}, at(1000));
+  EXPECT_TRUE(Scheduler.takeStopDecisions().empty());
+  Scheduler.runUnlisted({"task", 0, 0, 1}, at(3000));
+  EXPECT_EQ(Scheduler.takeStopDecisions().size(), 1U);
+}
+
 // Guards against less urgent jobs that fill all workers during a burst of
 // urgent jobs, so that each urgent job has to preempt some of them first.
 TEST_F(ShardSchedulerTest, reservesAcceleratorsForUrgentJobsDuringABurst) {
@@ -206,6 +233,7 @@
   Scheduler.schedule(at(0));
   confirmStarts(0);
   const auto StalledRun = runsOf("task").at(0);
+  Scheduler.runProgressed(StalledRun.Id, 0, {}, at(3000));
   Scheduler.schedule(at(3000));
   Scheduler.runEnded(StalledRun.Id, RunOutcome::Stopped, {}, at(3300));
   Scheduler.schedule(at(3300));
