Make fewer calls to the store on large deployments

Every host read each heartbeat of the owner, and the owner wrote up to 260 times a second, each time with the whole progress rows of jobs of dozens of tasks.

Change: hosts publish their CPU share and rank themselves for each shard; the first six follow the owner closely as before, the others read its heartbeats every 600 ms and take over 500 ms later.

--- a/Source/Relay/PeerDirectory.cpp
+++ b/Source/Relay/PeerDirectory.cpp
@@ -3,6 +3,12 @@
 #include "Base/EventLog.h"
 #include "Relay/HostTable.h"
 
+#include <algorithm>
+#include <cstdlib>
+#include <functional>
+#include <tuple>
+#include <utility>
+
 namespace jayramp::relay {
 
 namespace {
@@ -16,9 +22,9 @@
 
 PeerDirectory::PeerDirectory(net::EventLoop &Loop, store::RowStore &Store,
                              RelayPolicy &Policy, std::string Host,
-                             std::string Address)
+                             std::string Address, double CpuShare)
     : Loop(Loop), Store(Store), Policy(Policy), Host(std::move(Host)),
-      Address(std::move(Address)) {}
+      Address(std::move(Address)), CpuShare(CpuShare) {}
 
 PeerDirectory::~PeerDirectory() { *Alive = false; }
 
@@ -28,7 +34,7 @@
       Loop, Store, HostTable, std::vector<std::string>{""}, HostFollowerTiming,
       store::TableFollower::Observer{
           [this](const std::vector<store::Row> &Snapshot) {
-            AddressByHost.clear();
+            PeersByHost.clear();
             applyRows(Snapshot);
           },
           [this](const std::vector<store::Row> &Changed) {
@@ -48,13 +54,36 @@
 }
 
 auto PeerDirectory::addressOf(const std::string &Name) const -> std::string {
-  const auto Found = AddressByHost.find(Name);
-  return Found == AddressByHost.end() ? std::string() : Found->second;
+  const auto Found = PeersByHost.find(Name);
+  return Found == PeersByHost.end() ? std::string() : Found->second.Address;
+}
+
+auto PeerDirectory::rankForShard(const std::string &Shard) const
+    -> std::size_t {
+  // Larger keys come first.
+  const auto KeyOf = [&](const std::string &Name, double Share) {
+    return std::tuple(Share, std::hash<std::string>{}(Name + Shard), Name);
+  };
+  const auto Own = KeyOf(Host, CpuShare);
+  return static_cast<std::size_t>(std::count_if(
+      PeersByHost.begin(), PeersByHost.end(), [&](const auto &Item) {
+        return Item.first != Host &&
+               KeyOf(Item.first, Item.second.CpuShare) > Own;
+      }));
+}
+
+auto PeerDirectory::parsePeer(const std::string &Value) -> Peer {
+  const auto Space = Value.find(' ');
+  if (Space == std::string::npos)
+    return {Value, 0};
+  return {Value.substr(0, Space),
+          std::strtod(Value.c_str() + Space + 1, nullptr)};
 }
 
 auto PeerDirectory::registerHost() -> void {
   store::RowTransaction Change;
-  Change.Writes.push_back({{HostTable, {}, Host}, Address});
+  Change.Writes.push_back(
+      {{HostTable, {}, Host}, Address + " " + std::to_string(CpuShare)});
   Store.transact(
       Change, WriteTimeout,
       [this, Alive = Alive](const store::TransactionOutcome &Outcome) {
@@ -73,13 +102,13 @@
     if (Row.Deleted && Row.Key.Key == Host && !Unregistered)
       registerHost();
     if (Row.Deleted)
-      AddressByHost.erase(Row.Key.Key);
+      PeersByHost.erase(Row.Key.Key);
     else
-      AddressByHost[Row.Key.Key] = Row.Value;
+      PeersByHost[Row.Key.Key] = parsePeer(Row.Value);
   }
   std::vector<std::string> Addresses;
-  for (const auto &[Name, HostAddress] : AddressByHost)
-    Addresses.push_back(HostAddress);
+  for (const auto &[Name, Each] : PeersByHost)
+    Addresses.push_back(Each.Address);
   Policy.setHosts(std::move(Addresses));
 }
 
--- a/Source/Relay/PeerDirectory.h
+++ b/Source/Relay/PeerDirectory.h
@@ -5,6 +5,7 @@
 #include "Store/RowStore.h"
 #include "Store/TableFollower.h"
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <string>
@@ -16,7 +17,8 @@
 class PeerDirectory {
 public:
   PeerDirectory(net::EventLoop &Loop, store::RowStore &Store,
-                RelayPolicy &Policy, std::string Host, std::string Address);
+                RelayPolicy &Policy, std::string Host, std::string Address,
+                double CpuShare);
   ~PeerDirectory();
   PeerDirectory(const PeerDirectory &) = delete;
   auto operator=(const PeerDirectory &) -> PeerDirectory & = delete;
@@ -28,8 +30,18 @@
   /// Returns the internal address ("ip:port") of the host called \p Name, or an
   /// empty string if the host is unknown.
   auto addressOf(const std::string &Name) const -> std::string;
+  /// Returns how many of the known hosts are better suited than this one to own
+  /// \p Shard: those with a larger CPU share and, among equal ones, those that
+  /// a hash of host and shard puts first.
+  auto rankForShard(const std::string &Shard) const -> std::size_t;
 
 private:
+  struct Peer {
+    std::string Address;
+    double CpuShare = 0; ///< 0 if unknown.
+  };
+
+  static auto parsePeer(const std::string &Value) -> Peer;
   auto registerHost() -> void;
   auto applyRows(const std::vector<store::Row> &Rows) -> void;
 
@@ -38,7 +50,8 @@
   RelayPolicy &Policy;
   std::string Host;
   std::string Address;
-  std::map<std::string, std::string> AddressByHost;
+  double CpuShare;
+  std::map<std::string, Peer> PeersByHost;
   std::unique_ptr<store::TableFollower> Follower;
   bool Unregistered = false;
   /// Copied into callbacks; the destructor sets it to false, so that later
--- a/Source/Shard/JournalPartition.cpp
+++ b/Source/Shard/JournalPartition.cpp
@@ -16,6 +16,10 @@
 /// If the last successful write is older than this, confirmClaim() sends a
 /// write whose only purpose is to confirm the claim.
 constexpr Milliseconds ConfirmationInterval{1000};
+/// Shortest interval between the starts of two writes that contain no job of
+/// the most urgent priority. A task changes its job's row at its start and end,
+/// and each write contains the whole rows.
+constexpr Milliseconds BatchInterval{60};
 
 } // namespace
 
@@ -126,6 +130,8 @@
     -> void {
   auto &Row = JobRows[Job];
   Row.LatestChange = Change;
+  const auto *Entry = SharedContext.Scheduler.job(Job);
+  UrgentQueued = UrgentQueued || (Entry && Entry->Spec.Priority == 0);
   if (!std::exchange(Row.Queued, true))
     Queue.push_back(Job);
 }
@@ -155,6 +161,7 @@
 auto JournalPartition::close() -> void {
   Closed = true;
   Retry.reset();
+  BatchTimer.reset();
 }
 
 auto JournalPartition::latestChange(const std::string &Job) const
@@ -177,18 +184,39 @@
 }
 
 auto JournalPartition::flush() -> void {
-  if (WriteInProgress || Closed || !Claimed || OpenDone || !prepareWrite())
+  if (WriteInProgress || Closed || !Claimed || OpenDone ||
+      shouldWaitForMore() || !prepareWrite())
     return;
   WriteInProgress = true;
   send();
 }
 
+auto JournalPartition::shouldWaitForMore() -> bool {
+  if (Queue.empty() || UrgentQueued || ConfirmationDue ||
+      Queue.size() >= MaxJobsPerWrite)
+    return false;
+  const auto Delay = std::chrono::ceil<Milliseconds>(
+      WriteStartedAt + BatchInterval - Clock::now());
+  if (Delay <= Milliseconds(0))
+    return false;
+  if (!BatchTimer)
+    BatchTimer = SharedContext.Loop.after(Delay, [this] {
+      BatchTimer.reset();
+      flush();
+    });
+  return true;
+}
+
 auto JournalPartition::prepareWrite() -> bool {
   if (Queue.empty() && Removals.empty() && !ConfirmationDue)
     return false;
   InFlightWrite = {};
   InFlightJobs.clear();
   InFlightMayBeApplied = false;
+  if (!Queue.empty())
+    WriteStartedAt = Clock::now();
+  if (Queue.size() <= MaxJobsPerWrite)
+    UrgentQueued = false;
   InFlightWrite.Conditions.push_back(
       {SharedContext.Rows.claimKey(Name), ClaimVersion});
   while (!Queue.empty() && InFlightJobs.size() < MaxJobsPerWrite) {
--- a/Source/Shard/JournalPartition.h
+++ b/Source/Shard/JournalPartition.h
@@ -53,7 +53,9 @@
   auto releaseUnwrittenJobs() -> std::vector<std::string>;
   /// Removes the job's row with one of the next writes.
   auto removeRow(const std::string &Job) -> void;
-  /// Sends a write if changes are queued and no write is in flight.
+  /// Sends a write if changes are queued and no write is in flight. Changes of
+  /// less urgent jobs may wait for a short time, so that writes contain more of
+  /// them.
   auto flush() -> void;
   /// Sends a write that confirms the claim if none has done so recently.
   auto confirmClaim() -> void;
@@ -89,6 +91,8 @@
   auto onClaim(const store::StoreNoAnswer &Outcome) -> void;
   auto retryClaim(unsigned Weight, const std::string &Reason) -> void;
   auto readRows(std::string From) -> void;
+  /// Returns whether the queued changes should wait for further ones.
+  auto shouldWaitForMore() -> bool;
   auto prepareWrite() -> bool;
   auto send() -> void;
   auto onOutcome(const store::TransactionCommitted &Outcome) -> void;
@@ -114,6 +118,7 @@
   store::RowTransaction InFlightWrite;
   std::vector<std::string> InFlightJobs;
   bool InFlightMayBeApplied = false; ///< An attempt to send it timed out.
+  bool UrgentQueued = false;         ///< The queue contains a most urgent job.
   bool ConfirmationDue = false;
   bool WriteInProgress = false;
   bool Closed = false;
@@ -121,7 +126,9 @@
   std::uint64_t Confirmations = 0;
   Milliseconds SentAt{0};
   Milliseconds LastConfirmedAt{0};
+  TimePoint WriteStartedAt; ///< Of the last write that contained jobs.
   net::EventLoop::TimerHandle Retry;
+  net::EventLoop::TimerHandle BatchTimer;
 };
 
 } // namespace jayramp::shard
--- a/Source/Shard/OwnerElection.cpp
+++ b/Source/Shard/OwnerElection.cpp
@@ -22,8 +22,19 @@
 /// Maximum age of the owner's counts of waiting jobs; older counts are not
 /// used.
 constexpr Milliseconds MaxWaitingCountAge{1000};
+/// Number of hosts that follow the owner's heartbeats closely. The others read
+/// them less often, so that the calls to the store hardly grow with the number
+/// of hosts, and take over only if these do not.
+constexpr std::size_t NearCandidates = 6;
+constexpr Milliseconds RankCheckInterval{1000};
+constexpr Milliseconds NearPause{200};
+/// With the interval of the heartbeats, below MaxWaitingCountAge.
+constexpr Milliseconds FarPause{600};
+/// Exceeds the difference of the pauses, so that a late read of a heartbeat
+/// does not look like a silent owner.
+constexpr Milliseconds FarTakeoverDelay{500};
 constexpr store::FollowerTiming OwnerFollowerTiming{
-    Milliseconds{1000}, Milliseconds{200}, Milliseconds{150}};
+    Milliseconds{1000}, NearPause, Milliseconds{150}};
 
 } // namespace
 
@@ -149,6 +160,7 @@
 
 auto OwnerElection::tick() -> void {
   TickTimer = Loop.after(TickInterval, [this] { tick(); });
+  adaptToRank();
   if (!OwnerRowsRead || AttemptInProgress || IsOwner || Resigned)
     return;
   if (Owner && isThisProcess(*Owner) && !Owner->Released &&
@@ -165,6 +177,21 @@
     attemptTakeover();
 }
 
+auto OwnerElection::adaptToRank() -> void {
+  if (Clock::now() < NextRankCheck)
+    return;
+  NextRankCheck = Clock::now() + RankCheckInterval;
+  const bool IsNear = !Self.ReadRank || Self.ReadRank() < NearCandidates;
+  if (IsNear == IsNearCandidate)
+    return;
+  IsNearCandidate = IsNear;
+  Follower->setPauseAfterChanges(IsNear ? NearPause : FarPause);
+}
+
+auto OwnerElection::takeoverDelay() const -> Milliseconds {
+  return IsNearCandidate ? Self.Delay : Self.Delay + FarTakeoverDelay;
+}
+
 auto OwnerElection::releaseOwnershipOfEarlierProcess() -> void {
   // An earlier process of this host owned the shard. Other hosts cannot know
   // that it has ended.
@@ -188,9 +215,9 @@
   if (Now < NextAttempt)
     return false;
   if (isVacant())
-    return Now - LastOwnerActivity >= Self.Delay;
+    return Now - LastOwnerActivity >= takeoverDelay();
   return !FeedInterrupted &&
-         Now - LastOwnerActivity >= takeoverTimeout() + Self.Delay;
+         Now - LastOwnerActivity >= takeoverTimeout() + takeoverDelay();
 }
 
 auto OwnerElection::takeoverTimeout() const -> Milliseconds {
@@ -274,7 +301,7 @@
 }
 
 auto OwnerElection::delayNextAttempt() -> void {
-  NextAttempt = Clock::now() + TakeoverRetryDelay + Self.Delay;
+  NextAttempt = Clock::now() + TakeoverRetryDelay + takeoverDelay();
 }
 
 auto OwnerElection::becomeOwner() -> void {
--- a/Source/Shard/OwnerElection.h
+++ b/Source/Shard/OwnerElection.h
@@ -27,6 +27,9 @@
     std::string Incarnation;  ///< Unique for each start of the process.
     Milliseconds Delay{0};    ///< Added before takeovers to stagger the hosts.
     bool LowCapacity = false; ///< Other hosts have more CPU capacity.
+    /// Returns how many hosts are better suited to own the shard. May be empty,
+    /// which means none.
+    std::function<std::size_t()> ReadRank = nullptr;
   };
 
   OwnerElection(net::EventLoop &Loop, store::RowStore &Store, std::string Shard,
@@ -57,6 +60,10 @@
   /// as a snapshot and may be old.
   auto onRows(const std::vector<store::Row> &Changed, bool IsUpdate) -> void;
   auto tick() -> void;
+  /// Follows the owner's rows as closely as the rank of this host requires.
+  auto adaptToRank() -> void;
+  /// Returns the delay of this host's takeovers.
+  auto takeoverDelay() const -> Milliseconds;
   auto isVacant() const -> bool;
   auto mayTakeOver() const -> bool;
   /// Returns the time without owner activity after which a takeover is allowed.
@@ -101,6 +108,8 @@
   std::deque<TimePoint> OwnerChanges; ///< Recent ones, oldest first.
   bool HeartbeatSeen = false; ///< The current owner has sent a heartbeat.
   TimePoint NextAttempt;
+  TimePoint NextRankCheck;
+  bool IsNearCandidate = true; ///< Among the first to take the shard over.
   bool OwnerRowsRead = false;
   bool FeedInterrupted = false; ///< The change feed does not work at present.
   bool AttemptInProgress = false;
--- a/Source/Store/TableFollower.cpp
+++ b/Source/Store/TableFollower.cpp
@@ -29,6 +29,10 @@
       readPage(Partition, {});
   }
 
+  auto setPauseAfterChanges(Milliseconds Pause) -> void {
+    Timing.PauseAfterChanges = Pause;
+  }
+
   auto stop() -> void {
     Stopped = true;
     DelayTimer.reset();
@@ -165,4 +169,8 @@
 
 auto TableFollower::start() -> void { State->readSnapshot(); }
 
+auto TableFollower::setPauseAfterChanges(Milliseconds Pause) -> void {
+  State->setPauseAfterChanges(Pause);
+}
+
 } // namespace jayramp::store
--- a/Source/Store/TableFollower.h
+++ b/Source/Store/TableFollower.h
@@ -50,6 +50,8 @@
   auto operator=(const TableFollower &) -> TableFollower & = delete;
 
   auto start() -> void;
+  /// Replaces the delay of the calls after changes came.
+  auto setPauseAfterChanges(Milliseconds Pause) -> void;
 
 private:
   class Core;
--- a/Tests/Shard/OwnerElectionTest.cpp
+++ b/Tests/Shard/OwnerElectionTest.cpp
@@ -161,6 +161,21 @@
   EXPECT_FALSE(Two->recentWaitingCount("queue"));
 }
 
+// Guards against a shard without an owner after all of the hosts that follow
+// its heartbeats closely were lost.
+TEST_F(OwnerElectionTest, farCandidateTakesOverIfTheNearOnesDoNot) {
+  Store.put(Rows.ownerKey(), shard::encodeOwner({"lost", "life", 1, false}));
+  auto Far = std::make_unique<OwnerElection>(
+      Loop, Store, "pool", Settings,
+      OwnerElection::Candidate{"far", "far-life", Milliseconds(0), false,
+                               [] { return std::size_t(100); }},
+      [this](const shard::Ownership &) { Winners.push_back("far"); });
+  Far->start();
+  runFor(Settings.TakeoverTimeout * 3);
+  EXPECT_TRUE(Winners.empty());
+  EXPECT_TRUE(runUntil([&] { return !Winners.empty(); }));
+}
+
 // Guards against a host with low capacity that keeps its shard after a restart
 // although a stronger host is available.
 TEST_F(OwnerElectionTest, lowCapacityHostLeavesItsShardToOthersAfterARestart) {
--- a/Tests/Shard/PeerDirectoryTest.cpp
+++ b/Tests/Shard/PeerDirectoryTest.cpp
@@ -9,10 +9,10 @@
 
 class PeerDirectoryTest : public ShardFixture {
 protected:
-  auto startDirectory(const std::string &Host)
+  auto startDirectory(const std::string &Host, double CpuShare = 0.25)
       -> std::unique_ptr<relay::PeerDirectory> {
     auto Directory = std::make_unique<relay::PeerDirectory>(
-        Loop, Store, Policy, Host, Host + ":7000");
+        Loop, Store, Policy, Host, Host + ":7000", CpuShare);
     Directory->start();
     return Directory;
   }
@@ -29,6 +29,21 @@
   EXPECT_EQ(One->addressOf("three"), "");
 }
 
+// Guards against a weak host that is among the first to take a shard over, and
+// against equal hosts that are all first for the same shard.
+TEST_F(PeerDirectoryTest, ranksStrongerHostsFirst) {
+  const auto One = startDirectory("one");
+  const auto Two = startDirectory("two");
+  const auto Strong = startDirectory("strong", 0.5);
+  ASSERT_TRUE(runUntil([&] {
+    return !One->addressOf("strong").empty() &&
+           !Two->addressOf("strong").empty() &&
+           !Strong->addressOf("one").empty() && !One->addressOf("two").empty();
+  }));
+  EXPECT_EQ(Strong->rankForShard("pool"), 0U);
+  EXPECT_EQ(One->rankForShard("pool") + Two->rankForShard("pool"), 3U);
+}
+
 // Guards against a host that stays unknown to its peers because the store was
 // unavailable when the host started.
 TEST_F(PeerDirectoryTest, retriesRegistrationUntilStoreIsAvailable) {
