Collect submissions at the owner's host while the store is slow

An attempt lasts longer, a hedge is sent only if a read shows that the other partitions answer quickly, and a refusal of a slow store is not followed by attempts on all partitions.

--- /dev/null
+++ b/Source/Relay/CollectingStore.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "Relay/RelayTransport.h"
+#include "Store/RowStore.h"
+
+#include <functional>
+#include <string>
+
+namespace jayramp::relay {
+
+/// Sends transactions of a shard through one entry host, the collector, while
+/// the store is slow: the collector combines the transactions of all hosts, of
+/// which a slow store takes only a few a second. Otherwise, and for all other
+/// calls, uses the given store.
+class CollectingStore : public store::RowStore {
+public:
+  /// \p ReadCollector returns the address of the collector for a partition, or
+  /// an empty string if there is none or it is this host.
+  CollectingStore(
+      store::RowStore &Next, RelayTransport &Transport,
+      std::function<std::string(const std::string &Partition)> ReadCollector)
+      : Next(Next), Transport(Transport),
+        ReadCollector(std::move(ReadCollector)) {}
+
+  auto transact(const store::RowTransaction &Change, Milliseconds Timeout,
+                std::function<void(store::TransactionOutcome)> Done)
+      -> void override;
+  auto read(store::RangeQuery Query, Milliseconds Timeout,
+            std::function<void(store::ReadOutcome)> Done) -> void override;
+  auto changes(std::string Table, std::uint64_t After, Milliseconds Wait,
+               std::function<void(store::ChangesOutcome)> Done)
+      -> void override;
+  auto recentLatency() const -> Milliseconds override;
+  auto available() const -> bool override;
+
+private:
+  /// Returns the address of the collector to use now; empty if there is none.
+  auto collectorFor(const store::RowTransaction &Change) const -> std::string;
+
+  store::RowStore &Next;
+  RelayTransport &Transport;
+  std::function<std::string(const std::string &Partition)> ReadCollector;
+  TimePoint CollectorBackoffUntil; ///< After a call without an answer.
+};
+
+} // namespace jayramp::relay
--- a/Source/Relay/PeerDirectory.cpp
+++ b/Source/Relay/PeerDirectory.cpp
@@ -40,7 +40,7 @@
           [this](const std::vector<store::Row> &Changed) {
             applyRows(Changed);
           },
-          [] {}});
+          [](Milliseconds) {}});
   Follower->start();
 }
 
--- a/Source/Shard/JobGateway.cpp
+++ b/Source/Shard/JobGateway.cpp
@@ -10,24 +10,38 @@
 
 namespace {
 
-/// Shortest timeout of one attempt.
-constexpr Milliseconds MinAttemptTimeout{800};
+/// Shortest timeout of one attempt. A partition that does not answer is found
+/// out earlier, by the hedge delay.
+constexpr Milliseconds MinAttemptTimeout{2000};
 /// Attempt timeouts and hedge delays are at least this multiple of the store's
 /// recent latency.
 constexpr int AttemptLatencyFactor = 4;
+/// The same while the store is slow: a write then waits for others in its
+/// partition, and another attempt would only wait behind it.
+constexpr int SlowAttemptLatencyFactor = 10;
 /// An attempt is started only if at least this time remains until the deadline.
 constexpr Milliseconds MinTimeForAttempt{40};
 constexpr Milliseconds RetryDelay{60};
+/// Delay before the next partition is tried while the store is slow: it refuses
+/// calls whose partition has a long queue, and all queues are about as long.
+constexpr Milliseconds SlowRetryDelay{300};
+constexpr Milliseconds ProbeTimeout{400};
 /// Shortest time that one partition has to answer before a second one is tried
 /// in parallel.
 constexpr Milliseconds MinHedgeDelay{500};
 /// Time for which a partition that failed is tried only after the others.
 constexpr Milliseconds FailedPartitionPenalty{2000};
 
+auto isSlow(const store::RowStore &Store) -> bool {
+  return Store.recentLatency() >= store::SlowStoreLatency;
+}
+
 auto attemptTimeout(const store::RowStore &Store, Milliseconds Remaining)
     -> Milliseconds {
+  const auto Factor =
+      isSlow(Store) ? SlowAttemptLatencyFactor : AttemptLatencyFactor;
   const auto Timeout =
-      std::max(MinAttemptTimeout, Store.recentLatency() * AttemptLatencyFactor);
+      std::max(MinAttemptTimeout, Store.recentLatency() * Factor);
   return std::min(Remaining, Timeout);
 }
 
@@ -115,18 +129,40 @@
 }
 
 auto JobGateway::scheduleHedge(const std::shared_ptr<Write> &Call) -> void {
-  if (Call->Pending != 1 || Call->Alternatives.size() < 2)
+  // The partitions of a slow store are all slow, and a second attempt would
+  // only add to their load.
+  if (Call->Pending != 1 || Call->Alternatives.size() < 2 || isSlow(Store))
     return;
   Call->Hedge =
       Loop.after(hedgeDelay(Store), [this, Weak = std::weak_ptr(Call)] {
-        const auto Call = Weak.lock();
-        if (!Call || Call->Finished || Call->Pending != 1)
-          return;
-        Call->Next = (Call->Next + 1) % Call->Alternatives.size();
-        attempt(Call);
+        if (const auto Call = Weak.lock())
+          probeAndHedge(Call);
       });
 }
 
+auto JobGateway::probeAndHedge(const std::shared_ptr<Write> &Call) -> void {
+  // This host may not have noticed yet that the store has become slow. If only
+  // the partition of the pending attempt is slow, the probe is answered
+  // quickly.
+  const auto Next = (Call->Next + 1) % Call->Alternatives.size();
+  const auto &Key = Call->Alternatives[Next].Writes.front().Key;
+  Store.read(singleRowQuery(Key), ProbeTimeout,
+             [this, Call, Next](const store::ReadOutcome &Outcome) {
+               if (Call->Finished || Call->Pending != 1)
+                 return;
+               // Without an answer the store is unavailable to this host. The
+               // next attempt may go through a peer, to the same partition,
+               // which tells whether the pending one was applied.
+               const bool Answered =
+                   std::holds_alternative<store::RowPage>(Outcome);
+               if (Answered && isSlow(Store))
+                 return;
+               if (Answered)
+                 Call->Next = Next;
+               attempt(Call);
+             });
+}
+
 auto JobGateway::onWriteOutcome(const std::shared_ptr<Write> &Call,
                                 std::size_t Alternative,
                                 const store::TransactionOutcome &Outcome)
@@ -167,12 +203,13 @@
 
 auto JobGateway::tryNextPartition(const std::shared_ptr<Write> &Call) -> void {
   Call->Next = (Call->Next + 1) % Call->Alternatives.size();
-  if (++Call->Failed < Call->Alternatives.size()) {
+  if (++Call->Failed < Call->Alternatives.size() && !isSlow(Store)) {
     attempt(Call);
     return;
   }
   Call->Failed = 0;
-  Call->Delay = Loop.after(RetryDelay, [this, Call] { attempt(Call); });
+  Call->Delay = Loop.after(isSlow(Store) ? SlowRetryDelay : RetryDelay,
+                           [this, Call] { attempt(Call); });
 }
 
 auto JobGateway::failedRecently(const std::string &Partition) const -> bool {
--- a/Source/Shard/JobGateway.h
+++ b/Source/Shard/JobGateway.h
@@ -82,6 +82,9 @@
   /// still pending. The first is not abandoned: its partition may only be slow,
   /// and the write would have to be sent again.
   auto scheduleHedge(const std::shared_ptr<Write> &Call) -> void;
+  /// Starts an attempt on the next partition unless a read shows that the whole
+  /// store is slow.
+  auto probeAndHedge(const std::shared_ptr<Write> &Call) -> void;
   auto onWriteOutcome(const std::shared_ptr<Write> &Call,
                       std::size_t Alternative,
                       const store::TransactionOutcome &Outcome) -> void;
--- a/Source/Store/RowStore.h
+++ b/Source/Store/RowStore.h
@@ -11,6 +11,10 @@
 
 namespace jayramp::store {
 
+/// Latency from which the store counts as slow: it then takes fewer
+/// transactions than many hosts send.
+constexpr Milliseconds SlowStoreLatency{100};
+
 /// Identifies a row. Rows of one partition can be changed in one transaction.
 struct RowKey {
   std::string Table;
--- a/Tests/Shard/JobGatewayTest.cpp
+++ b/Tests/Shard/JobGatewayTest.cpp
@@ -118,6 +118,31 @@
   EXPECT_LE(Store.transactionCount(), 2U);
 }
 
+// Guards against submissions that time out, one attempt after another, because
+// a slow store takes longer for each than an attempt may last.
+TEST_F(JobGatewayTest, makesASingleAttemptWhileTheStoreIsSlow) {
+  Store.setTransactionDelay(Milliseconds(1100));
+  Store.setLatency(Milliseconds(200));
+  Gateway.submit(job("a"), Clock::now() + Milliseconds(2500),
+                 [this](CallOutcome Outcome) { LastSubmit = Outcome; });
+  ASSERT_TRUE(runUntil([&] { return LastSubmit.has_value(); }));
+  EXPECT_EQ(LastSubmit, CallOutcome::Done);
+  EXPECT_EQ(Store.transactionCount(), 1U);
+}
+
+// Guards against multiplying the load of a store that has just become slow: the
+// host notices it only by the first answer that takes long.
+TEST_F(JobGatewayTest, makesNoSecondAttemptIfTheStoreTurnsOutToBeSlow) {
+  Store.setTransactionDelay(Milliseconds(1500));
+  Gateway.submit(job("a"), Clock::now() + Milliseconds(2500),
+                 [this](CallOutcome Outcome) { LastSubmit = Outcome; });
+  runFor(Milliseconds(400));
+  Store.setLatency(Milliseconds(300));
+  ASSERT_TRUE(runUntil([&] { return LastSubmit.has_value(); }));
+  EXPECT_EQ(LastSubmit, CallOutcome::Done);
+  EXPECT_EQ(Store.transactionCount(), 1U);
+}
+
 // Guards against reporting NotExecuted while an attempt is pending: the store
 // becomes unavailable and applies the write afterwards.
 TEST_F(JobGatewayTest, doesNotReportFailureWhileAnAttemptIsPending) {
