Judge permissions by the age of the store's answers, also after a pause

Cause: an answer of the store that arrived before a pause of the process made the configuration and the list of workers look current when it was handled after the pause, and requests were handled before the timer that checked their age. So a withdrawn API key, or a draining worker, could have been used.

An exception in a handler ends this call only.

--- a/Source/Shard/SuspendAwareClock.cpp
+++ b/Source/Base/SuspendAwareClock.cpp
@@ -1,8 +1,8 @@
-#include "Shard/SuspendAwareClock.h"
+#include "Base/SuspendAwareClock.h"
 
 #include <ctime>
 
-namespace jayramp::shard {
+namespace jayramp {
 
 auto suspendAwareNow() -> Milliseconds {
   timespec Time{};
@@ -12,4 +12,4 @@
       std::chrono::nanoseconds(Time.tv_nsec));
 }
 
-} // namespace jayramp::shard
+} // namespace jayramp
--- a/Source/Shard/SuspendAwareClock.h
+++ b/Source/Base/SuspendAwareClock.h
@@ -2,10 +2,10 @@
 
 #include "Base/Clock.h"
 
-namespace jayramp::shard {
+namespace jayramp {
 
 /// Returns the time since the host was booted, including the time for which it
 /// was suspended.
 auto suspendAwareNow() -> Milliseconds;
 
-} // namespace jayramp::shard
+} // namespace jayramp
--- a/Source/Net/EventLoop.cpp
+++ b/Source/Net/EventLoop.cpp
@@ -1,10 +1,13 @@
 #include "Net/EventLoop.h"
 
+#include "Base/EventLog.h"
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <exception>
 
 namespace jayramp::net {
 
@@ -52,7 +55,14 @@
 
 auto EventLoop::run() -> void {
   auto Guard = boost::asio::make_work_guard(Context);
-  Context.run();
+  // An exception ends the handler that threw it, not the process and the work
+  // of all other callers.
+  while (!Context.stopped())
+    try {
+      Context.run();
+    } catch (const std::exception &Failure) {
+      logEvent(LogLevel::Error, "handler-failed", {{"error", Failure.what()}});
+    }
 }
 
 auto EventLoop::stop() -> void { Context.stop(); }
--- a/Source/Net/EventLoop.h
+++ b/Source/Net/EventLoop.h
@@ -27,7 +27,8 @@
       -> TimerHandle;
   /// Queues \p Action, which run() calls after the current callback returns.
   auto post(std::function<void()> Action) -> void;
-  /// Processes events until stop() is called.
+  /// Processes events until stop() is called. An exception that a callback
+  /// throws is logged.
   auto run() -> void;
   auto stop() -> void;
 
--- a/Source/Net/HttpServer.cpp
+++ b/Source/Net/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "Net/HttpServer.h"
 
+#include "Base/EventLog.h"
 #include "Net/EventLoop.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -145,10 +146,18 @@
     Request.Body = std::move(Received.body());
     KeepAlive = Received.keep_alive();
     ++Owner->InProgress;
-    Owner->OnRequest(std::move(Request),
-                     [Self = this->shared_from_this()](HttpResponse Response) {
-                       Self->write(std::move(Response));
-                     });
+    const auto Respond = [Self =
+                              this->shared_from_this()](HttpResponse Response) {
+      Self->write(std::move(Response));
+    };
+    try {
+      Owner->OnRequest(std::move(Request), Respond);
+    } catch (const std::exception &Failure) {
+      logEvent(LogLevel::Error, "request-failed", {{"error", Failure.what()}});
+      // The handler may have responded before it threw.
+      if (!Message)
+        Respond({500, {}, "internal error\n"});
+    }
   }
 
   auto write(HttpResponse Response) -> void {
@@ -167,6 +176,7 @@
         [Self = this->shared_from_this()](ErrorCode Failure, std::size_t) {
           --Self->Owner->InProgress;
           Self->Deadline.cancel();
+          Self->Message.reset();
           if (Failure || !Self->KeepAlive)
             Self->close();
           else
--- a/Source/Shard/OwnerElection.cpp
+++ b/Source/Shard/OwnerElection.cpp
@@ -60,7 +60,8 @@
             onRows(All, false);
           },
           [this](std::vector<store::Row> Changed) { onRows(Changed, true); },
-          [this] { onFeedRestored(); }, [this] { FeedInterrupted = true; }});
+          [this](Milliseconds) { onFeedRestored(); },
+          [this] { FeedInterrupted = true; }});
   Follower->start();
   TickTimer = Loop.after(TickInterval, [this] { tick(); });
 }
--- a/Source/Shard/OwnerHeartbeat.cpp
+++ b/Source/Shard/OwnerHeartbeat.cpp
@@ -1,7 +1,7 @@
 #include "Shard/OwnerHeartbeat.h"
 
 #include "Base/EventLog.h"
-#include "Shard/SuspendAwareClock.h"
+#include "Base/SuspendAwareClock.h"
 
 #include <algorithm>
 
--- a/Source/Shard/ShardOwner.cpp
+++ b/Source/Shard/ShardOwner.cpp
@@ -1,7 +1,7 @@
 #include "Shard/ShardOwner.h"
 
 #include "Base/EventLog.h"
-#include "Shard/SuspendAwareClock.h"
+#include "Base/SuspendAwareClock.h"
 
 #include <algorithm>
 #include <set>
@@ -101,7 +101,7 @@
       store::TableFollower::Observer{
           [this](std::vector<store::Row> All) { onJobRows(All); },
           [this](std::vector<store::Row> Changed) { onJobRows(Changed); },
-          [] {}});
+          [](Milliseconds) {}});
   JobFollower->start();
 }
 
@@ -353,7 +353,7 @@
 }
 
 auto ShardOwner::isWorkerListFresh() const -> bool {
-  return Clock::now() - Deps.Registry.completeAsOf() <=
+  return suspendAwareNow() - Deps.Registry.completeAsOf() <=
          Deps.Settings.MaxWorkerListAge;
 }
 
--- a/Source/Shard/WorkerRegistry.h
+++ b/Source/Shard/WorkerRegistry.h
@@ -32,8 +32,9 @@
   /// unsubscribe().
   virtual auto subscribe(Listener Changed) -> void = 0;
   virtual auto unsubscribe() -> void = 0;
-  /// Returns a time such that all changes made before it have been reported.
-  virtual auto completeAsOf() const -> TimePoint = 0;
+  /// Returns a time, on the clock of suspendAwareNow(), such that all changes
+  /// made before it have been reported.
+  virtual auto completeAsOf() const -> Milliseconds = 0;
 };
 
 } // namespace jayramp::shard
--- a/Source/Store/TableFollower.cpp
+++ b/Source/Store/TableFollower.cpp
@@ -1,5 +1,7 @@
 #include "Store/TableFollower.h"
 
+#include "Base/SuspendAwareClock.h"
+
 #include <algorithm>
 #include <optional>
 #include <utility>
@@ -23,7 +25,7 @@
     SnapshotRows.clear();
     SnapshotVersion.reset();
     ++Attempt;
-    SentAt = Clock::now();
+    SentAt = suspendAwareNow();
     PendingPartitions = Partitions.size();
     for (const auto &Partition : Partitions)
       readPage(Partition, {});
@@ -70,8 +72,7 @@
     Callbacks.OnSnapshot(std::exchange(SnapshotRows, {}));
     if (Stopped)
       return;
-    reportComplete(SentAt);
-    Callbacks.OnUpToDate();
+    reportUpToDate(SentAt);
     if (!Stopped)
       readChanges();
   }
@@ -88,18 +89,24 @@
     DelayTimer = Loop.after(Timing.RetryDelay, [this] { readSnapshot(); });
   }
 
-  auto reportComplete(TimePoint AsOf) -> void {
+  auto reportUpToDate(Milliseconds AsOf) -> void {
+    reportComplete(AsOf);
+    if (!Stopped)
+      Callbacks.OnUpToDate(AsOf);
+  }
+
+  auto reportComplete(Milliseconds AsOf) -> void {
     if (Callbacks.OnCompleteAsOf)
       Callbacks.OnCompleteAsOf(AsOf);
   }
 
   auto readChanges() -> void {
-    SentAt = Clock::now();
+    SentAt = suspendAwareNow();
     // After a failed call, the store must answer at once even if nothing
     // has changed: the answer shows that the rows are up to date again.
-    const auto Wait = std::exchange(LastCallFailed, false) ? Milliseconds(0)
-                                                           : Timing.PollTimeout;
-    Store.changes(Table, LastVersion, Wait,
+    CallWait = std::exchange(LastCallFailed, false) ? Milliseconds(0)
+                                                    : Timing.PollTimeout;
+    Store.changes(Table, LastVersion, CallWait,
                   [Self = shared_from_this()](ChangesOutcome Outcome) {
                     if (!Self->Stopped)
                       std::visit([&](auto &Case) { Self->onChanges(Case); },
@@ -114,10 +121,10 @@
       Callbacks.OnChanges(std::move(Page.Rows));
     if (Stopped)
       return;
-    // An answer with rows may be old when it arrives, so it is complete only as
-    // of the time when the call was sent.
-    reportComplete(Changed ? SentAt : Clock::now());
-    Callbacks.OnUpToDate();
+    // The answer may be old when it is handled, for example after a pause of
+    // this process. One without rows was made after the whole wait.
+    reportUpToDate(Changed ? SentAt
+                           : std::min(suspendAwareNow(), SentAt + CallWait));
     if (Stopped)
       return;
     if (Changed && Timing.PauseAfterChanges.count() > 0)
@@ -128,7 +135,7 @@
   }
   auto onChanges(ChangeHistoryLost &) -> void { readSnapshot(); }
   auto onChanges(StoreRefusal &) -> void {
-    reportComplete(Clock::now());
+    reportComplete(suspendAwareNow());
     retryChanges();
   }
   auto onChanges(StoreNoAnswer &) -> void { retryChanges(); }
@@ -151,7 +158,9 @@
   /// ignored.
   unsigned Attempt = 0;
   std::uint64_t LastVersion = 0;
-  TimePoint SentAt; ///< When the last call or the snapshot was started.
+  /// When the last call or the snapshot was started, by suspendAwareNow().
+  Milliseconds SentAt{0};
+  Milliseconds CallWait{0}; ///< Longest wait of the last call for a change.
   net::EventLoop::TimerHandle DelayTimer;
   bool LastCallFailed = false;
   bool Stopped = false;
--- a/Source/Store/TableFollower.h
+++ b/Source/Store/TableFollower.h
@@ -30,15 +30,16 @@
     std::function<void(std::vector<Row>)> OnSnapshot;
     /// Receives changed rows in order; deleted rows are marked.
     std::function<void(std::vector<Row>)> OnChanges;
-    /// The store has answered: the rows reported so far are up to date.
-    std::function<void()> OnUpToDate;
+    /// The store has answered: the rows reported so far include every change
+    /// that was committed before \p AsOf, on the clock of suspendAwareNow().
+    /// AsOf is older than the call if the answer was handled late.
+    std::function<void(Milliseconds AsOf)> OnUpToDate;
     /// A call failed: the rows reported so far may be outdated. May be empty.
     std::function<void()> OnCallFailed = nullptr;
-    /// The rows reported so far include every change that was committed before
-    /// \p AsOf. Also called when the store refuses a call, since a store that
-    /// is down commits nothing; this is wrong if the store refuses only this
-    /// host. May be empty.
-    std::function<void(TimePoint AsOf)> OnCompleteAsOf = nullptr;
+    /// Like OnUpToDate, but also called when the store refuses a call, since a
+    /// store that is down commits nothing; this is wrong if the store refuses
+    /// only this host. May be empty.
+    std::function<void(Milliseconds AsOf)> OnCompleteAsOf = nullptr;
   };
 
   TableFollower(net::EventLoop &Loop, RowStore &Store, std::string Table,
--- a/Tests/Shard/RelayingStoreTest.cpp
+++ b/Tests/Shard/RelayingStoreTest.cpp
@@ -109,7 +109,7 @@
           [&](std::vector<store::Row> Changed) {
             Received = std::move(Changed);
           },
-          [] {}});
+          [](Milliseconds) {}});
   Follower.start();
   runFor(Milliseconds(50));
   Store.put({"table", "part", "key"}, "value");
--- a/Tests/Shard/ShardFixture.h
+++ b/Tests/Shard/ShardFixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/SuspendAwareClock.h"
 #include "FakeRowStore.h"
 #include "FakeWorkers.h"
 #include "Shard/JobGateway.h"
@@ -22,12 +23,12 @@
     OnChange(Workers, true);
   }
   auto unsubscribe() -> void override { OnChange = nullptr; }
-  auto completeAsOf() const -> TimePoint override {
-    return FrozenAt.value_or(Clock::now());
+  auto completeAsOf() const -> Milliseconds override {
+    return FrozenAt.value_or(suspendAwareNow());
   }
   /// Stops completeAsOf() at the present time, so that the list of workers
   /// ages.
-  auto freeze() -> void { FrozenAt = Clock::now(); }
+  auto freeze() -> void { FrozenAt = suspendAwareNow(); }
   auto unfreeze() -> void { FrozenAt.reset(); }
 
   auto add(const std::string &Id, const std::string &Rack = "r1",
@@ -62,7 +63,7 @@
 
   std::vector<shard::WorkerChange> Workers;
   Listener OnChange;
-  std::optional<TimePoint> FrozenAt;
+  std::optional<Milliseconds> FrozenAt;
 };
 
 /// Runs the owner of one shard with a fake store and fake workers, in real
--- a/Tests/Shard/TableFollowerTest.cpp
+++ b/Tests/Shard/TableFollowerTest.cpp
@@ -1,5 +1,7 @@
 #include "ShardFixture.h"
 
+#include <thread>
+
 namespace jayramp::test {
 namespace {
 
@@ -18,7 +20,7 @@
       {Milliseconds(1000), Milliseconds(0), Milliseconds(10)},
       store::TableFollower::Observer{
           [](std::vector<store::Row>) {}, [](std::vector<store::Row>) {},
-          [&] { ++UpToDateCount; }, [&] { ++FailureCount; }});
+          [&](Milliseconds) { ++UpToDateCount; }, [&] { ++FailureCount; }});
   Follower.start();
   ASSERT_TRUE(runUntil([&] { return UpToDateCount == 1; }));
   Store.setMode(Mode::Refusing);
@@ -33,25 +35,49 @@
 // Guards against reporting the rows as complete while the store does not
 // answer.
 TEST_F(TableFollowerTest, isCompleteAsOfTheLastAnswerOrRefusal) {
-  TimePoint CompleteAsOf;
+  Milliseconds CompleteAsOf{0};
   store::TableFollower Follower(
       Loop, Store, "table", {""},
       {Milliseconds(20), Milliseconds(0), Milliseconds(10)},
       store::TableFollower::Observer{
-          [](std::vector<store::Row>) {}, [](std::vector<store::Row>) {}, [] {},
-          nullptr, [&](TimePoint AsOf) { CompleteAsOf = AsOf; }});
+          [](std::vector<store::Row>) {}, [](std::vector<store::Row>) {},
+          [](Milliseconds) {}, nullptr,
+          [&](Milliseconds AsOf) { CompleteAsOf = AsOf; }});
   const auto IsFresh = [&] {
-    return Clock::now() - CompleteAsOf < Milliseconds(40);
+    return suspendAwareNow() - CompleteAsOf < Milliseconds(40);
   };
   Follower.start();
   ASSERT_TRUE(runUntil(IsFresh));
   Store.setMode(Mode::Silent);
-  const auto SilentSince = Clock::now();
+  const auto SilentSince = suspendAwareNow();
   runFor(Milliseconds(150));
   EXPECT_LE(CompleteAsOf, SilentSince + Milliseconds(30));
   Store.setMode(Mode::Refusing);
   EXPECT_TRUE(runUntil(IsFresh));
 }
 
+// Guards against acting on a permission that ran out during a pause of this
+// process: an answer that arrived before the pause is handled after it.
+TEST_F(TableFollowerTest, answerThatIsHandledAfterAPauseIsNotCurrent) {
+  Milliseconds UpToDateAsOf{0};
+  int AnswerCount = 0;
+  store::TableFollower Follower(
+      Loop, Store, "table", {""},
+      {Milliseconds(50), Milliseconds(0), Milliseconds(10)},
+      store::TableFollower::Observer{[](std::vector<store::Row>) {},
+                                     [](std::vector<store::Row>) {},
+                                     [&](Milliseconds AsOf) {
+                                       UpToDateAsOf = AsOf;
+                                       ++AnswerCount;
+                                     }});
+  Follower.start();
+  ASSERT_TRUE(runUntil([&] { return AnswerCount == 2; }));
+  runFor(Milliseconds(10));
+  const auto Paused = suspendAwareNow();
+  std::this_thread::sleep_for(Milliseconds(300));
+  ASSERT_TRUE(runUntil([&] { return AnswerCount == 3; }));
+  EXPECT_LE(UpToDateAsOf, Paused + Milliseconds(60));
+}
+
 } // namespace
 } // namespace jayramp::test
