Let a batched transaction's callback add further transactions

Cause: found in review. BatchingStore refused expired transactions while it walked their queue; a callback that sent another one would have changed the queue under it. No present caller does: all answer through a socket.

Change: expired transactions are refused after the walk.

--- a/Source/Store/BatchingStore.cpp
+++ b/Source/Store/BatchingStore.cpp
@@ -87,14 +87,14 @@
 
 auto BatchingStore::Core::takeBatch(Partition &Source) -> std::vector<Member> {
   std::vector<Member> Batch;
+  std::vector<Member> Expired;
   std::deque<Member> Rest;
   std::set<RowKey> Keys;
   std::size_t Entries = 0;
   std::size_t Bytes = 0;
   for (auto &Each : Source.Waiting) {
     if (Clock::now() >= Each.Deadline) {
-      // The text becomes the value of a metric label.
-      Each.Done(StoreRefusal{"not sent in time"});
+      Expired.push_back(std::move(Each));
       continue;
     }
     const auto OwnKeys = keysOf(Each.Change);
@@ -119,6 +119,10 @@
     Batch.push_back(std::move(Each));
   }
   Source.Waiting = std::move(Rest);
+  // Called last, because a callback may add transactions to the queue. The text
+  // becomes the value of a metric label.
+  for (const auto &Each : Expired)
+    Each.Done(StoreRefusal{"not sent in time"});
   return Batch;
 }
 
