Correct two comments on collected transactions

Found in the reading of the diff: the owner's host collects its own transactions too, and the relay server also serves hosts for which it collects. Comments only.

--- a/Source/Relay/CollectingStore.h
+++ b/Source/Relay/CollectingStore.h
@@ -15,7 +15,8 @@
 class CollectingStore : public store::RowStore {
 public:
   /// \p ReadCollector returns the address of the collector for a partition, or
-  /// an empty string if there is none or it is this host.
+  /// an empty string if there is none. The collector may be this host, which
+  /// then calls itself, so that its own transactions are combined as well.
   CollectingStore(
       store::RowStore &Next, RelayTransport &Transport,
       std::function<std::string(const std::string &Partition)> ReadCollector)
--- a/Source/Relay/RelayServer.h
+++ b/Source/Relay/RelayServer.h
@@ -6,7 +6,8 @@
 
 namespace jayramp::relay {
 
-/// Makes store calls on behalf of peers to which the store is unavailable.
+/// Makes store calls on behalf of peers to which the store is unavailable, or
+/// for which this host collects transactions.
 class RelayServer {
 public:
   /// \p DirectStore must not be a RelayingStore, so that a call is relayed at
