--- a/review/standins/DrainAndStoreOutage.cpp
+++ b/review/standins/DrainAndStoreOutage.cpp
@@ -4,6 +4,8 @@
 
 namespace {
 
+/// One draining worker is then a share of 0.0625.
+constexpr unsigned WorkerCount = 16;
 constexpr std::int64_t SettleMs = 3000;
 /// From the start of the task to the report of the drain.
 constexpr std::int64_t DrainDelayMs = 3500;
@@ -21,7 +23,7 @@
 auto runDrainAndStoreOutage(Cluster &Stage, const std::string &SettingsPath,
                             bool Trouble) -> Verdict {
   Stage.publishConfiguration();
-  Stage.addWorkers("r1", 3, 1.0);
+  Stage.addWorkers("r1", WorkerCount, 1.0);
   Stage.writeSettings(SettingsPath);
   if (!Stage.waitUntilReady(SettleMs) || Stage.submit(JobId, JobBody) != 200)
     return Verdict::CouldNotRun;
--- a/review/standins/IdleWorkerCut.cpp
+++ b/review/standins/IdleWorkerCut.cpp
@@ -37,6 +37,8 @@
   Stage.publishConfiguration();
   Stage.addWorkers("r1", 1, SlowClockRate);
   Stage.addWorkers("r2", 1, SlowClockRate);
+  // One worker that is cut off is then a share of 0.167.
+  Stage.addWorkers("r3", 4, SlowClockRate);
   Stage.writeSettings(SettingsPath);
   if (!Stage.waitUntilReady(IdleMs))
     return Verdict::CouldNotRun;
--- a/review/standins/StoreOutageBetweenSteps.cpp
+++ b/review/standins/StoreOutageBetweenSteps.cpp
@@ -7,9 +7,9 @@
 namespace {
 
 constexpr std::int64_t SettleMs = 3000;
-constexpr unsigned JobsPerRound = 8;
+constexpr unsigned JobsPerRound = 3;
 /// Workers of the first steps, and of the second ones.
-constexpr unsigned FirstRackWorkers = 8;
+constexpr unsigned FirstRackWorkers = 3;
 constexpr unsigned SecondRackWorkers = 47;
 constexpr unsigned Rounds = 4;
 /// The first steps begin before the outage and end in it, one after the other.
@@ -17,7 +17,7 @@
 constexpr std::int64_t FirstStepSpreadMs = 25;
 /// Three heartbeat intervals, after which the store drops an entry.
 constexpr std::int64_t OutageMs = 4500;
-/// Time until the other half of the partitions is back, too.
+/// Time until the last partitions are back, too.
 constexpr std::int64_t PartialOutageMs = 600;
 /// The outage begins and ends this long after heartbeats, so the workers write
 /// their entries 0.8 s after the store is back.
@@ -28,9 +28,9 @@
 constexpr std::int64_t WatchMs = 3000;
 
 auto jobId(unsigned Round, unsigned Number) -> std::string {
-  // The last digit decides which partitions of the store hold the job.
-  return "c0ffee000000" + std::to_string(100 + Round) +
-         "0123456789abcdef"[Number % 16];
+  // The last digit decides which partitions of the store hold the job; these
+  // are recorded in the partition that comes back last.
+  return "c0ffee000000" + std::to_string(100 + Round) + "37c"[Number % 3];
 }
 
 /// A short task on a worker of rack r1, then a long one on a worker of rack r2;
@@ -78,8 +78,8 @@
     sleepMs(OutageMs);
     if (Trouble) {
       Stage.store().expireRows("servers");
-      Stage.store().setOutage(StoreStandIn::Outage::OddPartitions);
-      Stage.record().write("the store is back but for half of its partitions; "
+      Stage.store().setOutage(StoreStandIn::Outage::SomePartitions);
+      Stage.record().write("the store is back but for some of its partitions; "
                            "the entries of all workers have expired and return "
                            "within 1.5 s");
     }
--- a/review/standins/StoreStandIn.cpp
+++ b/review/standins/StoreStandIn.cpp
@@ -63,8 +63,8 @@
 }
 
 auto StoreStandIn::isDown(const std::string &Partition) const -> bool {
-  if (Current == Outage::OddPartitions)
-    return !Partition.empty() && (Partition.back() - '0') % 2 == 1;
+  if (Current == Outage::SomePartitions)
+    return !Partition.empty() && Partition.back() == '3';
   return Current == Outage::All;
 }
 
--- a/review/standins/StoreStandIn.h
+++ b/review/standins/StoreStandIn.h
@@ -27,7 +27,7 @@
            const std::string &Value) -> void;
   /// Which partitions are unavailable. Their calls are answered with 503, which
   /// means that nothing was done.
-  enum class Outage { None, OddPartitions, All };
+  enum class Outage { None, SomePartitions, All };
   auto setOutage(Outage Next) -> void;
   /// Removes all rows of a table, as the store does with the entries of workers
   /// that it has not heard of for three heartbeat intervals.
@@ -47,7 +47,7 @@
   auto readRange(const std::string &Target) -> HttpResponse;
   auto readFeed(const std::string &Target) -> HttpResponse;
   auto set(const RowKey &Key, std::optional<std::string> Value) -> void;
-  /// OddPartitions are those whose names end in an odd digit.
+  /// SomePartitions are those whose names end in 3.
   auto isDown(const std::string &Partition) const -> bool;
   auto versionOf(const RowKey &Key) const -> std::uint64_t;
 
