--- a/review/standins/Http.cpp
+++ b/review/standins/Http.cpp
@@ -148,7 +148,11 @@
 }
 
 auto freePort() -> unsigned {
+  // The socket stays bound, so that no other process gets the port. As it does
+  // not listen, the entry host can bind the same address.
   const int Descriptor = socket(AF_INET, SOCK_STREAM, 0);
+  const int Enabled = 1;
+  setsockopt(Descriptor, SOL_SOCKET, SO_REUSEADDR, &Enabled, sizeof(Enabled));
   auto Endpoint = loopbackEndpoint(0);
   socklen_t Size = sizeof(Endpoint);
   const bool Bound =
@@ -156,7 +160,6 @@
           0 &&
       getsockname(Descriptor, reinterpret_cast<sockaddr *>(&Endpoint), &Size) ==
           0;
-  close(Descriptor);
   return Bound ? ntohs(Endpoint.sin_port) : 0;
 }
 
--- a/review/standins/Http.h
+++ b/review/standins/Http.h
@@ -41,7 +41,7 @@
 auto callHttp(const std::string &Address, const ClientCall &Call,
               std::int64_t TimeoutMs) -> std::optional<HttpResponse>;
 
-/// Returns a port of 127.0.0.1 that was free a moment ago.
+/// Returns a port of 127.0.0.1 that is reserved for the entry host.
 auto freePort() -> unsigned;
 
 /// Returns the value of \p Name in the query of \p Target, decoded; empty if it
