--- a/review/standins/Cluster.cpp
+++ b/review/standins/Cluster.cpp
@@ -15,7 +15,7 @@
 
 const std::string Service = "pool-a";
 const std::string QueueHost = "jobs.example";
-const std::string PathPrefix = "/work/";
+const std::string PathPrefix = "/jobs/";
 const std::string UrgentPathPrefix = "/urgent/";
 const std::string ApiKey = "key-of-tenant-a";
 constexpr std::int64_t HeartbeatIntervalMs = 1500;
