log: the evidence for each run that is taken for over

Change: run-over is written in the only place that takes a run for over without a listed end, with the evidence, the session, the age of the worker's last answer and the state of its leases.

--- a/Source/Shard/WorkerSession.cpp
+++ b/Source/Shard/WorkerSession.cpp
@@ -40,7 +40,8 @@
 
 WorkerSession::WorkerSession(Context &SharedContext, std::string Worker,
                              std::optional<TimePoint> PredecessorLeasesExpireAt)
-    : SharedContext(SharedContext), Worker(std::move(Worker)) {
+    : SharedContext(SharedContext), Number(++SharedContext.LastSession),
+      Worker(std::move(Worker)) {
   LeasesExpireAt = PredecessorLeasesExpireAt.value_or(TimePoint{});
   RunsKnown = !PredecessorLeasesExpireAt;
   if (const auto *Entry = SharedContext.Scheduler.worker(this->Worker)) {
@@ -85,6 +86,25 @@
 
 auto WorkerSession::target() const -> WorkerTarget { return {Worker, Address}; }
 
+auto WorkerSession::concludeRunOver(const RunId &Id, RunOverEvidence Evidence)
+    -> void {
+  const auto MsSince = [this](TimePoint Time) {
+    return std::to_string(
+        std::chrono::duration_cast<Milliseconds>(now() - Time).count());
+  };
+  logEvent(LogLevel::Info, "run-over",
+           {{"run", toString(Id)},
+            {"worker", Worker},
+            {"evidence", std::string(toString(Evidence))},
+            {"session", std::to_string(Number)},
+            {"contact-age-ms",
+             LastContact == TimePoint() ? "none" : MsSince(LastContact)},
+            {"lease-over-ms",
+             LeasesExpireAt == TimePoint() ? "none" : MsSince(LeasesExpireAt)},
+            {"incarnation", std::to_string(Incarnation)}});
+  SharedContext.Scheduler.runLost(Id, now());
+}
+
 auto WorkerSession::sendDueOrders() -> void {
   if (Closed)
     return;
@@ -175,7 +195,7 @@
   if (ActiveRun.Phase == RunPhase::Assigned && !State.Recovered &&
       State.StartsSent == 0 && isHeldBack(Id)) {
     // Frees the capacity for jobs whose progress can be written.
-    SharedContext.Scheduler.runLost(Id, now());
+    concludeRunOver(Id, RunOverEvidence::NeverSent);
     SharedContext.OnStateChanged();
     return;
   }
@@ -214,7 +234,7 @@
   // A start that was sent may still arrive. After a stop, the worker rejects
   // the run number.
   if (!State.Recovered && State.StartsSent == 0)
-    SharedContext.Scheduler.runLost(Id, now());
+    concludeRunOver(Id, RunOverEvidence::NeverSent);
   else
     SharedContext.Scheduler.stopRun(Id, scheduling::StopReason::WorkerLeaves);
   SharedContext.OnStateChanged();
@@ -302,7 +322,7 @@
   // An earlier start without an answer may still arrive. After a stop, the
   // worker rejects the run number.
   if (CannotStart)
-    SharedContext.Scheduler.runLost(Id, now());
+    concludeRunOver(Id, RunOverEvidence::StartRefused);
   else
     SharedContext.Scheduler.stopRun(Id, scheduling::StopReason::StartRefused);
 }
@@ -515,7 +535,7 @@
       SharedContext.Scheduler.runUnlisted(Id, now());
   }
   for (const auto &Id : EndedRuns)
-    SharedContext.Scheduler.runLost(Id, now());
+    concludeRunOver(Id, RunOverEvidence::NotListed);
 }
 
 auto WorkerSession::onNewIncarnation(const RenewReply &Reply) -> void {
@@ -544,7 +564,7 @@
     if (State.StartInFlight || State.StartsUnanswered > 0)
       SharedContext.Scheduler.stopRun(Id, scheduling::StopReason::StartRefused);
     else
-      SharedContext.Scheduler.runLost(Id, now());
+      concludeRunOver(Id, RunOverEvidence::NewIncarnation);
   }
 }
 
@@ -573,15 +593,15 @@
   if (OrdersByRun.empty())
     return;
   if (LeftAfterDrain) {
-    dropAllRuns("worker-left");
+    dropAllRuns(RunOverEvidence::WorkerLeft);
     return;
   }
   const bool NotAnswering = RenewFailures > 0 || Address.empty();
   if (NotAnswering && now() > LeasesExpireAt)
-    dropAllRuns("leases-lapsed");
+    dropAllRuns(RunOverEvidence::LeaseExpired);
 }
 
-auto WorkerSession::dropAllRuns(const char *Reason) -> void {
+auto WorkerSession::dropAllRuns(RunOverEvidence Evidence) -> void {
   std::vector<RunId> Ids;
   for (const auto &[Id, State] : OrdersByRun)
     if (!State.StartInFlight)
@@ -590,10 +610,10 @@
     return;
   logEvent(LogLevel::Warning, "runs-lost",
            {{"worker", Worker},
-            {"reason", Reason},
+            {"reason", std::string(toString(Evidence))},
             {"runs", std::to_string(Ids.size())}});
   for (const auto &Id : Ids) {
-    SharedContext.Scheduler.runLost(Id, now());
+    concludeRunOver(Id, Evidence);
     OrdersByRun.erase(Id);
   }
   SharedContext.OnStateChanged();
--- a/Source/Shard/WorkerSession.h
+++ b/Source/Shard/WorkerSession.h
@@ -3,6 +3,7 @@
 #include "Net/EventLoop.h"
 #include "Scheduling/ShardScheduler.h"
 #include "Shard/ProgressJournal.h"
+#include "Shard/RunOverEvidence.h"
 #include "Shard/ShardSettings.h"
 #include "Shard/WorkerClock.h"
 #include "Shard/WorkerTransport.h"
@@ -30,6 +31,8 @@
     const ShardSettings &Settings;
     ProgressJournal &Journal;
     std::uint64_t FencingToken = 0;
+    /// Number of the session that was created last.
+    std::uint64_t LastSession = 0;
     /// Returns false once leases must not be granted or renewed any more.
     std::function<bool()> MayGrantLeases;
     /// Returns false while the list of workers may lack a recent drain notice.
@@ -96,6 +99,10 @@
   };
 
   auto target() const -> WorkerTarget;
+  /// Reports a run to the scheduler as over. No other function does so for a
+  /// run without a listed end.
+  auto concludeRunOver(const scheduling::RunId &Id, RunOverEvidence Evidence)
+      -> void;
   auto syncOrders() -> void;
   auto sendRunOrder(const scheduling::Run &ActiveRun, RunOrders &State) -> void;
   auto isDraining() const -> bool;
@@ -133,12 +140,13 @@
   auto switchIncarnation(std::int64_t Started) -> void;
   auto onRenewFailure() -> void;
   auto checkLeases() -> void;
-  auto dropAllRuns(const char *Reason) -> void;
+  auto dropAllRuns(RunOverEvidence Evidence) -> void;
   auto recordLeaseGrant() -> void;
   auto mayGrantLeases() const -> bool;
   auto now() const -> TimePoint { return Clock::now(); }
 
   Context &SharedContext;
+  std::uint64_t Number = 0; ///< Of this session, in the log.
   std::string Worker;
   std::string Address; ///< Last known address; kept after the worker has left.
   std::map<scheduling::RunId, RunOrders> OrdersByRun;
