shard: runs of a draining worker end only when it has certainly left

Cause: the entry of a draining worker that had answered within 3 s was taken for the end of its runs, but entries also expire in an outage while the worker goes on. The log shows run-over evidence=worker-left with contact-age-ms=293 and 4.2 s of lease left. Change: the runs are over at once only if the entry was removed too early to have expired and the worker does not answer; else by a listed end or with their leases. The change feed gives the time before which an entry was not written.

--- a/Source/Shard/ShardOwner.cpp
+++ b/Source/Shard/ShardOwner.cpp
@@ -230,7 +230,7 @@
   if (Change.Report->Draining && (!Before || !Before->Report.Draining))
     logEvent(LogLevel::Info, "worker-draining", {{"worker", Change.Id}});
   Scheduler.updateWorker(*Change.Report, Clock::now());
-  sessionFor(Change.Id).onReport(Change.ClockMs);
+  sessionFor(Change.Id).onReport(Change);
 }
 
 auto ShardOwner::sessionFor(const std::string &Worker) -> WorkerSession & {
--- a/Source/Shard/ShardSettings.h
+++ b/Source/Shard/ShardSettings.h
@@ -36,6 +36,10 @@
   /// No run is started while the list of workers is older than this, because a
   /// worker may have begun to drain since, and must get no new runs then.
   Milliseconds MaxWorkerListAge{1600};
+  /// The registry does not let a worker's entry expire earlier than this after
+  /// the worker has written it. If an entry is removed earlier, the worker has
+  /// left.
+  Milliseconds MinEntryLifetime{3000};
   /// Timeout of a start or stop order.
   Milliseconds OrderTimeout{400};
   /// Added to a renewal's wait to get its timeout.
--- a/Source/Shard/WorkerRegistry.h
+++ b/Source/Shard/WorkerRegistry.h
@@ -16,6 +16,9 @@
   /// Absent if the entry was removed.
   std::optional<scheduling::WorkerReport> Report;
   std::int64_t ClockMs = 0; ///< Worker's clock when it wrote the entry.
+  /// A time, on the clock of suspendAwareNow(), before which the entry was not
+  /// written; absent if its age is unknown, as it is in a snapshot.
+  std::optional<Milliseconds> WrittenAfter;
 };
 
 /// Reports the workers in the platform's service discovery.
--- a/Source/Shard/WorkerSession.cpp
+++ b/Source/Shard/WorkerSession.cpp
@@ -1,6 +1,7 @@
 #include "Shard/WorkerSession.h"
 
 #include "Base/EventLog.h"
+#include "Base/SuspendAwareClock.h"
 
 #include <algorithm>
 #include <set>
@@ -28,9 +29,6 @@
 /// A worker with an end that must not be acknowledged gets no new tasks, so
 /// that its list of ends stays short; renewed at each reply.
 constexpr Milliseconds WithheldEndQuarantine{2000};
-/// The runs of a draining worker that leaves the registry are dropped at once
-/// if the worker has answered within this time.
-constexpr Milliseconds RecentContactAge{3000};
 /// Interval at which an order that must not be sent yet is tried again, and at
 /// least which a session with runs is visited.
 constexpr Milliseconds BlockedOrderInterval{50};
@@ -54,9 +52,10 @@
     SharedContext.Scheduler.setReachable(this->Worker, false);
 }
 
-auto WorkerSession::onReport(std::int64_t ClockMs) -> void {
+auto WorkerSession::onReport(const WorkerChange &Change) -> void {
   Unregistered = false;
   LeftAfterDrain = false;
+  EntryWrittenAfter = Change.WrittenAfter;
   if (const auto *Entry = SharedContext.Scheduler.worker(Worker)) {
     if (Entry->Report.Incarnation != Incarnation &&
         Entry->Report.Incarnation != 0) {
@@ -72,12 +71,14 @@
   // The worker's answers to orders contain more recent clock readings than the
   // reports, so reports are used only until the first answer.
   if (!RemoteClock.isKnown())
-    RemoteClock.update(ClockMs);
+    RemoteClock.update(Change.ClockMs);
 }
 
 auto WorkerSession::onUnregistered(bool WasDraining) -> void {
   Unregistered = true;
-  LeftAfterDrain = WasDraining && now() - LastContact < RecentContactAge;
+  LeftAfterDrain = WasDraining && EntryWrittenAfter &&
+                   suspendAwareNow() - *EntryWrittenAfter <
+                       SharedContext.Settings.MinEntryLifetime;
 }
 
 auto WorkerSession::isIdle() const -> bool {
@@ -92,16 +93,21 @@
     return std::to_string(
         std::chrono::duration_cast<Milliseconds>(now() - Time).count());
   };
-  logEvent(LogLevel::Info, "run-over",
-           {{"run", toString(Id)},
-            {"worker", Worker},
-            {"evidence", std::string(toString(Evidence))},
-            {"session", std::to_string(Number)},
-            {"contact-age-ms",
-             LastContact == TimePoint() ? "none" : MsSince(LastContact)},
-            {"lease-over-ms",
-             LeasesExpireAt == TimePoint() ? "none" : MsSince(LeasesExpireAt)},
-            {"incarnation", std::to_string(Incarnation)}});
+  logEvent(
+      LogLevel::Info, "run-over",
+      {{"run", toString(Id)},
+       {"worker", Worker},
+       {"evidence", std::string(toString(Evidence))},
+       {"session", std::to_string(Number)},
+       {"contact-age-ms",
+        LastContact == TimePoint() ? "none" : MsSince(LastContact)},
+       {"lease-over-ms",
+        LeasesExpireAt == TimePoint() ? "none" : MsSince(LeasesExpireAt)},
+       {"entry-age-ms",
+        EntryWrittenAfter
+            ? std::to_string((suspendAwareNow() - *EntryWrittenAfter).count())
+            : "unknown"},
+       {"incarnation", std::to_string(Incarnation)}});
   SharedContext.Scheduler.runLost(Id, now());
 }
 
@@ -590,14 +596,12 @@
 }
 
 auto WorkerSession::checkLeases() -> void {
-  if (OrdersByRun.empty())
+  const bool NotAnswering = RenewFailures > 0 || Address.empty();
+  if (OrdersByRun.empty() || !NotAnswering)
     return;
-  if (LeftAfterDrain) {
+  if (LeftAfterDrain)
     dropAllRuns(RunOverEvidence::WorkerLeft);
-    return;
-  }
-  const bool NotAnswering = RenewFailures > 0 || Address.empty();
-  if (NotAnswering && now() > LeasesExpireAt)
+  else if (now() > LeasesExpireAt)
     dropAllRuns(RunOverEvidence::LeaseExpired);
 }
 
--- a/Source/Shard/WorkerSession.h
+++ b/Source/Shard/WorkerSession.h
@@ -6,6 +6,7 @@
 #include "Shard/RunOverEvidence.h"
 #include "Shard/ShardSettings.h"
 #include "Shard/WorkerClock.h"
+#include "Shard/WorkerRegistry.h"
 #include "Shard/WorkerTransport.h"
 
 #include <deque>
@@ -50,10 +51,9 @@
   WorkerSession(Context &SharedContext, std::string Worker,
                 std::optional<TimePoint> PredecessorLeasesExpireAt);
 
-  /// Handles a new report of the worker in the registry; \p ClockMs is the
-  /// worker's clock when it wrote the report, 0 if not reported.
-  auto onReport(std::int64_t ClockMs) -> void;
-  /// Handles the removal of the worker from the registry.
+  /// Handles a new report of the worker in the registry.
+  auto onReport(const WorkerChange &Change) -> void;
+  /// Handles the removal of the worker's entry from the registry.
   auto onUnregistered(bool WasDraining) -> void;
   /// Sends the orders that are due. Call when the scheduler has changed the
   /// worker's runs, when a job in awaitedJobs() is committed, and at nextDue().
@@ -163,6 +163,9 @@
   bool RunsKnown = false;
   std::set<scheduling::RunId> RecoveredRuns; ///< Assigned by a previous owner.
   bool Unregistered = false;
+  /// The worker's last entry was not written before this time.
+  std::optional<Milliseconds> EntryWrittenAfter;
+  /// Its entry was removed after a drain, too early to have expired.
   bool LeftAfterDrain = false;
   unsigned RenewFailures = 0;
   TimePoint NextRenew;
--- a/Tests/Shard/FakeWorkers.h
+++ b/Tests/Shard/FakeWorkers.h
@@ -35,6 +35,8 @@
     std::vector<shard::ReportedEnd> Ended;
     std::set<scheduling::RunId> StoppedOrEnded; ///< May not start again.
     std::vector<scheduling::RunId> Started;     ///< All started runs, in order.
+    unsigned RenewalsInFlight = 0;
+    unsigned MaxRenewalsInFlight = 0;
   };
 
   explicit FakeWorkers(net::EventLoop &Loop) : Loop(Loop) {}
@@ -48,18 +50,33 @@
                         [&](const auto &Run) { return Run.Job == Job; }));
     return Count;
   }
+  /// Returns on how many workers the first task of \p Job is running.
+  auto runningCopiesOf(const std::string &Job) -> std::size_t {
+    std::size_t Count = 0;
+    for (auto &[Id, Each] : WorkersById) {
+      updateTasks(Each);
+      for (const auto &[Run, Running] : Each.Running)
+        Count += Run.Job == Job && Run.Index == 0 ? 1 : 0;
+    }
+    return Count;
+  }
+  /// Returns the number of orders of any kind that were received.
+  auto orderCount() const -> std::size_t { return Orders; }
   /// Restarts the worker's process, which loses all its state.
   auto restart(const std::string &Id) -> void {
     auto &Each = WorkersById[Id];
     const auto Incarnation = Each.Incarnation + 1;
+    const auto RenewalsInFlight = Each.RenewalsInFlight;
     Each = Worker{};
     Each.Incarnation = Incarnation;
+    Each.RenewalsInFlight = RenewalsInFlight;
   }
 
   auto start(const shard::WorkerTarget &Target, const shard::StartOrder &Order,
              Milliseconds Timeout, std::function<void(shard::OrderReply)> Done)
       -> void override {
     auto &Each = WorkersById[Target.Id];
+    ++Orders;
     if (Each.Unresponsive) {
       later(Timeout, [Done] { Done({}); });
       return;
@@ -90,6 +107,7 @@
             Milliseconds Timeout, std::function<void(shard::OrderReply)> Done)
       -> void override {
     auto &Each = WorkersById[Target.Id];
+    ++Orders;
     if (Each.Unresponsive) {
       later(Timeout, [Done] { Done({}); });
       return;
@@ -104,9 +122,17 @@
 
   auto renewLeases(const shard::WorkerTarget &Target,
                    const shard::RenewOrder &Order, Milliseconds Timeout,
-                   std::function<void(shard::RenewReply)> Done)
+                   std::function<void(shard::RenewReply)> Callback)
       -> void override {
     auto &Each = WorkersById[Target.Id];
+    ++Orders;
+    Each.MaxRenewalsInFlight =
+        std::max(Each.MaxRenewalsInFlight, ++Each.RenewalsInFlight);
+    const auto Done = [this, Id = Target.Id,
+                       Callback](const shard::RenewReply &Reply) {
+      --WorkersById[Id].RenewalsInFlight;
+      Callback(Reply);
+    };
     if (Each.Unresponsive) {
       later(Timeout, [Done] { Done({}); });
       return;
@@ -190,6 +216,7 @@
 
   net::EventLoop &Loop;
   std::map<std::string, Worker> WorkersById;
+  std::size_t Orders = 0;
   std::vector<net::EventLoop::TimerHandle> Timers;
 };
 
--- a/Tests/Shard/ShardFixture.h
+++ b/Tests/Shard/ShardFixture.h
@@ -20,7 +20,10 @@
 public:
   auto subscribe(Listener Changed) -> void override {
     OnChange = std::move(Changed);
-    OnChange(Workers, true);
+    auto Snapshot = Workers;
+    for (auto &Each : Snapshot)
+      Each.WrittenAfter.reset();
+    OnChange(Snapshot, true);
   }
   auto unsubscribe() -> void override { OnChange = nullptr; }
   auto completeAsOf() const -> Milliseconds override {
@@ -53,6 +56,7 @@
 
 private:
   auto publish(shard::WorkerChange Change) -> void {
+    Change.WrittenAfter = suspendAwareNow();
     std::erase_if(Workers,
                   [&](const auto &Each) { return Each.Id == Change.Id; });
     if (Change.Report)
--- a/Tests/Shard/WireCodecTest.cpp
+++ b/Tests/Shard/WireCodecTest.cpp
@@ -144,11 +144,13 @@
       "node-name=edge-1\nzone=z\nip=10.0.0.1\nunknown.field=x\n"
       "listen-addrs.frontend=10.0.0.1:1\nlisten-addrs.ready=10.0.0.1:2\n"
       "internal-ports=7000,7015\nplatform.address=10.0.0.2:3\n"
-      "bounds.grace-s=6\nbounds.hold-max-ms=10000\n",
+      "bounds.grace-s=6\nbounds.hold-max-ms=10000\n"
+      "heartbeat-ms=900\n",
       "file");
   ASSERT_TRUE(Settings.has_value()) << Settings.error().message();
   EXPECT_EQ(Settings.value().FirstInternalPort, 7000);
   EXPECT_EQ(Settings.value().GracePeriodMs, 6000);
+  EXPECT_EQ(Settings.value().WorkerHeartbeatMs, 900);
 }
 
 } // namespace
