shard: a worker has one session until its last call has ended

Cause: the session of a worker without an entry and without runs was removed with a renewal in flight. The reply kept it alive beside its successor; it took the successor's starts for starts that were never sent (run-over evidence=never-sent session=4, where the successor has a number above 50), and outlived its owner. Change: a session is removed only without calls in flight; a worker that comes back before goes on with it. It also stays while ends are not acknowledged yet. Cost: a session lives up to the timeout of a call longer; nothing is placed later.

--- a/Source/Shard/ShardOwner.cpp
+++ b/Source/Shard/ShardOwner.cpp
@@ -59,6 +59,9 @@
   SharedContext.OnOrdersSent = [this](const WorkerSession &Session) {
     onOrdersSent(Session);
   };
+  SharedContext.OnIdle = [this](const WorkerSession &Session) {
+    removeSession(Session.worker());
+  };
   SharedContext.OnFenced = [this] { loseOwnership("fenced-by-worker"); };
 }
 
@@ -320,13 +323,16 @@
     // Keeps the session while it sends orders.
     const auto Session = Found->second;
     Session->sendDueOrders();
-    if (!Session->isIdle())
-      continue;
-    Schedule.remove(Worker);
-    Sessions.erase(Worker);
+    if (Session->isIdle())
+      removeSession(Worker);
   }
 }
 
+auto ShardOwner::removeSession(const std::string &Worker) -> void {
+  Schedule.remove(Worker);
+  Sessions.erase(Worker);
+}
+
 auto ShardOwner::sendDueOrders() -> void {
   const auto Due = Schedule.takeDue(Clock::now() + OrderBatchInterval);
   sendOrders({Due.begin(), Due.end()});
--- a/Source/Shard/ShardOwner.h
+++ b/Source/Shard/ShardOwner.h
@@ -68,6 +68,7 @@
   auto logDecisions() -> void;
   /// Lets the sessions of \p Workers send their orders.
   auto sendOrders(const std::set<std::string> &Workers) -> void;
+  auto removeSession(const std::string &Worker) -> void;
   auto sendDueOrders() -> void;
   auto onOrdersSent(const WorkerSession &Session) -> void;
   /// Returns true if the list of workers is recent enough to start runs: an old
--- a/Source/Shard/WorkerSession.cpp
+++ b/Source/Shard/WorkerSession.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace jayramp::shard {
 
@@ -53,7 +54,10 @@
 }
 
 auto WorkerSession::onReport(const WorkerChange &Change) -> void {
-  Unregistered = false;
+  // Failures before the worker's absence say nothing about its new entry, which
+  // the scheduler takes for a worker that can be reached.
+  if (std::exchange(Unregistered, false) && OrdersByRun.empty())
+    RenewFailures = 0;
   LeftAfterDrain = false;
   EntryWrittenAfter = Change.WrittenAfter;
   if (const auto *Entry = SharedContext.Scheduler.worker(Worker)) {
@@ -82,7 +86,25 @@
 }
 
 auto WorkerSession::isIdle() const -> bool {
-  return Unregistered && OrdersByRun.empty();
+  return Unregistered && OrdersByRun.empty() && CallsInFlight == 0 &&
+         (RenewFailures > 0 || !hasEndsToAcknowledge());
+}
+
+auto WorkerSession::hasEndsToAcknowledge() const -> bool {
+  return !PendingEnds.empty() || LastDurableEnd > LastAcknowledgedEnd;
+}
+
+template <typename Reply, typename Handler>
+auto WorkerSession::expectReply(Handler Handle)
+    -> std::function<void(const Reply &)> {
+  ++CallsInFlight;
+  return [Self = shared_from_this(), Handle](const Reply &Answer) {
+    --Self->CallsInFlight;
+    if (!Self->Closed)
+      Handle(Answer);
+    if (!Self->Closed && Self->isIdle())
+      Self->SharedContext.OnIdle(*Self);
+  };
 }
 
 auto WorkerSession::target() const -> WorkerTarget { return {Worker, Address}; }
@@ -155,8 +177,7 @@
     return std::max(NextRenew, LastContact + UncommittedEndsRenewInterval);
   const auto *Entry = SharedContext.Scheduler.worker(Worker);
   const bool MustProbe = Entry && Entry->Registered && !Entry->Reachable;
-  if (OrdersByRun.empty() && RunsKnown && !MustProbe &&
-      LastDurableEnd <= LastAcknowledgedEnd)
+  if (OrdersByRun.empty() && RunsKnown && !MustProbe && !hasEndsToAcknowledge())
     return TimePoint::max();
   return NextRenew;
 }
@@ -267,10 +288,9 @@
                        static_cast<int>(std::min(State.StartsSent, 3U));
   SharedContext.Transport.start(
       target(), Order, Timeout,
-      [Self = shared_from_this(), Id = ActiveRun.Id](const OrderReply &Reply) {
-        if (!Self->Closed)
-          Self->onStartReply(Id, Reply);
-      });
+      expectReply<OrderReply>([this, Id = ActiveRun.Id](const auto &Reply) {
+        onStartReply(Id, Reply);
+      }));
 }
 
 auto WorkerSession::onStartReply(const RunId &Id, const OrderReply &Reply)
@@ -339,10 +359,8 @@
   SharedContext.Transport.stop(
       target(), {Id, SharedContext.FencingToken},
       SharedContext.Settings.OrderTimeout,
-      [Self = shared_from_this(), Id](const OrderReply &Reply) {
-        if (!Self->Closed)
-          Self->onStopReply(Id, Reply);
-      });
+      expectReply<OrderReply>(
+          [this, Id](const auto &Reply) { onStopReply(Id, Reply); }));
 }
 
 auto WorkerSession::onStopReply(const RunId &Id, const OrderReply &Reply)
@@ -386,7 +404,7 @@
   if (!OrdersByRun.empty())
     sendRenewal(RunsKnown && RenewFailures == 0 ? renewWait()
                                                 : Milliseconds{0});
-  else if (!RunsKnown || MustProbe || LastDurableEnd > LastAcknowledgedEnd)
+  else if (!RunsKnown || MustProbe || hasEndsToAcknowledge())
     sendRenewal(Milliseconds{0});
 }
 
@@ -412,10 +430,9 @@
   RenewInFlight = true;
   SharedContext.Transport.renewLeases(
       target(), Order, Wait + SharedContext.Settings.RenewReplyMargin,
-      [Self = shared_from_this(), SentAt = now()](const RenewReply &Reply) {
-        if (!Self->Closed)
-          Self->onRenewReply(SentAt, Reply);
-      });
+      expectReply<RenewReply>([this, SentAt = now()](const auto &Reply) {
+        onRenewReply(SentAt, Reply);
+      }));
 }
 
 auto WorkerSession::onRenewReply(TimePoint SentAt, const RenewReply &Reply)
--- a/Source/Shard/WorkerSession.h
+++ b/Source/Shard/WorkerSession.h
@@ -42,6 +42,8 @@
     std::function<void()> OnStateChanged;
     /// Called after the session has sent the orders that were due.
     std::function<void(const WorkerSession &)> OnOrdersSent;
+    /// Called when the reply to a call has left the session idle.
+    std::function<void(const WorkerSession &)> OnIdle;
     /// Called when the worker has seen a higher fencing token.
     std::function<void()> OnFenced;
   };
@@ -61,7 +63,10 @@
   /// Ends the session; pending callbacks have no effect afterwards.
   auto close() -> void { Closed = true; }
   auto worker() const -> const std::string & { return Worker; }
-  /// Returns true if the worker is unregistered and has no runs.
+  /// Returns true if the session can be removed: the worker is unregistered and
+  /// has no runs, no call to it is in flight, and no end remains to be
+  /// acknowledged unless the worker does not answer. A call must not outlive
+  /// its session, since a later session does not know what the call may do.
   auto isIdle() const -> bool;
   /// Returns when the next orders are due, apart from those that wait for a
   /// reply, a commit or a decision.
@@ -99,6 +104,11 @@
   };
 
   auto target() const -> WorkerTarget;
+  /// Returns a callback for a call to the worker that passes the reply to
+  /// \p Handle, unless the session has been closed meanwhile.
+  template <typename Reply, typename Handler>
+  auto expectReply(Handler Handle) -> std::function<void(const Reply &)>;
+  auto hasEndsToAcknowledge() const -> bool;
   /// Reports a run to the scheduler as over. No other function does so for a
   /// run without a listed end.
   auto concludeRunOver(const scheduling::RunId &Id, RunOverEvidence Evidence)
@@ -159,6 +169,7 @@
   WorkerClock RemoteClock;
   TimePoint LeasesExpireAt;
   TimePoint LastContact;
+  unsigned CallsInFlight = 0; ///< Of all kinds.
   bool RenewInFlight = false;
   bool RunsKnown = false;
   std::set<scheduling::RunId> RecoveredRuns; ///< Assigned by a previous owner.
