shard: leases end by the least that a worker's clock can show

Cause: the end of a lease was computed from the worker's last answer. An idle worker is not asked, so with a clock that is 2% slow its first lease grew by 2% of the idle time, while the owner counts on 2% of the lease. After the cut the worker still ran the task (stray-task-stopped) that the owner had given up (leases-lapsed). Change: WorkerClock keeps a lower bound: the last reading plus 98% of the time since, raised by the clock in the worker's entry. Cost: the first lease after an idle time is shorter by the age of the entry or 2% of the time since the last reading, whichever is less, until the renewal sent with the start.

--- a/Source/Shard/WorkerClock.cpp
+++ b/Source/Shard/WorkerClock.cpp
@@ -1,5 +1,7 @@
 #include "Shard/WorkerClock.h"
 
+#include <algorithm>
+
 namespace jayramp::shard {
 
 namespace {
@@ -9,23 +11,31 @@
 /// Added to the duration of a lease to allow for delays of messages and timers.
 constexpr Milliseconds LeaseMargin{400};
 
-auto localClockMs() -> std::int64_t {
-  return std::chrono::duration_cast<Milliseconds>(
-             Clock::now().time_since_epoch())
-      .count();
-}
-
 } // namespace
 
-auto WorkerClock::update(std::int64_t ClockMs) -> void {
+auto WorkerClock::recordAnswer(std::int64_t ClockMs, TimePoint Now) -> void {
   if (ClockMs <= 0)
     return;
-  OffsetMs = ClockMs - localClockMs();
+  ReadingMs = ClockMs;
+  ReadAt = Now;
   Known = true;
 }
 
-auto WorkerClock::leaseEnd(Milliseconds LeaseDuration) const -> std::int64_t {
-  return localClockMs() + OffsetMs + LeaseDuration.count();
+auto WorkerClock::recordReport(std::int64_t ClockMs, TimePoint Now) -> void {
+  if (!Known || ClockMs > lowerBound(Now))
+    recordAnswer(ClockMs, Now);
+}
+
+auto WorkerClock::lowerBound(TimePoint Now) const -> std::int64_t {
+  const auto Elapsed =
+      std::chrono::duration_cast<Milliseconds>(Now - ReadAt).count();
+  return ReadingMs +
+         std::max<std::int64_t>(0, Elapsed) * (100 - ClockErrorPercent) / 100;
+}
+
+auto WorkerClock::leaseEnd(Milliseconds LeaseDuration, TimePoint Now) const
+    -> std::int64_t {
+  return lowerBound(Now) + LeaseDuration.count();
 }
 
 auto WorkerClock::maxLeaseDuration(Milliseconds LeaseDuration) -> Milliseconds {
--- a/Source/Shard/WorkerSession.cpp
+++ b/Source/Shard/WorkerSession.cpp
@@ -72,10 +72,7 @@
     }
     Address = Entry->Report.Address;
   }
-  // The worker's answers to orders contain more recent clock readings than the
-  // reports, so reports are used only until the first answer.
-  if (!RemoteClock.isKnown())
-    RemoteClock.update(Change.ClockMs);
+  RemoteClock.recordReport(Change.ClockMs, now());
 }
 
 auto WorkerSession::onUnregistered(bool WasDraining) -> void {
@@ -278,7 +275,7 @@
   Order.Payload = Job->Spec.Payload;
   Order.Checkpoint = Tasks[Step.Gang ? 0 : ActiveRun.Id.Index].Checkpoint;
   Order.LeaseExpiresAtMs =
-      RemoteClock.leaseEnd(SharedContext.Settings.LeaseDuration);
+      RemoteClock.leaseEnd(SharedContext.Settings.LeaseDuration, now());
   Order.FencingToken = SharedContext.FencingToken;
   State.StartInFlight = true;
   ++State.StartsSent;
@@ -295,7 +292,7 @@
 
 auto WorkerSession::onStartReply(const RunId &Id, const OrderReply &Reply)
     -> void {
-  RemoteClock.update(Reply.WorkerClockMs);
+  RemoteClock.recordAnswer(Reply.WorkerClockMs, now());
   const auto Found = OrdersByRun.find(Id);
   if (Found == OrdersByRun.end())
     return;
@@ -365,7 +362,7 @@
 
 auto WorkerSession::onStopReply(const RunId &Id, const OrderReply &Reply)
     -> void {
-  RemoteClock.update(Reply.WorkerClockMs);
+  RemoteClock.recordAnswer(Reply.WorkerClockMs, now());
   if (Reply.Outcome == OrderOutcome::Fenced) {
     SharedContext.OnFenced();
     return;
@@ -423,7 +420,7 @@
   Order.Wait = Wait;
   if (RemoteClock.isKnown() && !OrdersByRun.empty() && mayGrantLeases()) {
     Order.LeaseExpiresAtMs =
-        RemoteClock.leaseEnd(SharedContext.Settings.LeaseDuration);
+        RemoteClock.leaseEnd(SharedContext.Settings.LeaseDuration, now());
     recordLeaseGrant();
   }
   LastAcknowledgedEnd = LastDurableEnd;
@@ -453,7 +450,7 @@
   SharedContext.Scheduler.setReachable(Worker, true);
   if (Reply.Incarnation != 0 && Reply.Incarnation != Incarnation)
     onNewIncarnation(Reply);
-  RemoteClock.update(Reply.WorkerClockMs);
+  RemoteClock.recordAnswer(Reply.WorkerClockMs, now());
   releaseWithheldEnd(Reply.Ended);
   const bool HasNewEnds = recordEnds(Reply.Ended);
   recordRunning(Reply.Running);
