shard: leases by the clock of a worker's former process are waited for

Change: when a new incarnation is seen while leases are granted, the owner counts on the longest lease that workers grant. Cost: runs of a worker that is cut off within 10 s of such a restart wait up to 10.6 s. The fake workers now keep one lease for all their runs, shorten long ones and restart their clock.

--- a/Source/Shard/ShardSettings.h
+++ b/Source/Shard/ShardSettings.h
@@ -10,6 +10,8 @@
 struct ShardSettings {
   /// Duration of the lease that each start and each renewal grants.
   Milliseconds LeaseDuration{5000};
+  /// Workers shorten longer leases to this.
+  Milliseconds MaxLeaseDuration{10000};
   /// An owner whose last confirmed write is older than this grants and renews
   /// no leases, so that a successor knows when all leases have expired.
   Milliseconds OwnershipTimeout{4000};
--- a/Source/Shard/WorkerSession.cpp
+++ b/Source/Shard/WorkerSession.cpp
@@ -280,7 +280,7 @@
   State.StartInFlight = true;
   ++State.StartsSent;
   SharedContext.Scheduler.runStartSent(ActiveRun.Id);
-  recordLeaseGrant();
+  recordLeaseGrant(SharedContext.Settings.LeaseDuration);
   const auto Timeout = SharedContext.Settings.OrderTimeout *
                        static_cast<int>(std::min(State.StartsSent, 3U));
   SharedContext.Transport.start(
@@ -421,7 +421,7 @@
   if (RemoteClock.isKnown() && !OrdersByRun.empty() && mayGrantLeases()) {
     Order.LeaseExpiresAtMs =
         RemoteClock.leaseEnd(SharedContext.Settings.LeaseDuration, now());
-    recordLeaseGrant();
+    recordLeaseGrant(SharedContext.Settings.LeaseDuration);
   }
   LastAcknowledgedEnd = LastDurableEnd;
   RenewInFlight = true;
@@ -589,6 +589,10 @@
 }
 
 auto WorkerSession::switchIncarnation(std::int64_t Started) -> void {
+  // The new process may have received leases that were computed with the clock
+  // of the former one. It has shortened them to the longest that it grants.
+  if (now() < LeasesExpireAt)
+    recordLeaseGrant(SharedContext.Settings.MaxLeaseDuration);
   Incarnation = Started;
   FirstWithheldEnd.reset();
   LastEndRecorded = 0;
@@ -643,10 +647,9 @@
   return RenewFailures == 0 && SharedContext.MayGrantLeases();
 }
 
-auto WorkerSession::recordLeaseGrant() -> void {
-  LeasesExpireAt = std::max(LeasesExpireAt,
-                            now() + WorkerClock::maxLeaseDuration(
-                                        SharedContext.Settings.LeaseDuration));
+auto WorkerSession::recordLeaseGrant(Milliseconds LeaseDuration) -> void {
+  LeasesExpireAt = std::max(
+      LeasesExpireAt, now() + WorkerClock::maxLeaseDuration(LeaseDuration));
 }
 
 } // namespace jayramp::shard
--- a/Source/Shard/WorkerSession.h
+++ b/Source/Shard/WorkerSession.h
@@ -151,7 +151,9 @@
   auto onRenewFailure() -> void;
   auto checkLeases() -> void;
   auto dropAllRuns(RunOverEvidence Evidence) -> void;
-  auto recordLeaseGrant() -> void;
+  /// Records that leases which the worker holds may last for \p LeaseDuration
+  /// from now.
+  auto recordLeaseGrant(Milliseconds LeaseDuration) -> void;
   auto mayGrantLeases() const -> bool;
   auto now() const -> TimePoint { return Clock::now(); }
 
--- a/Tests/Shard/FakeWorkers.h
+++ b/Tests/Shard/FakeWorkers.h
@@ -18,11 +18,12 @@
   struct Task {
     scheduling::RunId Run;
     TimePoint EndsAt;
-    TimePoint LeaseUntil;
     std::string Checkpoint;
   };
   struct Worker {
     std::int64_t Incarnation = 1;
+    Milliseconds ClockOffset{0}; ///< Worker's clock minus this host's.
+    TimePoint LeaseUntil;        ///< Of everything that runs on the worker.
     std::uint64_t HighestToken = 0;
     std::uint64_t LastSeenEnd = 0; ///< Highest end that was acknowledged.
     std::uint64_t NextEnd = 1;
@@ -41,6 +42,9 @@
 
   explicit FakeWorkers(net::EventLoop &Loop) : Loop(Loop) {}
 
+  /// Workers shorten longer leases to this.
+  Milliseconds MaxLease{10000};
+
   auto operator[](const std::string &Id) -> Worker & { return WorkersById[Id]; }
   auto startsOf(const std::string &Job) const -> std::size_t {
     std::size_t Count = 0;
@@ -62,7 +66,8 @@
   }
   /// Returns the number of orders of any kind that were received.
   auto orderCount() const -> std::size_t { return Orders; }
-  /// Restarts the worker's process, which loses all its state.
+  /// Restarts the worker's process, which loses all its state. Its clock starts
+  /// again near 0.
   auto restart(const std::string &Id) -> void {
     auto &Each = WorkersById[Id];
     const auto Incarnation = Each.Incarnation + 1;
@@ -70,6 +75,9 @@
     Each = Worker{};
     Each.Incarnation = Incarnation;
     Each.RenewalsInFlight = RenewalsInFlight;
+    Each.ClockOffset =
+        Milliseconds(1) - std::chrono::duration_cast<Milliseconds>(
+                              Clock::now().time_since_epoch());
   }
 
   auto start(const shard::WorkerTarget &Target, const shard::StartOrder &Order,
@@ -91,15 +99,16 @@
       Each.HighestToken = Order.FencingToken;
       Each.Started.push_back(Order.Run);
       Each.Running[Order.Run] = {Order.Run, Clock::now() + Each.WorkTime,
-                                 fromClock(Order.LeaseExpiresAtMs),
                                  Order.Checkpoint};
     }
+    if (Outcome != shard::OrderOutcome::Fenced)
+      extendLease(Each, Order.LeaseExpiresAtMs);
     if (Each.UnansweredStarts > 0) {
       --Each.UnansweredStarts;
       later(Timeout, [Done] { Done({}); });
       return;
     }
-    const shard::OrderReply Reply{Outcome, clockMs(), {}};
+    const shard::OrderReply Reply{Outcome, clockMs(Each), {}};
     later(Each.AnswerDelay, [Done, Reply] { Done(Reply); });
   }
 
@@ -116,7 +125,8 @@
     if (Each.Running.contains(Order.Run))
       end(Each, Order.Run, scheduling::RunOutcome::Stopped);
     Each.StoppedOrEnded.insert(Order.Run);
-    const shard::OrderReply Reply{shard::OrderOutcome::Accepted, clockMs(), {}};
+    const shard::OrderReply Reply{
+        shard::OrderOutcome::Accepted, clockMs(Each), {}};
     later(Each.AnswerDelay, [Done, Reply] { Done(Reply); });
   }
 
@@ -145,10 +155,7 @@
       return;
     }
     Each.HighestToken = Order.FencingToken;
-    for (auto &[Id, Task] : Each.Running)
-      if (Order.LeaseExpiresAtMs > 0)
-        Task.LeaseUntil =
-            std::max(Task.LeaseUntil, fromClock(Order.LeaseExpiresAtMs));
+    extendLease(Each, Order.LeaseExpiresAtMs);
     Each.LastSeenEnd = std::max(Each.LastSeenEnd, Order.LastSeenEnd);
     std::erase_if(Each.Ended, [&](const auto &End) {
       return End.Number <= Order.LastSeenEnd;
@@ -159,13 +166,19 @@
 private:
   static constexpr Milliseconds PollInterval{2};
 
-  static auto clockMs() -> std::int64_t {
-    return std::chrono::duration_cast<Milliseconds>(
-               Clock::now().time_since_epoch())
+  static auto clockMs(const Worker &Each) -> std::int64_t {
+    return (std::chrono::duration_cast<Milliseconds>(
+                Clock::now().time_since_epoch()) +
+            Each.ClockOffset)
         .count();
   }
-  static auto fromClock(std::int64_t Time) -> TimePoint {
-    return TimePoint(Milliseconds(Time));
+  /// Extends the lease of everything on the worker; never shortens it.
+  auto extendLease(Worker &Each, std::int64_t ExpiresAtMs) const -> void {
+    const auto Requested =
+        TimePoint(Milliseconds(ExpiresAtMs) - Each.ClockOffset);
+    if (ExpiresAtMs > 0)
+      Each.LeaseUntil = std::max(Each.LeaseUntil,
+                                 std::min(Requested, Clock::now() + MaxLease));
   }
 
   auto answerRenewal(const std::string &Id, Milliseconds Wait,
@@ -181,7 +194,7 @@
     }
     shard::RenewReply Reply;
     Reply.Outcome = shard::OrderOutcome::Accepted;
-    Reply.WorkerClockMs = clockMs();
+    Reply.WorkerClockMs = clockMs(Each);
     Reply.Incarnation = Each.Incarnation;
     Reply.Ended = Each.Ended;
     for (const auto &[RunId, Task] : Each.Running)
@@ -192,7 +205,7 @@
   auto updateTasks(Worker &Each) -> void {
     std::vector<std::pair<scheduling::RunId, scheduling::RunOutcome>> Finished;
     for (const auto &[Id, Task] : Each.Running) {
-      if (Clock::now() >= Task.LeaseUntil)
+      if (Clock::now() >= Each.LeaseUntil)
         Finished.emplace_back(Id, scheduling::RunOutcome::LeaseExpired);
       else if (Clock::now() >= Task.EndsAt)
         Finished.emplace_back(Id, Each.FailsTasks
