shard: leases and acknowledgements of ends as classes of their own

Change: WorkerLeases says what leases may be valid and until when, EndAcknowledgement which ends may be acknowledged; a new incarnation replaces each as a whole. No change of behaviour. Result: the tests of Tests/Shard pass.

--- a/Source/Shard/WorkerSession.cpp
+++ b/Source/Shard/WorkerSession.cpp
@@ -40,8 +40,10 @@
 WorkerSession::WorkerSession(Context &SharedContext, std::string Worker,
                              std::optional<TimePoint> PredecessorLeasesExpireAt)
     : SharedContext(SharedContext), Number(++SharedContext.LastSession),
-      Worker(std::move(Worker)) {
-  LeasesExpireAt = PredecessorLeasesExpireAt.value_or(TimePoint{});
+      Worker(std::move(Worker)), Ends(SharedContext.Journal),
+      Leases(SharedContext.Settings.LeaseDuration,
+             SharedContext.Settings.MaxLeaseDuration,
+             PredecessorLeasesExpireAt) {
   RunsKnown = !PredecessorLeasesExpireAt;
   if (const auto *Entry = SharedContext.Scheduler.worker(this->Worker)) {
     Incarnation = Entry->Report.Incarnation;
@@ -67,12 +69,12 @@
         switchIncarnation(Entry->Report.Incarnation);
       // If orders are outstanding, the next renewal reports the runs of the new
       // process.
-      RemoteClock.reset();
+      Leases.clock().reset();
       NextRenew = {};
     }
     Address = Entry->Report.Address;
   }
-  RemoteClock.recordReport(Change.ClockMs, now());
+  Leases.clock().recordReport(Change.ClockMs, now());
 }
 
 auto WorkerSession::onUnregistered(bool WasDraining) -> void {
@@ -84,11 +86,7 @@
 
 auto WorkerSession::isIdle() const -> bool {
   return Unregistered && OrdersByRun.empty() && CallsInFlight == 0 &&
-         (RenewFailures > 0 || !hasEndsToAcknowledge());
-}
-
-auto WorkerSession::hasEndsToAcknowledge() const -> bool {
-  return !PendingEnds.empty() || LastDurableEnd > LastAcknowledgedEnd;
+         (RenewFailures > 0 || !Ends.isOutstanding());
 }
 
 template <typename Reply, typename Handler>
@@ -121,7 +119,7 @@
        {"contact-age-ms",
         LastContact == TimePoint() ? "none" : MsSince(LastContact)},
        {"lease-over-ms",
-        LeasesExpireAt == TimePoint() ? "none" : MsSince(LeasesExpireAt)},
+        Leases.expireAt() == TimePoint() ? "none" : MsSince(Leases.expireAt())},
        {"entry-age-ms",
         EntryWrittenAfter
             ? std::to_string((suspendAwareNow() - *EntryWrittenAfter).count())
@@ -170,11 +168,11 @@
 auto WorkerSession::nextRenewal() const -> TimePoint {
   if (RenewInFlight || Address.empty())
     return TimePoint::max();
-  if (!PendingEnds.empty())
+  if (Ends.hasUncommittedEnds())
     return std::max(NextRenew, LastContact + UncommittedEndsRenewInterval);
   const auto *Entry = SharedContext.Scheduler.worker(Worker);
   const bool MustProbe = Entry && Entry->Registered && !Entry->Reachable;
-  if (OrdersByRun.empty() && RunsKnown && !MustProbe && !hasEndsToAcknowledge())
+  if (OrdersByRun.empty() && RunsKnown && !MustProbe && !Ends.isOutstanding())
     return TimePoint::max();
   return NextRenew;
 }
@@ -184,9 +182,7 @@
   for (const auto &[Id, State] : OrdersByRun)
     if (!SharedContext.Journal.isDurable(State.Assignment))
       Jobs.insert(State.Assignment.Job);
-  for (const auto &End : PendingEnds)
-    if (!SharedContext.Journal.isDurable(End.Change))
-      Jobs.insert(End.Change.Job);
+  Ends.addAwaitedJobs(Jobs);
   return Jobs;
 }
 
@@ -225,7 +221,7 @@
   }
   if (ActiveRun.Phase == RunPhase::Assigned) {
     const bool Known = RunsKnown || !State.Recovered;
-    if (Known && RemoteClock.isKnown() && !State.StartInFlight &&
+    if (Known && Leases.canGrant() && !State.StartInFlight &&
         now() >= State.NextStart &&
         SharedContext.Journal.isDurable(State.Assignment) && mayGrantLeases() &&
         SharedContext.MayStartRuns())
@@ -274,13 +270,11 @@
   Order.Run = ActiveRun.Id;
   Order.Payload = Job->Spec.Payload;
   Order.Checkpoint = Tasks[Step.Gang ? 0 : ActiveRun.Id.Index].Checkpoint;
-  Order.LeaseExpiresAtMs =
-      RemoteClock.leaseEnd(SharedContext.Settings.LeaseDuration, now());
+  Order.LeaseExpiresAtMs = Leases.grant(now());
   Order.FencingToken = SharedContext.FencingToken;
   State.StartInFlight = true;
   ++State.StartsSent;
   SharedContext.Scheduler.runStartSent(ActiveRun.Id);
-  recordLeaseGrant(SharedContext.Settings.LeaseDuration);
   const auto Timeout = SharedContext.Settings.OrderTimeout *
                        static_cast<int>(std::min(State.StartsSent, 3U));
   SharedContext.Transport.start(
@@ -292,7 +286,7 @@
 
 auto WorkerSession::onStartReply(const RunId &Id, const OrderReply &Reply)
     -> void {
-  RemoteClock.recordAnswer(Reply.WorkerClockMs, now());
+  Leases.clock().recordAnswer(Reply.WorkerClockMs, now());
   const auto Found = OrdersByRun.find(Id);
   if (Found == OrdersByRun.end())
     return;
@@ -362,7 +356,7 @@
 
 auto WorkerSession::onStopReply(const RunId &Id, const OrderReply &Reply)
     -> void {
-  RemoteClock.recordAnswer(Reply.WorkerClockMs, now());
+  Leases.clock().recordAnswer(Reply.WorkerClockMs, now());
   if (Reply.Outcome == OrderOutcome::Fenced) {
     SharedContext.OnFenced();
     return;
@@ -382,14 +376,8 @@
 auto WorkerSession::renewIfDue() -> void {
   if (RenewInFlight || now() < NextRenew || Address.empty())
     return;
-  while (!PendingEnds.empty() &&
-         SharedContext.Journal.isDurable(PendingEnds.front().Change)) {
-    if (!FirstWithheldEnd ||
-        PendingEnds.front().Number < FirstWithheldEnd->Number)
-      LastDurableEnd = PendingEnds.front().Number;
-    PendingEnds.pop_front();
-  }
-  if (!PendingEnds.empty()) {
+  Ends.update();
+  if (Ends.hasUncommittedEnds()) {
     // The worker lists the same ends again, without delay, until they are
     // acknowledged, so renewals are sent less often.
     if (now() - LastContact >= UncommittedEndsRenewInterval)
@@ -401,7 +389,7 @@
   if (!OrdersByRun.empty())
     sendRenewal(RunsKnown && RenewFailures == 0 ? renewWait()
                                                 : Milliseconds{0});
-  else if (!RunsKnown || MustProbe || hasEndsToAcknowledge())
+  else if (!RunsKnown || MustProbe || Ends.isOutstanding())
     sendRenewal(Milliseconds{0});
 }
 
@@ -416,14 +404,10 @@
 auto WorkerSession::sendRenewal(Milliseconds Wait) -> void {
   RenewOrder Order;
   Order.FencingToken = SharedContext.FencingToken;
-  Order.LastSeenEnd = LastDurableEnd;
+  Order.LastSeenEnd = Ends.send();
   Order.Wait = Wait;
-  if (RemoteClock.isKnown() && !OrdersByRun.empty() && mayGrantLeases()) {
-    Order.LeaseExpiresAtMs =
-        RemoteClock.leaseEnd(SharedContext.Settings.LeaseDuration, now());
-    recordLeaseGrant(SharedContext.Settings.LeaseDuration);
-  }
-  LastAcknowledgedEnd = LastDurableEnd;
+  if (Leases.canGrant() && !OrdersByRun.empty() && mayGrantLeases())
+    Order.LeaseExpiresAtMs = Leases.grant(now());
   RenewInFlight = true;
   SharedContext.Transport.renewLeases(
       target(), Order, Wait + SharedContext.Settings.RenewReplyMargin,
@@ -450,13 +434,13 @@
   SharedContext.Scheduler.setReachable(Worker, true);
   if (Reply.Incarnation != 0 && Reply.Incarnation != Incarnation)
     onNewIncarnation(Reply);
-  RemoteClock.recordAnswer(Reply.WorkerClockMs, now());
+  Leases.clock().recordAnswer(Reply.WorkerClockMs, now());
   releaseWithheldEnd(Reply.Ended);
   const bool HasNewEnds = recordEnds(Reply.Ended);
   recordRunning(Reply.Running);
   handleUnlistedRuns(SentAt, Reply);
   RunsKnown = true;
-  if (FirstWithheldEnd)
+  if (Ends.withheldEnd())
     NextRenew = now() + WithheldEndRenewInterval;
   else if (now() - SentAt < MinRenewInterval && !HasNewEnds)
     NextRenew = now() + MinRenewInterval;
@@ -469,10 +453,9 @@
 auto WorkerSession::recordEnds(const std::vector<ReportedEnd> &Ended) -> bool {
   bool HasNewEnds = false;
   for (const auto &End : Ended) {
-    if (End.Number <= LastEndRecorded)
+    if (Ends.isRecorded(End.Number))
       continue;
     HasNewEnds = true;
-    LastEndRecorded = End.Number;
     if (!SharedContext.Scheduler.runEnded(End.Run, End.Outcome, End.Checkpoint,
                                           now()))
       withholdEnd(End);
@@ -480,8 +463,7 @@
              {{"run", toString(End.Run)},
               {"worker", Worker},
               {"how", std::to_string(static_cast<int>(End.Outcome))}});
-    PendingEnds.push_back(
-        {End.Number, SharedContext.Journal.latestChange(End.Run.Job)});
+    Ends.record(End.Number, SharedContext.Journal.latestChange(End.Run.Job));
   }
   return HasNewEnds;
 }
@@ -489,26 +471,23 @@
 auto WorkerSession::withholdEnd(const ReportedEnd &End) -> void {
   logEvent(LogLevel::Warning, "end-withheld",
            {{"run", toString(End.Run)}, {"worker", Worker}});
-  if (!FirstWithheldEnd)
-    FirstWithheldEnd = WithheldEnd{End.Number, End.Run.Job};
+  Ends.withhold({End.Number, End.Run.Job});
 }
 
 auto WorkerSession::releaseWithheldEnd(const std::vector<ReportedEnd> &Ended)
     -> void {
-  if (!FirstWithheldEnd)
+  const auto &Withheld = Ends.withheldEnd();
+  if (!Withheld)
     return;
   // An end that precedes the expiry of the worker's leases does not count as
   // known. A job that was forgotten is not shown to anyone any more.
   const bool LeasesExpiredSince =
-      std::any_of(Ended.begin(), Ended.end(), [this](const ReportedEnd &End) {
-        return End.Number > FirstWithheldEnd->Number &&
+      std::any_of(Ended.begin(), Ended.end(), [&](const ReportedEnd &End) {
+        return End.Number > Withheld->Number &&
                End.Outcome == scheduling::RunOutcome::LeaseExpired;
       });
-  if (LeasesExpiredSince ||
-      !SharedContext.Scheduler.job(FirstWithheldEnd->Job)) {
-    FirstWithheldEnd.reset();
-    LastDurableEnd =
-        PendingEnds.empty() ? LastEndRecorded : PendingEnds.front().Number - 1;
+  if (LeasesExpiredSince || !SharedContext.Scheduler.job(Withheld->Job)) {
+    Ends.release();
     return;
   }
   SharedContext.Scheduler.quarantineWorker(Worker,
@@ -589,17 +568,9 @@
 }
 
 auto WorkerSession::switchIncarnation(std::int64_t Started) -> void {
-  // The new process may have received leases that were computed with the clock
-  // of the former one. It has shortened them to the longest that it grants.
-  if (now() < LeasesExpireAt)
-    recordLeaseGrant(SharedContext.Settings.MaxLeaseDuration);
   Incarnation = Started;
-  FirstWithheldEnd.reset();
-  LastEndRecorded = 0;
-  LastDurableEnd = 0;
-  LastAcknowledgedEnd = 0;
-  PendingEnds.clear();
-  RemoteClock.reset();
+  Ends = EndAcknowledgement(SharedContext.Journal);
+  Leases.onNewIncarnation(now());
 }
 
 auto WorkerSession::onRenewFailure() -> void {
@@ -619,7 +590,7 @@
     return;
   if (LeftAfterDrain)
     dropAllRuns(RunOverEvidence::WorkerLeft);
-  else if (now() > LeasesExpireAt)
+  else if (now() > Leases.expireAt())
     dropAllRuns(RunOverEvidence::LeaseExpired);
 }
 
@@ -647,9 +618,4 @@
   return RenewFailures == 0 && SharedContext.MayGrantLeases();
 }
 
-auto WorkerSession::recordLeaseGrant(Milliseconds LeaseDuration) -> void {
-  LeasesExpireAt = std::max(
-      LeasesExpireAt, now() + WorkerClock::maxLeaseDuration(LeaseDuration));
-}
-
 } // namespace jayramp::shard
--- a/Source/Shard/WorkerSession.h
+++ b/Source/Shard/WorkerSession.h
@@ -2,14 +2,14 @@
 
 #include "Net/EventLoop.h"
 #include "Scheduling/ShardScheduler.h"
+#include "Shard/EndAcknowledgement.h"
 #include "Shard/ProgressJournal.h"
 #include "Shard/RunOverEvidence.h"
 #include "Shard/ShardSettings.h"
-#include "Shard/WorkerClock.h"
+#include "Shard/WorkerLeases.h"
 #include "Shard/WorkerRegistry.h"
 #include "Shard/WorkerTransport.h"
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -90,25 +90,11 @@
     std::optional<TimePoint> EndedIfUnlistedAfter;
   };
 
-  struct PendingEnd {
-    std::uint64_t Number = 0;
-    ProgressChange Change; ///< Must be durable before it is acknowledged.
-  };
-
-  /// The success of a run whose task was started again, because the run had
-  /// been taken for lost. If it were acknowledged, the task would count as one
-  /// that was started after its success was known.
-  struct WithheldEnd {
-    std::uint64_t Number = 0;
-    std::string Job;
-  };
-
   auto target() const -> WorkerTarget;
   /// Returns a callback for a call to the worker that passes the reply to
   /// \p Handle, unless the session has been closed meanwhile.
   template <typename Reply, typename Handler>
   auto expectReply(Handler Handle) -> std::function<void(const Reply &)>;
-  auto hasEndsToAcknowledge() const -> bool;
   /// Reports a run to the scheduler as over. No other function does so for a
   /// run without a listed end.
   auto concludeRunOver(const scheduling::RunId &Id, RunOverEvidence Evidence)
@@ -138,7 +124,10 @@
   /// Records the ends that were not reported before. Returns whether there are
   /// any.
   auto recordEnds(const std::vector<ReportedEnd> &Ended) -> bool;
-  /// Withholds the acknowledgement of an end, and of all later ones.
+  /// Withholds the acknowledgement of the success of a run whose task was
+  /// started again, because the run had been taken for lost. If it were
+  /// acknowledged, the task would count as one that was started after its
+  /// success was known.
   auto withholdEnd(const ReportedEnd &End) -> void;
   /// Acknowledges ends again if there is no reason to withhold them any more.
   auto releaseWithheldEnd(const std::vector<ReportedEnd> &Ended) -> void;
@@ -151,9 +140,6 @@
   auto onRenewFailure() -> void;
   auto checkLeases() -> void;
   auto dropAllRuns(RunOverEvidence Evidence) -> void;
-  /// Records that leases which the worker holds may last for \p LeaseDuration
-  /// from now.
-  auto recordLeaseGrant(Milliseconds LeaseDuration) -> void;
   auto mayGrantLeases() const -> bool;
   auto now() const -> TimePoint { return Clock::now(); }
 
@@ -162,14 +148,9 @@
   std::string Worker;
   std::string Address; ///< Last known address; kept after the worker has left.
   std::map<scheduling::RunId, RunOrders> OrdersByRun;
-  std::deque<PendingEnd> PendingEnds;
-  std::optional<WithheldEnd> FirstWithheldEnd;
-  std::uint64_t LastEndRecorded = 0;
-  std::uint64_t LastDurableEnd = 0;
-  std::uint64_t LastAcknowledgedEnd = 0;
+  EndAcknowledgement Ends; ///< Of the present incarnation.
   std::int64_t Incarnation = 0;
-  WorkerClock RemoteClock;
-  TimePoint LeasesExpireAt;
+  WorkerLeases Leases;
   TimePoint LastContact;
   unsigned CallsInFlight = 0; ///< Of all kinds.
   bool RenewInFlight = false;
