shard: visits of sessions are not lost when one was put off

Cause: one timer serves all sessions. If a change of a worker put its session's visit off after the timer had been set, the timer found nothing due and was not set again, until another session sent an order. Change: the timer sets itself again. Result: WorkerReachabilityTest.leasesAreCheckedAfterAVisitWasPutOff failed before: a run was not given up within 3 s, with leases of 0.7 s.

--- a/Source/Shard/ShardOwner.cpp
+++ b/Source/Shard/ShardOwner.cpp
@@ -347,14 +347,20 @@
     Schedule.setDue(Worker, Due);
   for (const auto &Job : Session.awaitedJobs())
     Schedule.awaitCommit(Worker, Job);
+  startOrderTimer();
+}
+
+auto ShardOwner::startOrderTimer() -> void {
   const auto Earliest = Schedule.earliestDue();
-  if (Earliest >= OrderTimerDue)
+  if (Earliest >= OrderTimerDue || OwnershipLost)
     return;
   OrderTimerDue = Earliest;
   const auto Delay = std::chrono::ceil<Milliseconds>(Earliest - Clock::now());
   OrderTimer = Deps.Loop.after(std::max(Delay, OrderBatchInterval), [this] {
     OrderTimerDue = TimePoint::max();
     sendDueOrders();
+    // Nothing is due if the visit was put off after the timer had been started.
+    startOrderTimer();
   });
 }
 
--- a/Source/Shard/ShardOwner.h
+++ b/Source/Shard/ShardOwner.h
@@ -71,6 +71,8 @@
   auto removeSession(const std::string &Worker) -> void;
   auto sendDueOrders() -> void;
   auto onOrdersSent(const WorkerSession &Session) -> void;
+  /// Makes sure that sendDueOrders() is called when a session is due.
+  auto startOrderTimer() -> void;
   /// Returns true if the list of workers is recent enough to start runs: an old
   /// list may lack a worker's drain notice.
   auto isWorkerListFresh() const -> bool;
