shard: a worker that does not answer is asked again until it does

Cause: only the first failed renewal in a row led to another visit of the session. A worker without runs has no other visit, so it was never probed again. Change: a failed renewal plans the next one, after 0.2 s, doubled up to 1 s. Cost: at most one call in 1.6 s to each worker that is registered and does not answer. Result: three tests of WorkerReachabilityTest failed before (one call in 3 s, jobs never started).

--- a/Source/Shard/WorkerSession.cpp
+++ b/Source/Shard/WorkerSession.cpp
@@ -20,6 +20,10 @@
 constexpr std::size_t TruncatedListingSize = 500;
 /// Number of failed renewals after which a worker gets no new tasks.
 constexpr unsigned UnreachableAfterFailures = 1;
+/// Longest delay between two probes of a worker that cannot be reached. The
+/// delay doubles with each failure.
+constexpr Milliseconds MaxProbeDelay{1000};
+constexpr unsigned MaxProbeDelayDoublings = 10;
 /// Interval of renewals while reported ends are not yet durable.
 constexpr Milliseconds UncommittedEndsRenewInterval{400};
 /// Shortest interval between two renewals that report no end.
@@ -579,9 +583,15 @@
     logEvent(LogLevel::Warning, "worker-unreachable", {{"worker", Worker}});
     SharedContext.Scheduler.setReachable(Worker, false);
   }
-  NextRenew = now() + SharedContext.Settings.RetryDelay * 2;
-  checkLeases();
+  NextRenew = now() + probeDelay();
   SharedContext.OnStateChanged();
+  sendDueOrders();
+}
+
+auto WorkerSession::probeDelay() const -> Milliseconds {
+  const auto Doublings = std::min(RenewFailures, MaxProbeDelayDoublings);
+  return std::min(SharedContext.Settings.RetryDelay * (1 << Doublings),
+                  MaxProbeDelay);
 }
 
 auto WorkerSession::checkLeases() -> void {
--- a/Source/Shard/WorkerSession.h
+++ b/Source/Shard/WorkerSession.h
@@ -138,6 +138,8 @@
   auto onNewIncarnation(const RenewReply &Reply) -> void;
   auto switchIncarnation(std::int64_t Started) -> void;
   auto onRenewFailure() -> void;
+  /// Returns the delay before a worker that did not answer is asked again.
+  auto probeDelay() const -> Milliseconds;
   auto checkLeases() -> void;
   auto dropAllRuns(RunOverEvidence Evidence) -> void;
   auto mayGrantLeases() const -> bool;
--- a/Tests/Shard/WorkerReachabilityTest.cpp
+++ b/Tests/Shard/WorkerReachabilityTest.cpp
@@ -3,8 +3,43 @@
 namespace jayramp::test {
 namespace {
 
+using scheduling::JobState;
+
 /// A worker that stays registered while it cannot be reached.
-class WorkerReachabilityTest : public ShardFixture {};
+class WorkerReachabilityTest : public ShardFixture {
+protected:
+  /// Longer than several probes of a worker that does not answer take.
+  static constexpr Milliseconds CutDuration{700};
+};
+
+// Guards against a worker that is never used again: it could not be reached
+// when a new owner asked it for the first time.
+TEST_F(WorkerReachabilityTest, workerThatWasCutOffAtATakeoverIsUsedAgain) {
+  Registry.add("w1");
+  Workers["w1"].Unresponsive = true;
+  startOwner();
+  runFor(CutDuration);
+  Workers["w1"].Unresponsive = false;
+  submit(job("a"));
+  EXPECT_TRUE(runUntil([&] { return stateOf("a") == JobState::Completed; },
+                       Milliseconds(2500)));
+}
+
+// Guards against a worker that is never used again: it was cut off while it
+// was idle, and the leases of what was placed there ended in the cut.
+TEST_F(WorkerReachabilityTest, workerThatWasCutOffWhileIdleIsUsedAgain) {
+  Registry.add("w1");
+  startOwner();
+  runFor(Milliseconds(30));
+  Workers["w1"].Unresponsive = true;
+  submit(job("a"));
+  ASSERT_TRUE(runUntil([&] { return !Owner->scheduler().runs().empty(); }));
+  ASSERT_TRUE(runUntil([&] { return Owner->scheduler().runs().empty(); }));
+  runFor(CutDuration);
+  Workers["w1"].Unresponsive = false;
+  EXPECT_TRUE(runUntil([&] { return stateOf("a") == JobState::Completed; },
+                       Milliseconds(2500)));
+}
 
 // Guards against a run that is never given up: a change of its worker moves the
 // session's next visit behind the time for which the timer is set.
@@ -21,5 +56,16 @@
                        Milliseconds(3000)));
 }
 
+// Guards against a flood of calls to workers that cannot be reached.
+TEST_F(WorkerReachabilityTest, probesOfAWorkerThatCannotBeReachedAreFew) {
+  Settings.RenewReplyMargin = Milliseconds(10);
+  Registry.add("w1");
+  Workers["w1"].Unresponsive = true;
+  startOwner();
+  runFor(Milliseconds(3000));
+  EXPECT_GE(Workers.orderCount(), 3U);
+  EXPECT_LE(Workers.orderCount(), 10U);
+}
+
 } // namespace
 } // namespace jayramp::test
