scheduling: the limit of tasks per worker counts for what a rack can hold

Cause: a gang that no rack can hold is spread over racks, but the capacity of a rack was counted without the limit of tasks for each worker. Change: the limit counts. Result: ShardSchedulerTest.spreadsAGangThatNoRackMayHoldWithItsWorkerLimit failed before.

--- a/Source/Scheduling/PlacementPass.cpp
+++ b/Source/Scheduling/PlacementPass.cpp
@@ -334,13 +334,15 @@
   std::vector<std::vector<std::size_t>> ByRack(RackFreeGpus.size());
   std::vector<std::uint32_t> Capacities(RackFreeGpus.size());
   std::vector<std::size_t> AllWorkers;
+  const auto &Spec = Gang.spec();
   for (std::size_t Position = 0; Position < Candidates.size(); ++Position) {
     if (!mayRunOn(Gang, Candidates[Position]))
       continue;
     const auto &Entry = *Candidates[Position].Worker;
     ByRack[Entry.Rack].push_back(Position);
     Capacities[Entry.Rack] +=
-        Entry.Report.Capacity.maxTaskCount(Gang.spec().Need);
+        std::min(Entry.Report.Capacity.maxTaskCount(Spec.Need),
+                 Spec.MaxPerWorker > 0 ? Spec.MaxPerWorker : Gang.TaskCount);
     AllWorkers.push_back(Position);
   }
   // A gang that is too large for every rack is spread over racks: it runs more
--- a/Tests/Shard/SchedulerFixture.h
+++ b/Tests/Shard/SchedulerFixture.h
@@ -36,6 +36,7 @@
   bool SameRack = false;
   Milliseconds Estimate{2000};
   std::string Tenant;
+  std::uint32_t MaxPerWorker = 0; ///< 0 for no limit.
 };
 
 inline auto jobSpec(const std::string &Id, const JobShape &Shape) -> JobSpec {
@@ -53,6 +54,7 @@
   Job.Steps[0].Need = {1000, 1000, Shape.Gpus};
   Job.Steps[0].Gang = Shape.Gang;
   Job.Steps[0].SameRack = Shape.SameRack;
+  Job.Steps[0].MaxPerWorker = Shape.MaxPerWorker;
   Job.Steps[0].Estimate = Shape.Estimate;
   return Job;
 }
--- a/Tests/Shard/ShardSchedulerTest.cpp
+++ b/Tests/Shard/ShardSchedulerTest.cpp
@@ -194,6 +194,28 @@
   EXPECT_EQ(racksOf("gang").size(), 2U);
 }
 
+// Guards against a gang that waits forever: a rack has room for it, but not
+// with its limit of tasks for each worker.
+TEST_F(ShardSchedulerTest, spreadsAGangThatNoRackMayHoldWithItsWorkerLimit) {
+  addWorkers(4, 2);
+  auto Shape = JobShape{1, 3, 1, true, true};
+  Shape.MaxPerWorker = 1;
+  addJob("gang", Shape);
+  Scheduler.schedule(at(0));
+  EXPECT_EQ(runsOf("gang").size(), 3U);
+}
+
+// Guards against spreading a gang over racks although one may hold it.
+TEST_F(ShardSchedulerTest, keepsAGangInARackThatMayHoldItWithItsWorkerLimit) {
+  addWorkers(2, 3);
+  auto Shape = JobShape{1, 3, 1, true, true};
+  Shape.MaxPerWorker = 1;
+  addJob("gang", Shape);
+  Scheduler.schedule(at(0));
+  EXPECT_EQ(runsOf("gang").size(), 3U);
+  EXPECT_EQ(racksOf("gang").size(), 1U);
+}
+
 // Guards against repeatedly placing tasks on a worker that does not answer.
 TEST_F(ShardSchedulerTest, placesNoTasksOnAnUnreachableWorker) {
   addWorkers(1, 1);
