log: run-over only for runs without a listed end

Cause: the reply that listed the end of a stopped run also logged run-over evidence=not-listed for it, because the session forgets the run a moment later.

--- a/Source/Shard/WorkerSession.cpp
+++ b/Source/Shard/WorkerSession.cpp
@@ -110,6 +110,9 @@
 
 auto WorkerSession::concludeRunOver(const RunId &Id, RunOverEvidence Evidence)
     -> void {
+  // The reply that shows this may also list the run's end.
+  if (!SharedContext.Scheduler.run(Id))
+    return;
   const auto MsSince = [this](TimePoint Time) {
     return std::to_string(
         std::chrono::duration_cast<Milliseconds>(now() - Time).count());
