--- a/Source/Shard/EndAcknowledgement.cpp
+++ b/Source/Shard/EndAcknowledgement.cpp
@@ -21,7 +21,7 @@
                                         : UncommittedEnds.front().Number - 1;
 }
 
-auto EndAcknowledgement::update() -> void {
+auto EndAcknowledgement::collectDurableEnds() -> void {
   while (!UncommittedEnds.empty() &&
          Journal->isDurable(UncommittedEnds.front().Change)) {
     const auto Number = UncommittedEnds.front().Number;
@@ -31,7 +31,7 @@
   }
 }
 
-auto EndAcknowledgement::send() -> std::uint64_t {
+auto EndAcknowledgement::takeAcknowledgement() -> std::uint64_t {
   LastSent = LastDurable;
   return LastSent;
 }
--- a/Source/Shard/EndAcknowledgement.h
+++ b/Source/Shard/EndAcknowledgement.h
@@ -32,11 +32,11 @@
   auto withhold(WithheldEnd End) -> void;
   /// Ends the withholding.
   auto release() -> void;
-  /// Notes which changes have become durable.
-  auto update() -> void;
-  /// Returns the number of the last end that may be acknowledged, and notes
-  /// that it is sent to the worker.
-  auto send() -> std::uint64_t;
+  /// Looks up which changes have become durable.
+  auto collectDurableEnds() -> void;
+  /// Returns the number of the last end that may be acknowledged, for the
+  /// renewal that is sent next.
+  auto takeAcknowledgement() -> std::uint64_t;
 
   // Queries.
 
@@ -47,7 +47,7 @@
   auto withheldEnd() const -> const std::optional<WithheldEnd> & {
     return FirstWithheld;
   }
-  /// Returns true while update() has not found all changes durable.
+  /// Returns true while collectDurableEnds() has not found all changes durable.
   auto hasUncommittedEnds() const -> bool { return !UncommittedEnds.empty(); }
   /// Returns true if an end that may be acknowledged, now or once its change is
   /// durable, has not been sent.
--- a/Source/Shard/RunOverEvidence.cpp
+++ b/Source/Shard/RunOverEvidence.cpp
@@ -13,7 +13,7 @@
   case RunOverEvidence::NewIncarnation:
     return "new-incarnation";
   case RunOverEvidence::LeaseExpired:
-    return "leases-lapsed";
+    return "lease-expired";
   case RunOverEvidence::WorkerLeft:
     return "worker-left";
   }
--- a/Source/Shard/WorkerSession.cpp
+++ b/Source/Shard/WorkerSession.cpp
@@ -20,9 +20,10 @@
 constexpr std::size_t TruncatedListingSize = 500;
 /// Number of failed renewals after which a worker gets no new tasks.
 constexpr unsigned UnreachableAfterFailures = 1;
-/// Longest delay between two probes of a worker that cannot be reached. The
-/// delay doubles with each failure.
+/// Longest delay between a failed probe of a worker and the next one. The delay
+/// doubles with each failure.
 constexpr Milliseconds MaxProbeDelay{1000};
+/// Keeps the doubled delay within the range of its type.
 constexpr unsigned MaxProbeDelayDoublings = 10;
 /// Interval of renewals while reported ends are not yet durable.
 constexpr Milliseconds UncommittedEndsRenewInterval{400};
@@ -43,7 +44,8 @@
 
 WorkerSession::WorkerSession(Context &SharedContext, std::string Worker,
                              std::optional<TimePoint> PredecessorLeasesExpireAt)
-    : SharedContext(SharedContext), Number(++SharedContext.LastSession),
+    : SharedContext(SharedContext),
+      SessionNumber(++SharedContext.LastSessionNumber),
       Worker(std::move(Worker)), Ends(SharedContext.Journal),
       Leases(SharedContext.Settings.LeaseDuration,
              SharedContext.Settings.MaxLeaseDuration,
@@ -122,7 +124,7 @@
       {{"run", toString(Id)},
        {"worker", Worker},
        {"evidence", std::string(toString(Evidence))},
-       {"session", std::to_string(Number)},
+       {"session", std::to_string(SessionNumber)},
        {"contact-age-ms",
         LastContact == TimePoint() ? "none" : MsSince(LastContact)},
        {"lease-over-ms",
@@ -383,7 +385,7 @@
 auto WorkerSession::renewIfDue() -> void {
   if (RenewInFlight || now() < NextRenew || Address.empty())
     return;
-  Ends.update();
+  Ends.collectDurableEnds();
   if (Ends.hasUncommittedEnds()) {
     // The worker lists the same ends again, without delay, until they are
     // acknowledged, so renewals are sent less often.
@@ -411,7 +413,7 @@
 auto WorkerSession::sendRenewal(Milliseconds Wait) -> void {
   RenewOrder Order;
   Order.FencingToken = SharedContext.FencingToken;
-  Order.LastSeenEnd = Ends.send();
+  Order.LastSeenEnd = Ends.takeAcknowledgement();
   Order.Wait = Wait;
   if (Leases.canGrant() && !OrdersByRun.empty() && mayGrantLeases())
     Order.LeaseExpiresAtMs = Leases.grant(now());
--- a/Source/Shard/WorkerSession.h
+++ b/Source/Shard/WorkerSession.h
@@ -33,7 +33,7 @@
     ProgressJournal &Journal;
     std::uint64_t FencingToken = 0;
     /// Number of the session that was created last.
-    std::uint64_t LastSession = 0;
+    std::uint64_t LastSessionNumber = 0;
     /// Returns false once leases must not be granted or renewed any more.
     std::function<bool()> MayGrantLeases;
     /// Returns false while the list of workers may lack a recent drain notice.
@@ -146,7 +146,7 @@
   auto now() const -> TimePoint { return Clock::now(); }
 
   Context &SharedContext;
-  std::uint64_t Number = 0; ///< Of this session, in the log.
+  std::uint64_t SessionNumber = 0; ///< Tells sessions apart in the log.
   std::string Worker;
   std::string Address; ///< Last known address; kept after the worker has left.
   std::map<scheduling::RunId, RunOrders> OrdersByRun;
--- a/Tests/Shard/ShardFixture.h
+++ b/Tests/Shard/ShardFixture.h
@@ -135,6 +135,16 @@
         [this](shard::CallOutcome Outcome) { LastSubmit = Outcome; });
   }
 
+  /// Starts an owner whose only worker, w1, runs the only task of job a for
+  /// longer than any test takes.
+  auto startOwnerWithLongRun() -> void {
+    Registry.add("w1");
+    Workers["w1"].WorkTime = Milliseconds(60000);
+    startOwner();
+    submit(job("a"));
+    ASSERT_TRUE(runUntil([&] { return Workers.startsOf("a") == 1; }));
+  }
+
   auto stateOf(const std::string &Id) -> scheduling::JobState {
     for (const auto &Journal : Rows.journalPartitions())
       if (const auto *Row = Store.row(Rows.progressKey(Journal, Id)))
--- a/Tests/Shard/ShardOwnerTest.cpp
+++ b/Tests/Shard/ShardOwnerTest.cpp
@@ -36,11 +36,7 @@
 // Guards against a job that waits forever: if orders to a worker that does not
 // answer extend its leases, these never expire.
 TEST_F(ShardOwnerTest, restartsRunsOfAnUnresponsiveWorkerAfterTheirLeases) {
-  Registry.add("w1");
-  Workers["w1"].WorkTime = Milliseconds(60000);
-  startOwner();
-  submit(job("a"));
-  ASSERT_TRUE(runUntil([&] { return Workers.startsOf("a") == 1; }));
+  ASSERT_NO_FATAL_FAILURE(startOwnerWithLongRun());
   runFor(Milliseconds(30));
   Workers["w1"].Unresponsive = true;
   Registry.add("w2");
@@ -49,11 +45,7 @@
 
 // Guards against restarting a task while its first run may still be running.
 TEST_F(ShardOwnerTest, doesNotRestartRunsBeforeTheirLeasesExpire) {
-  Registry.add("w1");
-  Workers["w1"].WorkTime = Milliseconds(60000);
-  startOwner();
-  submit(job("a"));
-  ASSERT_TRUE(runUntil([&] { return Workers.startsOf("a") == 1; }));
+  ASSERT_NO_FATAL_FAILURE(startOwnerWithLongRun());
   Workers["w1"].Unresponsive = true;
   const auto Silent = Clock::now();
   Registry.add("w2");
@@ -214,22 +206,14 @@
 // Guards against counting a run as running forever after its worker's process
 // was restarted under the same id.
 TEST_F(ShardOwnerTest, restartsRunsAfterTheirWorkerProcessRestarted) {
-  Registry.add("w1");
-  Workers["w1"].WorkTime = Milliseconds(60000);
-  startOwner();
-  submit(job("a"));
-  ASSERT_TRUE(runUntil([&] { return Workers.startsOf("a") == 1; }));
+  ASSERT_NO_FATAL_FAILURE(startOwnerWithLongRun());
   runFor(Milliseconds(30));
   Workers.restart("w1");
   EXPECT_TRUE(runUntil([&] { return stateOf("a") == JobState::Completed; }));
 }
 
 TEST_F(ShardOwnerTest, stopsTheRunsOfACancelledJob) {
-  Registry.add("w1");
-  Workers["w1"].WorkTime = Milliseconds(60000);
-  startOwner();
-  submit(job("a"));
-  ASSERT_TRUE(runUntil([&] { return Workers.startsOf("a") == 1; }));
+  ASSERT_NO_FATAL_FAILURE(startOwnerWithLongRun());
   std::optional<shard::CallOutcome> Cancelled;
   Gateway.cancel("pool", "a", Clock::now() + Milliseconds(1000),
                  [&](shard::CallOutcome Outcome) { Cancelled = Outcome; });
@@ -313,11 +297,7 @@
 // write to a partition until the new owner has claimed it, so the new owner
 // must not act before it has claimed and read all partitions.
 TEST_F(ShardOwnerTest, waitsForAllJournalPartitionsAfterATakeover) {
-  Registry.add("w1");
-  Workers["w1"].WorkTime = Milliseconds(60000);
-  startOwner();
-  submit(job("a"));
-  ASSERT_TRUE(runUntil([&] { return Workers.startsOf("a") == 1; }));
+  ASSERT_NO_FATAL_FAILURE(startOwnerWithLongRun());
   Owner.reset();
   const auto Journal =
       Rows.journalPartitions()[Rows.preferredJournalIndex("a")];
@@ -384,11 +364,7 @@
 // Guards against ending the recovery before all jobs are known because of a
 // notice from a peer.
 TEST_F(ShardOwnerTest, ignoresANoticeDuringRecovery) {
-  Registry.add("w1");
-  Workers["w1"].WorkTime = Milliseconds(60000);
-  startOwner();
-  submit(job("a"));
-  ASSERT_TRUE(runUntil([&] { return Workers.startsOf("a") == 1; }));
+  ASSERT_NO_FATAL_FAILURE(startOwnerWithLongRun());
   Owner.reset();
   startOwner(2);
   const auto Key = Rows.jobKey(Rows.intakePartitionsFor("a").front(), "a");
--- a/Tests/Shard/WorkerDepartureTest.cpp
+++ b/Tests/Shard/WorkerDepartureTest.cpp
@@ -9,11 +9,7 @@
 class WorkerDepartureTest : public ShardFixture {
 protected:
   auto startRunOnFirstWorker() -> void {
-    Registry.add("w1");
-    Workers["w1"].WorkTime = Milliseconds(60000);
-    startOwner();
-    submit(job("a"));
-    ASSERT_TRUE(runUntil([&] { return Workers.startsOf("a") == 1; }));
+    ASSERT_NO_FATAL_FAILURE(startOwnerWithLongRun());
     runFor(Milliseconds(30));
     Registry.add("w2");
     Workers["w2"].WorkTime = Milliseconds(60000);
--- a/Tests/Shard/WorkerReachabilityTest.cpp
+++ b/Tests/Shard/WorkerReachabilityTest.cpp
@@ -44,11 +44,7 @@
 // Guards against a run that is never given up: a change of its worker moves the
 // session's next visit behind the time for which the timer is set.
 TEST_F(WorkerReachabilityTest, leasesAreCheckedAfterAVisitWasPutOff) {
-  Registry.add("w1");
-  Workers["w1"].WorkTime = Milliseconds(60000);
-  startOwner();
-  submit(job("a"));
-  ASSERT_TRUE(runUntil([&] { return Workers.startsOf("a") == 1; }));
+  ASSERT_NO_FATAL_FAILURE(startOwnerWithLongRun());
   Workers["w1"].Unresponsive = true;
   runFor(Milliseconds(300));
   Registry.drain("w1");
