--- /dev/null
+++ b/Tests/Shard/RackWaitTest.cpp
@@ -0,0 +1,52 @@
+#include "SchedulerFixture.h"
+
+namespace jayramp::scheduling {
+namespace {
+
+/// Racks of six workers with eight accelerators each. A gang of ten tasks, of
+/// which a worker holds two, fits in a rack if five of its workers are free.
+class RackWaitTest : public SchedulerFixture {
+protected:
+  static constexpr int WorkersPerRack = 6;
+  static constexpr JobShape WideGang{1,    10,   4,
+                                     true, true, Milliseconds(9000)};
+
+  /// Adds a rack of which \p Busy workers run a long task of another job.
+  auto addRack(const std::string &Rack, int Busy) -> void {
+    for (int Number = 0; Number < WorkersPerRack; ++Number) {
+      const auto Id = Rack + "-w" + std::to_string(Number);
+      auto Report = workerReport(Id, Rack);
+      Report.Labels = {Id};
+      Scheduler.updateWorker(Report, at(0));
+      if (Number < Busy)
+        occupy(Id);
+    }
+  }
+
+  auto occupy(const std::string &Worker) -> void {
+    auto Filler =
+        jobSpec("on-" + Worker, {1, 1, 8, false, false, Milliseconds(60000)});
+    Filler.Steps[0].RequiredLabel = Worker;
+    Scheduler.addJob(Filler, {}, at(0));
+  }
+
+  /// Makes a pass every 100 ms from \p From to \p Until.
+  auto scheduleUntil(std::int64_t From, std::int64_t Until) -> void {
+    for (auto Ms = From; Ms <= Until; Ms += 100)
+      Scheduler.schedule(at(Ms));
+  }
+};
+
+// Guards against a gang that starves beside idle workers because no single rack
+// has room for it.
+TEST_F(RackWaitTest, gangStarvesForARackBesideIdleWorkers) {
+  for (const auto *Rack : {"r0", "r1", "r2", "r3"})
+    addRack(Rack, 2);
+  Scheduler.schedule(at(0));
+  addJob("gang", WideGang, 1000);
+  scheduleUntil(1000, 4000);
+  EXPECT_EQ(runsOf("gang").size(), 10U);
+}
+
+} // namespace
+} // namespace jayramp::scheduling
