scheduling: candidate workers and the search for layouts as classes of their own

CandidateWorkers keeps what a pass has left of each worker, LayoutSearch finds workers for a group, PlacementPass decides and carries out. No change of logic: whether a gang stays in one rack is decided once, when its turn comes in the pass. ShardSchedulerTest, RunSupervisionTest and PlacementFailureCacheTest pass as before.

--- /dev/null
+++ b/Source/Scheduling/LayoutSearch.cpp
@@ -0,0 +1,272 @@
+#include "Scheduling/LayoutSearch.h"
+
+#include "Scheduling/CandidateWorkers.h"
+#include "Scheduling/PreemptionCandidates.h"
+#include "Scheduling/ShardScheduler.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <tuple>
+#include <utility>
+
+namespace jayramp::scheduling {
+
+auto LayoutSearch::cheapestLayout(const TaskGroup &Group,
+                                  ResourceSource Source) const
+    -> std::optional<Layout> {
+  std::optional<Layout> BestLayout;
+  for (const auto &WorkerSet : eligibleWorkerSets(Group)) {
+    auto Result =
+        Source == ResourceSource::WithVictims
+            ? layoutWithVictims(Group, WorkerSet)
+            : layoutWithoutVictims(Group, WorkerSet,
+                                   Source == ResourceSource::FreeAfterStops);
+    if (Result && (!BestLayout || Result->Cost < BestLayout->Cost))
+      BestLayout = std::move(Result);
+  }
+  return BestLayout;
+}
+
+auto LayoutSearch::eligibleWorkerSets(const TaskGroup &Group) const
+    -> std::vector<std::vector<std::size_t>> {
+  if (Group.StaysInRack)
+    return racksThatMayHold(Group);
+  std::vector<std::size_t> AllWorkers;
+  AllWorkers.reserve(Workers.size());
+  for (std::size_t Position = 0; Position < Workers.size(); ++Position)
+    if (mayRunOn(Group, Workers[Position]))
+      AllWorkers.push_back(Position);
+  return {std::move(AllWorkers)};
+}
+
+auto LayoutSearch::racksThatMayHold(const TaskGroup &Gang) const
+    -> std::vector<std::vector<std::size_t>> {
+  std::vector<std::vector<std::size_t>> ByRack(Workers.rackCount());
+  std::vector<std::uint32_t> Capacities(Workers.rackCount());
+  std::vector<std::size_t> AllWorkers;
+  const auto &Spec = Gang.spec();
+  for (std::size_t Position = 0; Position < Workers.size(); ++Position) {
+    if (!mayRunOn(Gang, Workers[Position]))
+      continue;
+    const auto &Entry = *Workers[Position].Worker;
+    ByRack[Entry.Rack].push_back(Position);
+    Capacities[Entry.Rack] +=
+        std::min(Entry.Report.Capacity.maxTaskCount(Spec.Need),
+                 Spec.MaxPerWorker > 0 ? Spec.MaxPerWorker : Gang.TaskCount);
+    AllWorkers.push_back(Position);
+  }
+  // A gang that is too large for every rack is spread over racks: it runs more
+  // slowly, but otherwise it would never run.
+  if (std::none_of(Capacities.begin(), Capacities.end(),
+                   [&](auto Capacity) { return Capacity >= Gang.TaskCount; }))
+    return {std::move(AllWorkers)};
+  return ByRack;
+}
+
+auto LayoutSearch::mayRunOn(const TaskGroup &Group,
+                            const CandidateWorker &Candidate) const -> bool {
+  const auto &Report = Candidate.Worker->Report;
+  if (Report.Service != Group.Job->Spec.Service)
+    return false;
+  const auto &Label = Group.spec().RequiredLabel;
+  return Label.empty() || std::find(Report.Labels.begin(), Report.Labels.end(),
+                                    Label) != Report.Labels.end();
+}
+
+auto LayoutSearch::remainingWorkerLimit(const TaskGroup &Group,
+                                        const CandidateWorker &Candidate) const
+    -> std::uint32_t {
+  const auto Limit = Group.spec().MaxPerWorker;
+  if (Limit == 0)
+    return std::numeric_limits<std::uint16_t>::max();
+  std::uint32_t PresentCount = 0;
+  for (const auto &[Id, LiveRun] : Candidate.Worker->Runs)
+    if (Id.Job == Group.Job->Spec.Id && Id.Step == Group.Step)
+      ++PresentCount;
+  return PresentCount >= Limit ? 0 : Limit - PresentCount;
+}
+
+auto LayoutSearch::layoutWithoutVictims(
+    const TaskGroup &Group, const std::vector<std::size_t> &WorkerSet,
+    bool IncludeStoppingRuns) const -> std::optional<Layout> {
+  const auto &Spec = Group.spec();
+  struct Option {
+    std::tuple<bool, bool, std::int64_t, std::int64_t, std::int64_t,
+               std::size_t>
+        Preference;
+    std::uint32_t MaxTasks;
+
+    auto position() const -> std::size_t { return std::get<5>(Preference); }
+  };
+  std::vector<Option> Options;
+  std::uint32_t Total = 0;
+  std::int64_t FreeGpusOfSet = 0;
+  for (const auto Position : WorkerSet) {
+    const auto &Candidate = Workers[Position];
+    const auto Available =
+        IncludeStoppingRuns ? Candidate.FreeAfterStops : Candidate.usable();
+    FreeGpusOfSet += std::max<std::int64_t>(Available.Gpus, 0);
+    if (!Available.covers(Spec.Need))
+      continue;
+    const auto MaxTasks = std::min(Available.maxTaskCount(Spec.Need),
+                                   remainingWorkerLimit(Group, Candidate));
+    if (MaxTasks == 0)
+      continue;
+    const auto &Entry = *Candidate.Worker;
+    const bool HasRecentFailure = !Entry.FailedJobs.empty();
+    const bool IsFarFromData =
+        !Spec.DataRack.empty() && Entry.Report.Rack != Spec.DataRack;
+    // Fill the racks and workers with the least free resources first, so that
+    // whole racks and workers stay free.
+    Options.push_back(
+        {{HasRecentFailure, IsFarFromData, Workers.freeGpusOfRack(Entry.Rack),
+          Available.Gpus, Available.MemoryMb, Position},
+         MaxTasks});
+    Total += MaxTasks;
+  }
+  if (Total == 0 || (Spec.Gang && Total < Group.TaskCount))
+    return std::nullopt;
+  // Few of the options are needed, so they are not sorted as a whole.
+  const auto IsWorse = [](const Option &Left, const Option &Right) {
+    return Right.Preference < Left.Preference;
+  };
+  std::make_heap(Options.begin(), Options.end(), IsWorse);
+  Layout Result;
+  constexpr double RecentFailureCost = 1e6;
+  constexpr double RemoteDataCost = 1e4;
+  while (Result.TaskCount < Group.TaskCount && !Options.empty()) {
+    std::pop_heap(Options.begin(), Options.end(), IsWorse);
+    const auto &Choice = Options.back();
+    const auto TaskCount =
+        std::min(Group.TaskCount - Result.TaskCount, Choice.MaxTasks);
+    Result.TaskCounts.emplace_back(Choice.position(), TaskCount);
+    Result.TaskCount += TaskCount;
+    Result.Cost += std::get<0>(Choice.Preference) ? RecentFailureCost : 0;
+    Result.Cost += std::get<1>(Choice.Preference) ? RemoteDataCost : 0;
+    Options.pop_back();
+  }
+  // Prefer the set of workers that has the fewest free accelerators.
+  Result.Cost += static_cast<double>(FreeGpusOfSet);
+  return Result;
+}
+
+auto LayoutSearch::victimChoice(const TaskGroup &Group, std::size_t Position,
+                                Resources Available, std::uint32_t PlacedCount,
+                                const std::set<RunId> &ChosenVictims) const
+    -> std::optional<VictimChoice> {
+  if (PlacedCount >= remainingWorkerLimit(Group, Workers[Position]))
+    return std::nullopt;
+  const auto &Need = Group.spec().Need;
+  VictimChoice Choice{0, Position, {}};
+  if (Available.covers(Need))
+    return Choice;
+  for (const auto &Candidate : PreemptableRuns.on(Position)) {
+    if (!mayPreempt(Group, Candidate) || ChosenVictims.contains(Candidate.Id))
+      continue;
+    Available += Candidate.Need;
+    Choice.Victims.push_back(Candidate.Id);
+    Choice.Cost += Candidate.Cost;
+    if (Available.covers(Need))
+      return Choice;
+  }
+  return std::nullopt;
+}
+
+auto LayoutSearch::layoutWithVictims(
+    const TaskGroup &Group, const std::vector<std::size_t> &WorkerSet) const
+    -> std::optional<Layout> {
+  const auto &Need = Group.spec().Need;
+  Layout Result;
+  /// Resources and number of tasks of the group on each worker as far as the
+  /// layout has been determined; missing if not changed yet.
+  struct Planned {
+    Resources Free;
+    std::uint32_t TaskCount = 0;
+  };
+  std::map<std::size_t, Planned> PlannedByPosition;
+  const auto PlannedAt = [&](std::size_t Position) -> Planned & {
+    return PlannedByPosition
+        .try_emplace(Position, Planned{Workers[Position].FreeAfterStops, 0})
+        .first->second;
+  };
+  // Each worker has at most one choice that is up to date.
+  const auto IsLess = [](const VictimChoice &Left, const VictimChoice &Right) {
+    return std::tie(Left.Cost, Left.Position) <
+           std::tie(Right.Cost, Right.Position);
+  };
+  std::set<VictimChoice, decltype(IsLess)> Choices(IsLess);
+  std::map<std::size_t, double> CostByPosition;
+  const auto UpdateChoice = [&](std::size_t Position) {
+    if (const auto Known = CostByPosition.find(Position);
+        Known != CostByPosition.end()) {
+      Choices.erase(VictimChoice{Known->second, Position, {}});
+      CostByPosition.erase(Known);
+    }
+    const auto Plan = PlannedByPosition.find(Position);
+    const bool IsChanged = Plan != PlannedByPosition.end();
+    auto Choice = victimChoice(
+        Group, Position,
+        IsChanged ? Plan->second.Free : Workers[Position].FreeAfterStops,
+        IsChanged ? Plan->second.TaskCount : 0, Result.Victims);
+    if (!Choice)
+      return;
+    CostByPosition[Position] = Choice->Cost;
+    Choices.insert(std::move(*Choice));
+  };
+  for (const auto Position : WorkerSet)
+    UpdateChoice(Position);
+  const std::set<std::size_t> InSet(WorkerSet.begin(), WorkerSet.end());
+  for (std::uint32_t Member = 0; Member < Group.TaskCount; ++Member) {
+    if (Choices.empty())
+      return std::nullopt;
+    const auto Best = *Choices.begin();
+    std::set<std::size_t> Changed{Best.Position};
+    for (const auto &Victim : Best.Victims)
+      for (const auto &Id : PreemptableRuns.gangOf(Victim)) {
+        if (!Result.Victims.insert(Id).second)
+          continue;
+        const auto *LiveRun = Scheduler.run(Id);
+        const auto Position = Workers.positionOf(LiveRun->Worker);
+        if (!Position || !InSet.contains(*Position))
+          continue;
+        PlannedAt(*Position).Free += LiveRun->Job->Spec.Steps[Id.Step].Need;
+        Changed.insert(*Position);
+      }
+    auto &Plan = PlannedAt(Best.Position);
+    Plan.Free -= Need;
+    ++Plan.TaskCount;
+    ++Result.TaskCount;
+    Result.Cost += Best.Cost;
+    Result.TaskCounts.emplace_back(Best.Position, 1);
+    for (const auto Position : Changed)
+      UpdateChoice(Position);
+  }
+  return Result;
+}
+
+auto LayoutSearch::reclaimsGuarantee(const TaskGroup &Group) const -> bool {
+  return Group.Job->Guaranteed && Now - Group.Job->SubmittedAt >=
+                                      Scheduler.policy().GuaranteeReclaimDelay;
+}
+
+auto LayoutSearch::mayPreempt(const TaskGroup &Group,
+                              const PreemptionCandidate &Candidate) const
+    -> bool {
+  if (Candidate.Priority > Group.Job->Spec.Priority)
+    return true;
+  // An equally urgent run without a guarantee is stopped only if the guarantee
+  // would otherwise be missed.
+  return reclaimsGuarantee(Group) && !Candidate.Guaranteed;
+}
+
+auto LayoutSearch::roomFor(const TaskGroup &Group) const -> std::uint32_t {
+  std::uint32_t Count = 0;
+  for (std::size_t Position = 0; Position < Workers.size(); ++Position)
+    if (const auto &Candidate = Workers[Position]; mayRunOn(Group, Candidate))
+      Count += std::min(Candidate.usable().maxTaskCount(Group.spec().Need),
+                        remainingWorkerLimit(Group, Candidate));
+  return Count;
+}
+
+} // namespace jayramp::scheduling
--- a/Source/Scheduling/ShardScheduler.h
+++ b/Source/Scheduling/ShardScheduler.h
@@ -102,6 +102,7 @@
   /// result. The passing of time is not counted.
   auto needsPass() const -> bool { return PassNeeded; }
 
+  auto policy() const -> const SchedulingPolicy & { return Policy; }
   auto job(const std::string &Id) const -> const JobEntry *;
   auto jobs() const -> const std::map<std::string, JobEntry> & { return Jobs; }
   auto worker(const std::string &Id) const -> const WorkerEntry *;
