scheduling: report what waiting tasks wait for

At the end of a pass, the groups that were not placed are diagnosed: rack, reserve, quarantine, unreachable workers, room, no worker, earlier runs, on hold. The log has the reason, how many of the tasks the free room would hold and the share of the pool in use; beside room, and after 3 s, as a warning. The wait counts from the step's turn.

--- a/Source/Scheduling/JobEntry.cpp
+++ b/Source/Scheduling/JobEntry.cpp
@@ -65,6 +65,8 @@
   auto &Task = Progress.Steps[Step][Index];
   if (Task.Worker.empty() && !Task.Done)
     removeFromWaiting(Step);
+  Steps[Step].WaitingSince.reset();
+  Steps[Step].LastWaitReason.reset();
   Task.LastRunNumber = RunNumber;
   Task.Worker = std::move(Worker);
   Task.Incarnation = Incarnation;
@@ -90,6 +92,19 @@
     removeFromWaiting(Step);
 }
 
+auto JobEntry::recordWaiting(std::uint32_t Step, TimePoint Now) -> void {
+  auto &Since = Steps[Step].WaitingSince;
+  if (Since)
+    return;
+  const auto &Tasks = Progress.Steps[Step];
+  const bool NeverPlaced =
+      std::all_of(Tasks.begin(), Tasks.end(),
+                  [](const auto &Task) { return Task.LastRunNumber == 0; });
+  const bool WaitsSinceSubmission =
+      Spec.Steps[Step].After.empty() && NeverPlaced;
+  Since = WaitsSinceSubmission ? SubmittedAt : Now;
+}
+
 auto JobEntry::recordStartSent(std::uint32_t Step, std::uint32_t Index,
                                std::uint32_t RunNumber) -> void {
   auto &Sent = Steps[Step].SentRuns[Index];
--- a/Source/Scheduling/JobEntry.h
+++ b/Source/Scheduling/JobEntry.h
@@ -3,8 +3,10 @@
 #include "Base/Clock.h"
 #include "Scheduling/JobProgress.h"
 #include "Scheduling/JobSpec.h"
+#include "Scheduling/WaitReason.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace jayramp::scheduling {
@@ -25,6 +27,12 @@
   /// Records that no run of the task occupies a worker any more.
   auto vacateTask(std::uint32_t Step, std::uint32_t Index) -> void;
   auto markTaskDone(std::uint32_t Step, std::uint32_t Index) -> void;
+  /// Records that tasks of \p Step, whose turn has come, wait at \p Now. Has
+  /// no effect if they have waited since the last placement of any of them.
+  auto recordWaiting(std::uint32_t Step, TimePoint Now) -> void;
+  auto recordWaitReason(std::uint32_t Step, WaitReason Reason) -> void {
+    Steps[Step].LastWaitReason = Reason;
+  }
   /// Records that a start of the task's run \p RunNumber was sent to a worker.
   auto recordStartSent(std::uint32_t Step, std::uint32_t Index,
                        std::uint32_t RunNumber) -> void;
@@ -44,6 +52,15 @@
   }
   /// Returns the number of tasks of all steps that are neither done nor placed.
   auto waitingTasks() const -> std::uint32_t { return WaitingTasks; }
+  /// Returns since when tasks of \p Step have waited; must be recorded.
+  auto waitingSince(std::uint32_t Step) const -> TimePoint {
+    return *Steps[Step].WaitingSince;
+  }
+  /// Returns what the tasks of \p Step wait for; none if they have not waited
+  /// long enough to be diagnosed.
+  auto waitReason(std::uint32_t Step) const -> std::optional<WaitReason> {
+    return Steps[Step].LastWaitReason;
+  }
   /// Returns the indices of the first waiting tasks of \p Step, at most
   /// \p MaxCount.
   auto waitingIndices(std::uint32_t Step, std::uint32_t MaxCount) const
@@ -58,6 +75,7 @@
   TimePoint FinishedAt;
   /// No runs are searched that the job could preempt before this time.
   TimePoint NextPreemptionSearch;
+  TimePoint NextWaitDiagnosis;    ///< Not diagnosed before this time.
   double CriticalPathSeconds = 0; ///< Estimated duration without waiting.
   double ObjectiveSeconds = 0;    ///< Latency objective.
   std::int64_t TotalGpus = 0; ///< Accelerators that all tasks need together.
@@ -67,6 +85,10 @@
   struct StepState {
     std::uint32_t Undone = 0;
     std::uint32_t Waiting = 0; ///< Neither done nor placed.
+    /// Since when its tasks have waited; absent if none does or their turn has
+    /// not come.
+    std::optional<TimePoint> WaitingSince;
+    std::optional<WaitReason> LastWaitReason; ///< Since WaitingSince.
     /// By task: the highest number of a run whose start may have been sent.
     std::vector<std::uint32_t> SentRuns;
   };
--- a/Source/Scheduling/LayoutSearch.cpp
+++ b/Source/Scheduling/LayoutSearch.cpp
@@ -5,7 +5,6 @@
 #include "Scheduling/ShardScheduler.h"
 
 #include <algorithm>
-#include <limits>
 #include <map>
 #include <tuple>
 #include <utility>
@@ -35,7 +34,7 @@
   std::vector<std::size_t> AllWorkers;
   AllWorkers.reserve(Workers.size());
   for (std::size_t Position = 0; Position < Workers.size(); ++Position)
-    if (mayRunOn(Group, Workers[Position]))
+    if (Group.mayRunOn(*Workers[Position].Worker))
       AllWorkers.push_back(Position);
   return {std::move(AllWorkers)};
 }
@@ -47,7 +46,7 @@
   std::vector<std::size_t> AllWorkers;
   const auto &Spec = Gang.spec();
   for (std::size_t Position = 0; Position < Workers.size(); ++Position) {
-    if (!mayRunOn(Gang, Workers[Position]))
+    if (!Gang.mayRunOn(*Workers[Position].Worker))
       continue;
     const auto &Entry = *Workers[Position].Worker;
     ByRack[Entry.Rack].push_back(Position);
@@ -64,29 +63,6 @@
   return ByRack;
 }
 
-auto LayoutSearch::mayRunOn(const TaskGroup &Group,
-                            const CandidateWorker &Candidate) const -> bool {
-  const auto &Report = Candidate.Worker->Report;
-  if (Report.Service != Group.Job->Spec.Service)
-    return false;
-  const auto &Label = Group.spec().RequiredLabel;
-  return Label.empty() || std::find(Report.Labels.begin(), Report.Labels.end(),
-                                    Label) != Report.Labels.end();
-}
-
-auto LayoutSearch::remainingWorkerLimit(const TaskGroup &Group,
-                                        const CandidateWorker &Candidate) const
-    -> std::uint32_t {
-  const auto Limit = Group.spec().MaxPerWorker;
-  if (Limit == 0)
-    return std::numeric_limits<std::uint16_t>::max();
-  std::uint32_t PresentCount = 0;
-  for (const auto &[Id, LiveRun] : Candidate.Worker->Runs)
-    if (Id.Job == Group.Job->Spec.Id && Id.Step == Group.Step)
-      ++PresentCount;
-  return PresentCount >= Limit ? 0 : Limit - PresentCount;
-}
-
 auto LayoutSearch::layoutWithoutVictims(
     const TaskGroup &Group, const std::vector<std::size_t> &WorkerSet,
     bool IncludeStoppingRuns) const -> std::optional<Layout> {
@@ -109,8 +85,9 @@
     FreeGpusOfSet += std::max<std::int64_t>(Available.Gpus, 0);
     if (!Available.covers(Spec.Need))
       continue;
-    const auto MaxTasks = std::min(Available.maxTaskCount(Spec.Need),
-                                   remainingWorkerLimit(Group, Candidate));
+    const auto MaxTasks =
+        std::min(Available.maxTaskCount(Spec.Need),
+                 Group.remainingWorkerLimit(*Candidate.Worker));
     if (MaxTasks == 0)
       continue;
     const auto &Entry = *Candidate.Worker;
@@ -155,7 +132,7 @@
                                 Resources Available, std::uint32_t PlacedCount,
                                 const std::set<RunId> &ChosenVictims) const
     -> std::optional<VictimChoice> {
-  if (PlacedCount >= remainingWorkerLimit(Group, Workers[Position]))
+  if (PlacedCount >= Group.remainingWorkerLimit(*Workers[Position].Worker))
     return std::nullopt;
   const auto &Need = Group.spec().Need;
   VictimChoice Choice{0, Position, {}};
@@ -263,9 +240,10 @@
 auto LayoutSearch::roomFor(const TaskGroup &Group) const -> std::uint32_t {
   std::uint32_t Count = 0;
   for (std::size_t Position = 0; Position < Workers.size(); ++Position)
-    if (const auto &Candidate = Workers[Position]; mayRunOn(Group, Candidate))
+    if (const auto &Candidate = Workers[Position];
+        Group.mayRunOn(*Candidate.Worker))
       Count += std::min(Candidate.usable().maxTaskCount(Group.spec().Need),
-                        remainingWorkerLimit(Group, Candidate));
+                        Group.remainingWorkerLimit(*Candidate.Worker));
   return Count;
 }
 
--- a/Source/Scheduling/LayoutSearch.h
+++ b/Source/Scheduling/LayoutSearch.h
@@ -16,7 +16,6 @@
 class CandidateWorkers;
 class PreemptionCandidates;
 class ShardScheduler;
-struct CandidateWorker;
 struct PreemptionCandidate;
 struct Resources;
 
@@ -71,13 +70,6 @@
       -> std::vector<std::vector<std::size_t>>;
   auto racksThatMayHold(const TaskGroup &Gang) const
       -> std::vector<std::vector<std::size_t>>;
-  auto mayRunOn(const TaskGroup &Group, const CandidateWorker &Candidate) const
-      -> bool;
-  /// Returns how many more tasks of the group the per-worker limit allows on
-  /// \p Candidate.
-  auto remainingWorkerLimit(const TaskGroup &Group,
-                            const CandidateWorker &Candidate) const
-      -> std::uint32_t;
   /// Returns a layout on the workers of \p WorkerSet that stops no runs.
   auto layoutWithoutVictims(const TaskGroup &Group,
                             const std::vector<std::size_t> &WorkerSet,
--- a/Source/Scheduling/PlacementPass.cpp
+++ b/Source/Scheduling/PlacementPass.cpp
@@ -1,8 +1,10 @@
 #include "Scheduling/PlacementPass.h"
 
 #include "Scheduling/ShardScheduler.h"
+#include "Scheduling/WaitDiagnosis.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -22,6 +24,9 @@
 /// Limits the time of one pass: a search compares the runs of all workers.
 constexpr unsigned MaxPreemptionSearches = 8;
 
+/// Shortest interval between two passes that diagnose waits.
+constexpr Milliseconds WaitDiagnosisInterval{250};
+
 } // namespace
 
 PlacementPass::PlacementPass(ShardScheduler &Scheduler, TimePoint Now)
@@ -30,11 +35,16 @@
 
 auto PlacementPass::run() -> void {
   collectCandidates();
-  for (const auto &Group : collectTaskGroups())
+  auto Groups = collectTaskGroups();
+  for (auto &Group : Groups) {
+    if (Group.NotTried)
+      continue;
     if (Group.spec().Gang)
       placeGang(Group);
     else
       placeTasks(Group);
+  }
+  diagnoseWaits(Groups);
 }
 
 auto PlacementPass::collectCandidates() -> void {
@@ -55,7 +65,7 @@
   using SortKey = std::tuple<std::uint32_t, bool, Lateness, std::uint64_t>;
   std::vector<std::pair<SortKey, JobEntry *>> SortedJobs;
   for (const auto &[Sequence, Job] : Scheduler.ActiveJobs)
-    if (Job->waitingTasks() > 0 && !Job->OnHold)
+    if (Job->waitingTasks() > 0)
       SortedJobs.push_back(
           {{Job->Spec.Priority, !Job->Guaranteed, latenessOf(*Job), Sequence},
            Job});
@@ -74,10 +84,15 @@
   for (std::uint32_t Step = 0; Step < Job.Spec.Steps.size(); ++Step) {
     const auto &Spec = Job.Spec.Steps[Step];
     const auto Waiting = Job.waitingTasks(Step);
-    if (Waiting == 0 || (Spec.Gang && Waiting < Spec.Count) ||
-        !Job.isReady(Step))
+    if (Waiting == 0 || !Job.isReady(Step))
       continue;
-    Groups.push_back({&Job, Step, Waiting, JobLateness});
+    Job.recordWaiting(Step, Now);
+    TaskGroup Group{&Job, Step, Waiting, JobLateness};
+    if (Job.OnHold)
+      Group.NotTried = WaitReason::OnHold;
+    else if (Spec.Gang && Waiting < Spec.Count)
+      Group.NotTried = WaitReason::EarlierRuns;
+    Groups.push_back(Group);
   }
 }
 
@@ -112,19 +127,30 @@
       std::min<std::int64_t>(Group.TaskCount, Available / Gpus));
 }
 
-auto PlacementPass::placeGang(TaskGroup Gang) -> void {
-  if (tasksOutsideReserve(Gang) < Gang.TaskCount)
+auto PlacementPass::hasFreeGpusFor(const TaskGroup &Group) const -> bool {
+  return Group.spec().Need.Gpus * std::int64_t(Group.unitSize()) <=
+         Candidates.freeGpus();
+}
+
+auto PlacementPass::placeGang(TaskGroup &Gang) -> void {
+  if (tasksOutsideReserve(Gang) < Gang.TaskCount) {
+    if (hasFreeGpusFor(Gang))
+      Gang.NotTried = WaitReason::Reserve;
     return;
+  }
   Gang.StaysInRack = mustStayInRack(Gang);
   const auto Shape = shapeOf(Gang);
   if (placeNow(Gang, Shape) == 0 && Gang.Job->Spec.Priority == 0)
     placeAfterStops(Gang, Shape);
 }
 
-auto PlacementPass::placeTasks(TaskGroup Group) -> void {
+auto PlacementPass::placeTasks(TaskGroup &Group) -> void {
   Group.TaskCount = tasksOutsideReserve(Group);
-  if (Group.TaskCount == 0)
+  if (Group.TaskCount == 0) {
+    if (hasFreeGpusFor(Group))
+      Group.NotTried = WaitReason::Reserve;
     return;
+  }
   Group.StaysInRack = mustStayInRack(Group);
   const auto Shape = shapeOf(Group);
   auto Remaining = Group.TaskCount - placeNow(Group, Shape);
@@ -137,6 +163,16 @@
     --Remaining;
 }
 
+auto PlacementPass::diagnoseWaits(const std::vector<TaskGroup> &Groups)
+    -> void {
+  if (Now < Scheduler.NextWaitDiagnosis)
+    return;
+  Scheduler.NextWaitDiagnosis = Now + WaitDiagnosisInterval;
+  auto Reports = WaitDiagnosis(Scheduler, Search, Now).diagnose(Groups);
+  std::move(Reports.begin(), Reports.end(),
+            std::back_inserter(Scheduler.WaitReports));
+}
+
 auto PlacementPass::placeAfterStops(const TaskGroup &Group,
                                     const TaskGroupShape &Shape) -> bool {
   return reserveFreeAfterStops(Group, Shape) || preempt(Group, Shape);
--- a/Source/Scheduling/PlacementPass.h
+++ b/Source/Scheduling/PlacementPass.h
@@ -31,13 +31,18 @@
   auto addTaskGroups(JobEntry &Job, Lateness JobLateness,
                      std::vector<TaskGroup> &Groups) -> void;
   auto latenessOf(const JobEntry &Job) const -> Lateness;
-  auto placeGang(TaskGroup Gang) -> void;
+  auto placeGang(TaskGroup &Gang) -> void;
   /// Places as many tasks of the group as fit.
-  auto placeTasks(TaskGroup Group) -> void;
+  auto placeTasks(TaskGroup &Group) -> void;
+  /// Reports what groups wait for, at intervals.
+  auto diagnoseWaits(const std::vector<TaskGroup> &Groups) -> void;
   /// Returns how many tasks of the group may be placed without using the
   /// accelerators that are reserved for urgent arrivals.
   auto tasksOutsideReserve(const TaskGroup &Group) const -> std::uint32_t;
   auto mayUseReserve(const TaskGroup &Group) const -> bool;
+  /// Returns whether the group fits by the number of free accelerators, the
+  /// reserved ones included.
+  auto hasFreeGpusFor(const TaskGroup &Group) const -> bool;
   auto mustStayInRack(const TaskGroup &Group) const -> bool;
   /// Returns the layout of least cost if it is within \p Budget. Does not
   /// search if \p KnownFailures shows that there is none; adds a new failure to
--- a/Source/Scheduling/ShardScheduler.h
+++ b/Source/Scheduling/ShardScheduler.h
@@ -5,6 +5,7 @@
 #include "Scheduling/RunPollRate.h"
 #include "Scheduling/SchedulingDecisions.h"
 #include "Scheduling/SchedulingPolicy.h"
+#include "Scheduling/WaitReason.h"
 #include "Scheduling/WorkerEntry.h"
 
 #include <deque>
@@ -90,6 +91,11 @@
     return std::exchange(PlacementDecisions, {});
   }
 
+  /// Returns what waiting tasks were found to wait for since the last call.
+  auto takeWaitReports() -> std::vector<WaitReport> {
+    return std::exchange(WaitReports, {});
+  }
+
   /// Returns the ids of the workers whose runs, registration or drain state
   /// changed since the last call.
   auto takeChangedWorkers() -> std::set<std::string> {
@@ -179,6 +185,8 @@
   std::deque<std::pair<TimePoint, std::int64_t>> UrgentArrivals;
   std::vector<StopDecision> StopDecisions;
   std::vector<PlacementDecision> PlacementDecisions;
+  std::vector<WaitReport> WaitReports;
+  TimePoint NextWaitDiagnosis; ///< No wait is diagnosed before this time.
   std::uint64_t NextSequence = 1;
 };
 
--- a/Source/Scheduling/TaskGroup.h
+++ b/Source/Scheduling/TaskGroup.h
@@ -1,11 +1,15 @@
 #pragma once
 
 #include "Scheduling/JobEntry.h"
+#include "Scheduling/WaitReason.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace jayramp::scheduling {
 
+struct WorkerEntry;
+
 /// How a job stands to its latency objective. Jobs of equal priority are placed
 /// in this order.
 enum class Lateness {
@@ -22,8 +26,18 @@
   std::uint32_t TaskCount = 1;
   Lateness JobLateness = Lateness::OnTime;
   bool StaysInRack = false; ///< It is placed in one rack or not at all.
+  /// Why the pass makes no search for the group; absent if it does.
+  std::optional<WaitReason> NotTried = std::nullopt;
 
   auto spec() const -> const StepSpec & { return Job->Spec.Steps[Step]; }
+  /// Returns the least number of its tasks that can be placed by themselves.
+  auto unitSize() const -> std::uint32_t { return spec().Gang ? TaskCount : 1; }
+  /// Returns whether \p Worker belongs to the pool of the job and has the label
+  /// that the tasks require.
+  auto mayRunOn(const WorkerEntry &Worker) const -> bool;
+  /// Returns how many more of the tasks the per-worker limit allows on
+  /// \p Worker.
+  auto remainingWorkerLimit(const WorkerEntry &Worker) const -> std::uint32_t;
 };
 
 } // namespace jayramp::scheduling
--- /dev/null
+++ b/Source/Scheduling/WaitDiagnosis.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "Base/Clock.h"
+#include "Scheduling/TaskGroup.h"
+#include "Scheduling/WaitReason.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace jayramp::scheduling {
+
+class LayoutSearch;
+class ShardScheduler;
+
+/// Finds out, at the end of a placement pass, what the groups that were not
+/// placed wait for. A diagnosis looks at every worker, so only a few are made
+/// at a time, and each job is diagnosed again only after a while.
+class WaitDiagnosis {
+public:
+  WaitDiagnosis(const ShardScheduler &Scheduler, const LayoutSearch &Search,
+                TimePoint Now)
+      : Scheduler(Scheduler), Search(Search), Now(Now) {}
+
+  /// Diagnoses the groups that are due, those that have waited longest first,
+  /// and records the reasons in their jobs.
+  auto diagnose(const std::vector<TaskGroup> &Groups)
+      -> std::vector<WaitReport>;
+
+private:
+  auto isDue(const TaskGroup &Group) const -> bool;
+  auto reasonFor(const TaskGroup &Group, std::uint32_t RoomFor) const
+      -> WaitReason;
+  /// Returns how many tasks of the group fit on quarantined workers, on
+  /// unreachable ones, or on all that do not drain if their runs are left out.
+  auto roomOnQuarantined(const TaskGroup &Group) const -> std::uint32_t;
+  auto roomOnUnreachable(const TaskGroup &Group) const -> std::uint32_t;
+  auto roomWhenEmpty(const TaskGroup &Group) const -> std::uint32_t;
+
+  const ShardScheduler &Scheduler;
+  const LayoutSearch &Search;
+  TimePoint Now;
+};
+
+} // namespace jayramp::scheduling
--- /dev/null
+++ b/Source/Scheduling/WaitReason.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace jayramp::scheduling {
+
+/// What the tasks of a step wait for.
+enum class WaitReason {
+  Room,        ///< The workers that may run them are too full.
+  Rack,        ///< There is room, but not in a single rack.
+  Reserve,     ///< The free accelerators are kept for more urgent arrivals.
+  Quarantine,  ///< There is room only on workers that get no tasks at present.
+  Unreachable, ///< There is room only on workers that do not answer.
+  NoWorker,    ///< No set of registered workers could hold them when empty.
+  EarlierRuns, ///< Earlier runs of the gang may be alive.
+  OnHold,      ///< Their progress cannot be stored at present.
+};
+
+/// Returns the name of \p Reason in logs and metrics.
+auto toString(WaitReason Reason) -> std::string_view;
+
+/// Returns whether the tasks wait although workers that could run them stand
+/// idle.
+auto isBesideRoom(WaitReason Reason) -> bool;
+
+/// The tasks of a step that wait, as a scheduling pass found them; used for
+/// logs.
+struct WaitReport {
+  std::string Job;
+  std::uint32_t Step = 0;
+  std::uint32_t Tasks = 0; ///< Number of tasks that wait.
+  WaitReason Reason = WaitReason::Room;
+  std::uint32_t RoomFor = 0; ///< Number of such tasks that fit in any racks.
+  double PoolUse = 0;        ///< Share of the pool's capacity that is in use.
+  double WaitedSeconds = 0;  ///< Since the step's turn came.
+
+  auto operator==(const WaitReport &) const -> bool = default;
+};
+
+} // namespace jayramp::scheduling
--- a/Source/Shard/ShardOwner.cpp
+++ b/Source/Shard/ShardOwner.cpp
@@ -19,6 +19,9 @@
 /// Orders of several sessions that are due within this time are sent together.
 constexpr Milliseconds OrderBatchInterval{10};
 constexpr Milliseconds TickInterval{100};
+/// Seconds after which a task that waits beside room for it is logged as a
+/// warning.
+constexpr double MaxWaitBesideRoom = 3.0;
 /// If the last successful heartbeat is older than this, writes to the journal
 /// check whether this process still owns the shard.
 constexpr Milliseconds MaxHeartbeatAge{1000};
@@ -270,6 +273,7 @@
   const auto Begin = Clock::now();
   Scheduler.schedule(Begin);
   logDecisions();
+  logWaits();
   const auto End = Clock::now();
   NextDecision = End + (End - Begin) * DecisionPauseFactor;
   // Orders may change the scheduler's state again, which needs another pass.
@@ -298,6 +302,21 @@
               {"percent", std::to_string(Stop.ProgressPercent)}});
 }
 
+auto ShardOwner::logWaits() -> void {
+  for (const auto &Wait : Scheduler.takeWaitReports()) {
+    const bool IsUnexpected =
+        isBesideRoom(Wait.Reason) && Wait.WaitedSeconds >= MaxWaitBesideRoom;
+    logEvent(IsUnexpected ? LogLevel::Warning : LogLevel::Info, "tasks-waiting",
+             {{"job", Wait.Job},
+              {"step", std::to_string(Wait.Step)},
+              {"tasks", std::to_string(Wait.Tasks)},
+              {"reason", std::string(toString(Wait.Reason))},
+              {"room-for", std::to_string(Wait.RoomFor)},
+              {"pool-use", std::to_string(Wait.PoolUse)},
+              {"waited-s", std::to_string(Wait.WaitedSeconds)}});
+  }
+}
+
 auto ShardOwner::onCommitted(const std::vector<std::string> &Jobs) -> void {
   sendOrders(Schedule.takeAwaiting(Jobs));
 }
--- a/Source/Shard/ShardOwner.h
+++ b/Source/Shard/ShardOwner.h
@@ -66,6 +66,7 @@
   auto scheduleDecision() -> void;
   auto decide() -> void;
   auto logDecisions() -> void;
+  auto logWaits() -> void;
   /// Lets the sessions of \p Workers send their orders.
   auto sendOrders(const std::set<std::string> &Workers) -> void;
   auto removeSession(const std::string &Worker) -> void;
--- a/Tests/Shard/RackWaitTest.cpp
+++ b/Tests/Shard/RackWaitTest.cpp
@@ -8,8 +8,7 @@
 class RackWaitTest : public SchedulerFixture {
 protected:
   static constexpr int WorkersPerRack = 6;
-  static constexpr JobShape WideGang{1,    10,   4,
-                                     true, true, Milliseconds(9000)};
+  static constexpr JobShape WideGang{1, 10, 4, true, true, Milliseconds(9000)};
 
   /// Adds a rack of which \p Busy workers run a long task of another job.
   auto addRack(const std::string &Rack, int Busy) -> void {
