scheduling: every gang's wait for a single rack has a bound

Cause: a gang that runs slowly if it is spread over racks waited for room in one rack without a bound unless it was of the most urgent priority. Ten tasks of 13 cores need five nearly empty workers of the same rack of six; smaller jobs keep filling them, and at the end of the traffic long runs hold two in each rack.

Fix: after 1.8 s such a gang may be spread if less than half of the pool is in use and there is room for it twice over, so that nobody else pays for the longer run; else after 20 s, so that a busy pool cannot starve it. The wait of a less urgent gang counts from its turn, not from the submission, so that a repeated gang looks for a rack again.

--- a/Source/Scheduling/PlacementPass.cpp
+++ b/Source/Scheduling/PlacementPass.cpp
@@ -1,5 +1,6 @@
 #include "Scheduling/PlacementPass.h"
 
+#include "Scheduling/PoolUse.h"
 #include "Scheduling/ShardScheduler.h"
 #include "Scheduling/WaitDiagnosis.h"
 
@@ -309,9 +310,22 @@
 auto PlacementPass::mustStayInRack(const TaskGroup &Group) const -> bool {
   if (!Group.spec().SameRack || Group.TaskCount < 2)
     return false;
-  const auto Waited = Now - Group.Job->SubmittedAt;
-  return Group.Job->Spec.Priority != 0 ||
-         Waited < Scheduler.Policy.MaxSameRackWait;
+  const auto &Job = *Group.Job;
+  const auto &Policy = Scheduler.Policy;
+  // Earlier runs have used up part of the time of an urgent job.
+  if (Job.Spec.Priority == 0)
+    return Now - Job.SubmittedAt < Policy.MaxSameRackWait;
+  const auto Waited = Now - Job.waitingSince(Group.Step);
+  if (Waited < Policy.MaxSameRackWait)
+    return true;
+  return Waited < Policy.MaxSameRackWaitOnBusyPool && !isPoolIdleFor(Group);
+}
+
+auto PlacementPass::isPoolIdleFor(const TaskGroup &Group) const -> bool {
+  constexpr std::uint32_t SpareFactor = 2;
+  return poolUse(Scheduler.Workers, Group.Job->Spec.Service) <
+             Scheduler.Policy.IdlePoolUse &&
+         Search.roomFor(Group) >= Group.TaskCount * SpareFactor;
 }
 
 auto PlacementPass::preemptionBudget(const TaskGroup &Group) const -> double {
--- a/Source/Scheduling/PlacementPass.h
+++ b/Source/Scheduling/PlacementPass.h
@@ -43,7 +43,12 @@
   /// Returns whether the group fits by the number of free accelerators, the
   /// reserved ones included.
   auto hasFreeGpusFor(const TaskGroup &Group) const -> bool;
+  /// Returns whether a group that runs slowly if it is spread over racks should
+  /// wait for room in one rack. Bounded for every group.
   auto mustStayInRack(const TaskGroup &Group) const -> bool;
+  /// Returns whether the group can be spread over racks without taking room
+  /// that others need: it holds its resources for longer then.
+  auto isPoolIdleFor(const TaskGroup &Group) const -> bool;
   /// Returns the layout of least cost if it is within \p Budget. Does not
   /// search if \p KnownFailures shows that there is none; adds a new failure to
   /// it. \p Shape is the shape of \p Group.
--- a/Source/Scheduling/SchedulingPolicy.h
+++ b/Source/Scheduling/SchedulingPolicy.h
@@ -8,9 +8,14 @@
 
 /// Parameters of the scheduling decisions. "Most urgent" means priority 0.
 struct SchedulingPolicy {
-  /// A gang of the most urgent priority that should stay in one rack may be
-  /// spread over several racks after waiting this long.
+  /// A gang that should stay in one rack may be spread over several racks after
+  /// waiting this long if it is of the most urgent priority or the pool is
+  /// idle.
   Milliseconds MaxSameRackWait{1800};
+  /// The same for less urgent gangs on a busy pool.
+  Milliseconds MaxSameRackWaitOnBusyPool{20000};
+  /// A pool is idle if less than this share of its capacity is in use.
+  double IdlePoolUse = 0.5;
   /// How long a worker gets no tasks after jobs failed or stalled on it.
   Milliseconds QuarantineDuration{8000};
   /// Number of different jobs that must fail on a worker, without a success in
--- a/Tests/Shard/RackWaitTest.cpp
+++ b/Tests/Shard/RackWaitTest.cpp
@@ -8,6 +8,7 @@
 class RackWaitTest : public SchedulerFixture {
 protected:
   static constexpr int WorkersPerRack = 6;
+  static constexpr std::int64_t LongestWaitMs = 20000; ///< For a rack.
   static constexpr JobShape WideGang{1, 10, 4, true, true, Milliseconds(9000)};
 
   /// Adds a rack of which \p Busy workers run a long task of another job.
@@ -25,6 +26,7 @@
   auto occupy(const std::string &Worker) -> void {
     auto Filler =
         jobSpec("on-" + Worker, {1, 1, 8, false, false, Milliseconds(60000)});
+    Filler.Steps[0].Need.CpuMillis = 64000;
     Filler.Steps[0].RequiredLabel = Worker;
     Scheduler.addJob(Filler, {}, at(0));
   }
@@ -47,5 +49,61 @@
   EXPECT_EQ(runsOf("gang").size(), 10U);
 }
 
+// Guards against giving up a rack too early: spread over racks, the gang holds
+// its accelerators for longer, at the cost of others.
+TEST_F(RackWaitTest, gangIsSpreadTooEarlyOnABusyPool) {
+  for (const auto *Rack : {"r0", "r1", "r2", "r3"})
+    addRack(Rack, 3);
+  Scheduler.schedule(at(0));
+  addJob("gang", WideGang, 1000);
+  scheduleUntil(1000, 12000);
+  EXPECT_TRUE(runsOf("gang").empty());
+}
+
+TEST_F(RackWaitTest, gangStarvesForARackOnABusyPool) {
+  for (const auto *Rack : {"r0", "r1", "r2", "r3"})
+    addRack(Rack, 3);
+  Scheduler.schedule(at(0));
+  addJob("gang", WideGang, 1000);
+  scheduleUntil(1000, 1000 + LongestWaitMs);
+  EXPECT_EQ(runsOf("gang").size(), 10U);
+}
+
+// Guards against spreading a gang at once although a rack becomes free soon.
+TEST_F(RackWaitTest, gangIsSpreadBesideARackThatBecomesFreeSoon) {
+  for (const auto *Rack : {"r0", "r1", "r2", "r3"})
+    addRack(Rack, 2);
+  Scheduler.schedule(at(0));
+  addJob("gang", WideGang, 1000);
+  scheduleUntil(1000, 1500);
+  Scheduler.runEnded({"on-r2-w0", 0, 0, 1}, RunOutcome::Succeeded, {},
+                     at(1500));
+  Scheduler.schedule(at(1500));
+  EXPECT_EQ(runsOf("gang").size(), 10U);
+  EXPECT_EQ(racksOf("gang"), std::set<std::string>{"r2"});
+}
+
+// Guards against spreading a repeated gang at once because its earlier run took
+// long.
+TEST_F(RackWaitTest, repeatedGangDoesNotWaitForARack) {
+  for (const auto *Rack : {"r0", "r1", "r2", "r3"})
+    addRack(Rack, 1);
+  Scheduler.schedule(at(0));
+  addJob("gang", WideGang, 0);
+  Scheduler.schedule(at(0));
+  for (const auto &LiveRun : runsOf("gang"))
+    Scheduler.runLost(LiveRun.Id, at(9000));
+  // The other jobs get the room first.
+  Scheduler.setOnHold("gang", true);
+  for (const auto *Rack : {"r0", "r1", "r2", "r3"})
+    occupy(std::string(Rack) + "-w1");
+  Scheduler.schedule(at(9000));
+  Scheduler.setOnHold("gang", false);
+  Scheduler.schedule(at(9000));
+  EXPECT_TRUE(runsOf("gang").empty());
+  scheduleUntil(9100, 11000);
+  EXPECT_EQ(runsOf("gang").size(), 10U);
+}
+
 } // namespace
 } // namespace jayramp::scheduling
