scheduling: the wait for the reserve ends after 15 s at the latest

Same class as the wait for a rack: a less urgent job leaves the reserve alone for half of its objective, which follows from the caller's estimate. With an estimate of an hour it would wait half an hour beside free accelerators while urgent jobs keep arriving. ShardSchedulerTest.estimateSetsTheLongestWaitForTheReserve failed before.

--- a/Source/Scheduling/PlacementPass.cpp
+++ b/Source/Scheduling/PlacementPass.cpp
@@ -110,8 +110,10 @@
   const auto &Job = *Group.Job;
   if (Job.Spec.Priority == 0 || Group.JobLateness != Lateness::OnTime)
     return true;
-  const auto Waited = seconds(Now - Job.SubmittedAt);
-  return Waited > Job.ObjectiveSeconds * Scheduler.Policy.ReserveWaitFraction;
+  const auto &Policy = Scheduler.Policy;
+  return seconds(Now - Job.SubmittedAt) >
+         std::min(Job.ObjectiveSeconds * Policy.ReserveWaitFraction,
+                  seconds(Policy.MaxReserveWait));
 }
 
 auto PlacementPass::tasksOutsideReserve(const TaskGroup &Group) const
--- a/Source/Scheduling/SchedulingPolicy.h
+++ b/Source/Scheduling/SchedulingPolicy.h
@@ -42,6 +42,9 @@
   /// A less urgent job may use the reserve after waiting this fraction of its
   /// latency objective.
   double ReserveWaitFraction = 0.5;
+  /// The same at the latest after waiting this long: the objective depends on
+  /// the caller's estimate, which may be far too long.
+  Milliseconds MaxReserveWait{15000};
   /// A task on a draining worker is moved unless it is expected to end at least
   /// this long before the worker leaves.
   Milliseconds DrainSafetyMargin{300};
--- a/Tests/Shard/ShardSchedulerTest.cpp
+++ b/Tests/Shard/ShardSchedulerTest.cpp
@@ -120,6 +120,26 @@
   EXPECT_EQ(runsOf("batch").size(), 1U);
 }
 
+// Guards against a wait for the reserve whose length the caller sets by an
+// estimate that is far too long.
+TEST_F(ShardSchedulerTest, estimateSetsTheLongestWaitForTheReserve) {
+  constexpr std::int64_t LongestWaitMs = 15000;
+  addWorkers(1, 3);
+  const JobShape Batch{2, 1, 8, false, false, std::chrono::hours(1)};
+  addJob("batch", Batch);
+  for (std::int64_t Ms = 0; Ms <= LongestWaitMs + 500; Ms += 500) {
+    const auto Urgent = "urgent" + std::to_string(Ms);
+    addJob(Urgent, {0, 2, 8}, Ms);
+    Scheduler.schedule(at(Ms));
+    for (const auto &LiveRun : runsOf(Urgent))
+      Scheduler.runEnded(LiveRun.Id, RunOutcome::Succeeded, {}, at(Ms));
+    if (Ms < LongestWaitMs) {
+      ASSERT_TRUE(runsOf("batch").empty()) << Ms;
+    }
+  }
+  EXPECT_EQ(runsOf("batch").size(), 1U);
+}
+
 // Guards against preempting a long run for a small urgent job that does far
 // less work than is lost.
 TEST_F(ShardSchedulerTest, doesNotPreemptIfTheLossExceedsTheBudget) {
