--- a/Source/Scheduling/PlacementPass.cpp
+++ b/Source/Scheduling/PlacementPass.cpp
@@ -58,7 +58,7 @@
         Now >= Entry.QuarantinedUntil)
       Candidates.add(Entry);
   }
-  ReservedGpus = Scheduler.urgentReserve(TotalGpus, Now);
+  ReservedGpus = Scheduler.Reserve.size(TotalGpus, Now);
 }
 
 auto PlacementPass::collectTaskGroups() -> std::vector<TaskGroup> {
--- a/Source/Scheduling/ShardScheduler.cpp
+++ b/Source/Scheduling/ShardScheduler.cpp
@@ -38,7 +38,7 @@
   if (!isFinal(Job.Progress.State))
     ActiveJobs.emplace(Job.Sequence, &Job);
   if (Job.Spec.Priority == 0 && Job.Progress.State == JobState::Pending)
-    UrgentArrivals.emplace_back(SubmittedAt, Job.TotalGpus);
+    Reserve.recordArrival(SubmittedAt, Job.TotalGpus);
   for (std::uint32_t Step = 0; Step < Job.Progress.Steps.size(); ++Step) {
     const auto &Tasks = Job.Progress.Steps[Step];
     for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index) {
@@ -519,21 +519,6 @@
              : RunPollRate::Elevated;
 }
 
-auto ShardScheduler::urgentReserve(std::int64_t TotalGpus, TimePoint Now)
-    -> std::int64_t {
-  while (!UrgentArrivals.empty() &&
-         UrgentArrivals.front().first < Now - Policy.ArrivalWindow)
-    UrgentArrivals.pop_front();
-  std::int64_t RecentArrivals = 0;
-  for (const auto &[Time, Gpus] : UrgentArrivals)
-    RecentArrivals += Gpus;
-  const auto ExpectedGpus = RecentArrivals * Policy.ReserveHorizon.count() /
-                            Policy.ArrivalWindow.count();
-  return std::min(ExpectedGpus,
-                  static_cast<std::int64_t>(static_cast<double>(TotalGpus) *
-                                            Policy.MaxReserveFraction));
-}
-
 auto ShardScheduler::updateGuaranteedJobs() -> void {
   std::map<std::string, std::int64_t> RequestedGpus;
   for (const auto &[Sequence, Job] : ActiveJobs) {
--- a/Source/Scheduling/ShardScheduler.h
+++ b/Source/Scheduling/ShardScheduler.h
@@ -5,6 +5,7 @@
 #include "Scheduling/RunPollRate.h"
 #include "Scheduling/SchedulingDecisions.h"
 #include "Scheduling/SchedulingPolicy.h"
+#include "Scheduling/UrgentReserve.h"
 #include "Scheduling/WaitReason.h"
 #include "Scheduling/WorkerEntry.h"
 
@@ -23,7 +24,8 @@
 /// runLost() is called for it.
 class ShardScheduler {
 public:
-  explicit ShardScheduler(SchedulingPolicy Policy = {}) : Policy(Policy) {}
+  explicit ShardScheduler(SchedulingPolicy Policy = {})
+      : Policy(Policy), Reserve(Policy) {}
 
   // Commands.
 
@@ -158,9 +160,6 @@
                            TimePoint Now) -> void;
   auto finishJob(JobEntry &Job, JobState State, TimePoint Now) -> void;
   auto updateGuaranteedJobs() -> void;
-  /// Returns the number of accelerators, of \p TotalGpus, that less urgent jobs
-  /// leave free for arriving jobs of the most urgent priority.
-  auto urgentReserve(std::int64_t TotalGpus, TimePoint Now) -> std::int64_t;
 
   SchedulingPolicy Policy;
   std::map<std::string, JobEntry> Jobs;
@@ -180,9 +179,7 @@
   std::map<std::string, std::int64_t> Guarantees;
   std::deque<std::string> ChangedJobs;
   std::set<std::string> ChangedJobSet;
-  /// Accelerators that jobs of the most urgent priority requested, by time of
-  /// arrival.
-  std::deque<std::pair<TimePoint, std::int64_t>> UrgentArrivals;
+  UrgentReserve Reserve;
   std::vector<StopDecision> StopDecisions;
   std::vector<PlacementDecision> PlacementDecisions;
   std::vector<WaitReport> WaitReports;
