scheduling: tasks that were just placed in part are not diagnosed

A step of which a pass places some tasks waits anew, so it has no time since when it waits; the diagnosis at the end of that pass read it all the same. Found by reading.

--- a/Source/Scheduling/JobEntry.h
+++ b/Source/Scheduling/JobEntry.h
@@ -52,9 +52,10 @@
   }
   /// Returns the number of tasks of all steps that are neither done nor placed.
   auto waitingTasks() const -> std::uint32_t { return WaitingTasks; }
-  /// Returns since when tasks of \p Step have waited; must be recorded.
-  auto waitingSince(std::uint32_t Step) const -> TimePoint {
-    return *Steps[Step].WaitingSince;
+  /// Returns since when tasks of \p Step have waited; none if their turn has
+  /// not come, or if any of them was placed since the wait was last recorded.
+  auto waitingSince(std::uint32_t Step) const -> std::optional<TimePoint> {
+    return Steps[Step].WaitingSince;
   }
   /// Returns what the tasks of \p Step wait for; none if they have not waited
   /// long enough to be diagnosed.
--- a/Source/Scheduling/PlacementPass.cpp
+++ b/Source/Scheduling/PlacementPass.cpp
@@ -317,7 +317,7 @@
   // Earlier runs have used up part of the time of an urgent job.
   if (Job.Spec.Priority == 0)
     return Now - Job.SubmittedAt < Policy.MaxSameRackWait;
-  const auto Waited = Now - Job.waitingSince(Group.Step);
+  const auto Waited = Now - Job.waitingSince(Group.Step).value_or(Now);
   if (Waited < Policy.MaxSameRackWait)
     return true;
   return Waited < Policy.MaxSameRackWaitOnBusyPool && !isPoolIdleFor(Group);
--- a/Source/Scheduling/WaitDiagnosis.cpp
+++ b/Source/Scheduling/WaitDiagnosis.cpp
@@ -44,7 +44,7 @@
   std::vector<std::pair<TimePoint, const TaskGroup *>> Due;
   for (const auto &Group : Groups)
     if (isDue(Group))
-      Due.emplace_back(Group.Job->waitingSince(Group.Step), &Group);
+      Due.emplace_back(*Group.Job->waitingSince(Group.Step), &Group);
   const auto Count = std::min(Due.size(), MaxDiagnosesPerPass);
   std::partial_sort(Due.begin(),
                     Due.begin() + static_cast<std::ptrdiff_t>(Count), Due.end(),
@@ -69,8 +69,9 @@
 
 auto WaitDiagnosis::isDue(const TaskGroup &Group) const -> bool {
   const auto &Job = *Group.Job;
-  return Job.waitingTasks(Group.Step) > 0 && Now >= Job.NextWaitDiagnosis &&
-         Now - Job.waitingSince(Group.Step) >= MinDiagnosedWait;
+  const auto Since = Job.waitingSince(Group.Step);
+  return Since && Now - *Since >= MinDiagnosedWait &&
+         Now >= Job.NextWaitDiagnosis;
 }
 
 auto WaitDiagnosis::reasonFor(const TaskGroup &Group,
--- a/Tests/Shard/WaitDiagnosisTest.cpp
+++ b/Tests/Shard/WaitDiagnosisTest.cpp
@@ -117,6 +117,18 @@
   EXPECT_EQ(Seen.size(), 20U);
 }
 
+// Guards against reporting a wait of tasks of which some were just placed.
+TEST_F(WaitDiagnosisTest, tasksThatArePlacedInPartWaitAnew) {
+  addWorkers(1, 1);
+  Scheduler.quarantineWorker("w00", at(1400));
+  addJob("tasks", {1, 2, 8});
+  EXPECT_FALSE(reportOf("tasks", 1500));
+  EXPECT_EQ(runsOf("tasks").size(), 1U);
+  const auto Report = reportOf("tasks", 3000);
+  ASSERT_FALSE(Report);
+  EXPECT_TRUE(reportOf("tasks", 4000));
+}
+
 // Guards against counting the time of earlier steps as a wait of this step.
 TEST_F(WaitDiagnosisTest, countsTheWaitOfAStepFromItsTurn) {
   addWorkers(1, 1);
