scheduling: the reserve of accelerators holds back only tasks that use them

Tasks without accelerators waited beside idle processors while fewer accelerators were free than the reserve keeps. ShardSchedulerTest.arrivalsOfUrgentJobsHoldBackTasksWithoutAccelerators failed before.

--- a/Source/Scheduling/PlacementPass.cpp
+++ b/Source/Scheduling/PlacementPass.cpp
@@ -119,13 +119,11 @@
 auto PlacementPass::tasksOutsideReserve(const TaskGroup &Group) const
     -> std::uint32_t {
   const auto Gpus = Group.spec().Need.Gpus;
-  if (mayUseReserve(Group))
+  if (Gpus == 0 || mayUseReserve(Group))
     return Group.TaskCount;
   const auto Available = Candidates.freeGpus() - ReservedGpus;
   if (Available < 0)
     return 0;
-  if (Gpus == 0)
-    return Group.TaskCount;
   return static_cast<std::uint32_t>(
       std::min<std::int64_t>(Group.TaskCount, Available / Gpus));
 }
--- a/Tests/Shard/ShardSchedulerTest.cpp
+++ b/Tests/Shard/ShardSchedulerTest.cpp
@@ -140,6 +140,20 @@
   EXPECT_EQ(runsOf("batch").size(), 1U);
 }
 
+// Guards against a reserve of accelerators that keeps free processors from
+// tasks that need no accelerator.
+TEST_F(ShardSchedulerTest,
+       arrivalsOfUrgentJobsHoldBackTasksWithoutAccelerators) {
+  addWorkers(1, 2);
+  addJob("accelerators", {1, 1, 8, false, false, Milliseconds(60000)});
+  Scheduler.schedule(at(0));
+  addJob("urgent", {0, 1, 4}, 100);
+  Scheduler.schedule(at(100));
+  addJob("processors", {2, 1, 0, false, false, Milliseconds(9000)}, 200);
+  Scheduler.schedule(at(200));
+  EXPECT_EQ(runsOf("processors").size(), 1U);
+}
+
 // Guards against preempting a long run for a small urgent job that does far
 // less work than is lost.
 TEST_F(ShardSchedulerTest, doesNotPreemptIfTheLossExceedsTheBudget) {
