scheduling: a wait ends with a start, not with a placement

A placement reset the wait, so a gang whose start a worker refused waited for a rack anew each time, without a bound over repeats, although none of its tasks had run. A late success that ended a wait did not reset it, so the next wait of the step counted from the earlier one. The wait now ends when a worker confirms a start, or when no task of the step waits any more because they are done.

--- a/Source/Scheduling/JobEntry.cpp
+++ b/Source/Scheduling/JobEntry.cpp
@@ -65,8 +65,6 @@
   auto &Task = Progress.Steps[Step][Index];
   if (Task.Worker.empty() && !Task.Done)
     removeFromWaiting(Step);
-  Steps[Step].WaitingSince.reset();
-  Steps[Step].LastWaitReason.reset();
   Task.LastRunNumber = RunNumber;
   Task.Worker = std::move(Worker);
   Task.Incarnation = Incarnation;
@@ -90,6 +88,8 @@
   --UndoneTasks;
   if (Task.Worker.empty())
     removeFromWaiting(Step);
+  if (Steps[Step].Waiting == 0)
+    resetWait(Step);
 }
 
 auto JobEntry::recordWaiting(std::uint32_t Step, TimePoint Now) -> void {
@@ -143,6 +143,11 @@
   ++WaitingTasks;
 }
 
+auto JobEntry::resetWait(std::uint32_t Step) -> void {
+  Steps[Step].WaitingSince.reset();
+  Steps[Step].LastWaitReason.reset();
+}
+
 auto JobEntry::removeFromWaiting(std::uint32_t Step) -> void {
   --Steps[Step].Waiting;
   --WaitingTasks;
--- a/Source/Scheduling/JobEntry.h
+++ b/Source/Scheduling/JobEntry.h
@@ -28,8 +28,11 @@
   auto vacateTask(std::uint32_t Step, std::uint32_t Index) -> void;
   auto markTaskDone(std::uint32_t Step, std::uint32_t Index) -> void;
   /// Records that tasks of \p Step, whose turn has come, wait at \p Now. Has
-  /// no effect if they have waited since the last placement of any of them.
+  /// no effect if they have waited since the last start of any of them.
   auto recordWaiting(std::uint32_t Step, TimePoint Now) -> void;
+  /// Records that a worker has started a task of \p Step. A placement alone
+  /// does not end a wait: the worker may refuse the start.
+  auto recordStarted(std::uint32_t Step) -> void { resetWait(Step); }
   auto recordWaitReason(std::uint32_t Step, WaitReason Reason) -> void {
     Steps[Step].LastWaitReason = Reason;
   }
@@ -52,8 +55,9 @@
   }
   /// Returns the number of tasks of all steps that are neither done nor placed.
   auto waitingTasks() const -> std::uint32_t { return WaitingTasks; }
-  /// Returns since when tasks of \p Step have waited; none if their turn has
-  /// not come, or if any of them was placed since the wait was last recorded.
+  /// Returns since when tasks of \p Step have waited, or had waited when all of
+  /// them were placed; none if their turn has not come, or if any of them has
+  /// started since the wait was recorded.
   auto waitingSince(std::uint32_t Step) const -> std::optional<TimePoint> {
     return Steps[Step].WaitingSince;
   }
@@ -96,6 +100,7 @@
 
   auto addToWaiting(std::uint32_t Step) -> void;
   auto removeFromWaiting(std::uint32_t Step) -> void;
+  auto resetWait(std::uint32_t Step) -> void;
 
   std::vector<StepState> Steps;
   std::uint32_t UndoneTasks = 0;
--- a/Source/Scheduling/ShardScheduler.cpp
+++ b/Source/Scheduling/ShardScheduler.cpp
@@ -185,6 +185,7 @@
   LiveRun.LastProgressAt = Now;
   LiveRun.LastReportAt = Now;
   auto &Job = *LiveRun.Job;
+  Job.recordStarted(Id.Step);
   if (Job.Spec.Steps[Id.Step].Gang)
     StartingGangs.insert(gangId(Id));
   if (Job.Progress.State == JobState::Pending) {
--- a/Tests/Shard/RackWaitTest.cpp
+++ b/Tests/Shard/RackWaitTest.cpp
@@ -56,7 +56,7 @@
     addRack(Rack, 3);
   Scheduler.schedule(at(0));
   addJob("gang", WideGang, 1000);
-  scheduleUntil(1000, 12000);
+  scheduleUntil(1000, 1000 + LongestWaitMs - 100);
   EXPECT_TRUE(runsOf("gang").empty());
 }
 
@@ -91,6 +91,7 @@
   Scheduler.schedule(at(0));
   addJob("gang", WideGang, 0);
   Scheduler.schedule(at(0));
+  confirmStarts(0);
   for (const auto &LiveRun : runsOf("gang"))
     Scheduler.runLost(LiveRun.Id, at(9000));
   // The other jobs get the room first.
@@ -105,5 +106,37 @@
   EXPECT_EQ(runsOf("gang").size(), 10U);
 }
 
+// Guards against a gang that waits for a rack anew each time a worker refuses
+// the start of one of its members, although none of its tasks ever ran.
+TEST_F(RackWaitTest, refusedStartRestartsTheWaitForARack) {
+  for (const auto *Rack : {"r0", "r1"})
+    addRack(Rack, WorkersPerRack - 1);
+  Scheduler.schedule(at(0));
+  addJob("gang", {1, 2, 8, true, true, Milliseconds(9000)});
+  for (std::int64_t Ms = 0; Ms <= LongestWaitMs; Ms += 100)
+    Scheduler.schedule(at(Ms));
+  ASSERT_EQ(runsOf("gang").size(), 2U);
+  for (const auto &LiveRun : runsOf("gang"))
+    Scheduler.runLost(LiveRun.Id, at(LongestWaitMs + 100));
+  for (std::int64_t Ms = LongestWaitMs + 100; Ms <= LongestWaitMs + 3000;
+       Ms += 100)
+    Scheduler.schedule(at(Ms));
+  EXPECT_EQ(runsOf("gang").size(), 2U);
+}
+
+// Guards against spreading a gang into the last free room of an idle pool,
+// where it would hold it for three times as long.
+TEST_F(RackWaitTest, gangIsSpreadIntoTheLastRoom) {
+  addRack("r0", 2);
+  Scheduler.updateWorker(workerReport("r1-w0", "r1"), at(0));
+  Scheduler.schedule(at(0));
+  // Two tasks fit on each of five free workers, and a rack holds at most eight.
+  auto Gang = jobSpec("gang", WideGang);
+  Gang.Steps[0].Count = 9;
+  Scheduler.addJob(Gang, {}, at(1000));
+  scheduleUntil(1000, 10000);
+  EXPECT_TRUE(runsOf("gang").empty());
+}
+
 } // namespace
 } // namespace jayramp::scheduling
