scheduling: waiting jobs are diagnosed in turn, and by what they lack

Now the oldest diagnosis comes first, room is tested before the reserve, and room on quarantined and unreachable workers is added up.

--- a/Source/Scheduling/LayoutSearch.cpp
+++ b/Source/Scheduling/LayoutSearch.cpp
@@ -241,7 +241,8 @@
   std::uint32_t Count = 0;
   for (std::size_t Position = 0; Position < Workers.size(); ++Position)
     if (const auto &Candidate = Workers[Position];
-        Group.mayRunOn(*Candidate.Worker))
+        Group.mayRunOn(*Candidate.Worker) &&
+        Candidate.usable().covers(Group.spec().Need))
       Count += std::min(Candidate.usable().maxTaskCount(Group.spec().Need),
                         Group.remainingWorkerLimit(*Candidate.Worker));
   return Count;
--- a/Source/Scheduling/PlacementPass.cpp
+++ b/Source/Scheduling/PlacementPass.cpp
@@ -128,15 +128,9 @@
       std::min<std::int64_t>(Group.TaskCount, Available / Gpus));
 }
 
-auto PlacementPass::hasFreeGpusFor(const TaskGroup &Group) const -> bool {
-  return Group.spec().Need.Gpus * std::int64_t(Group.unitSize()) <=
-         Candidates.freeGpus();
-}
-
 auto PlacementPass::placeGang(TaskGroup &Gang) -> void {
   if (tasksOutsideReserve(Gang) < Gang.TaskCount) {
-    if (hasFreeGpusFor(Gang))
-      Gang.NotTried = WaitReason::Reserve;
+    Gang.NotTried = WaitReason::Reserve;
     return;
   }
   Gang.StaysInRack = mustStayInRack(Gang);
@@ -148,8 +142,7 @@
 auto PlacementPass::placeTasks(TaskGroup &Group) -> void {
   Group.TaskCount = tasksOutsideReserve(Group);
   if (Group.TaskCount == 0) {
-    if (hasFreeGpusFor(Group))
-      Group.NotTried = WaitReason::Reserve;
+    Group.NotTried = WaitReason::Reserve;
     return;
   }
   Group.StaysInRack = mustStayInRack(Group);
@@ -307,7 +300,7 @@
       Candidates.reserve(Position, Need);
 }
 
-auto PlacementPass::mustStayInRack(const TaskGroup &Group) const -> bool {
+auto PlacementPass::mustStayInRack(const TaskGroup &Group) -> bool {
   if (!Group.spec().SameRack || Group.TaskCount < 2)
     return false;
   const auto &Job = *Group.Job;
@@ -321,10 +314,12 @@
   return Waited < Policy.MaxSameRackWaitOnBusyPool && !isPoolIdleFor(Group);
 }
 
-auto PlacementPass::isPoolIdleFor(const TaskGroup &Group) const -> bool {
+auto PlacementPass::isPoolIdleFor(const TaskGroup &Group) -> bool {
+  // All workers of a shard belong to one pool.
+  if (!PoolUse)
+    PoolUse = poolUse(Scheduler.Workers, Group.Job->Spec.Service);
   constexpr std::uint32_t SpareFactor = 2;
-  return poolUse(Scheduler.Workers, Group.Job->Spec.Service) <
-             Scheduler.Policy.IdlePoolUse &&
+  return PoolUse < Scheduler.Policy.IdlePoolUse &&
          Search.roomFor(Group) >= Group.TaskCount * SpareFactor;
 }
 
--- a/Source/Scheduling/PlacementPass.h
+++ b/Source/Scheduling/PlacementPass.h
@@ -40,15 +40,12 @@
   /// accelerators that are reserved for urgent arrivals.
   auto tasksOutsideReserve(const TaskGroup &Group) const -> std::uint32_t;
   auto mayUseReserve(const TaskGroup &Group) const -> bool;
-  /// Returns whether the group fits by the number of free accelerators, the
-  /// reserved ones included.
-  auto hasFreeGpusFor(const TaskGroup &Group) const -> bool;
   /// Returns whether a group that runs slowly if it is spread over racks should
   /// wait for room in one rack. Bounded for every group.
-  auto mustStayInRack(const TaskGroup &Group) const -> bool;
+  auto mustStayInRack(const TaskGroup &Group) -> bool;
   /// Returns whether the group can be spread over racks without taking room
   /// that others need: it holds its resources for longer then.
-  auto isPoolIdleFor(const TaskGroup &Group) const -> bool;
+  auto isPoolIdleFor(const TaskGroup &Group) -> bool;
   /// Returns the layout of least cost if it is within \p Budget. Does not
   /// search if \p KnownFailures shows that there is none; adds a new failure to
   /// it. \p Shape is the shape of \p Group.
@@ -91,6 +88,8 @@
   PlacementFailureCache PreemptionFailures;
   /// Failures to preempt equally urgent runs as well, for a guarantee.
   PlacementFailureCache ReclaimFailures;
+  /// Share of the pool in use; computed at the first need.
+  std::optional<double> PoolUse;
   /// Number of accelerators that less urgent jobs leave free.
   std::int64_t ReservedGpus = 0;
   unsigned PreemptionSearches = 0; ///< Searches for runs to stop so far.
--- a/Source/Scheduling/TaskGroup.cpp
+++ b/Source/Scheduling/TaskGroup.cpp
@@ -16,11 +16,16 @@
                                     Label) != Report.Labels.end();
 }
 
+auto TaskGroup::workerLimit() const -> std::uint32_t {
+  const auto Limit = spec().MaxPerWorker;
+  return Limit == 0 ? std::numeric_limits<std::uint16_t>::max() : Limit;
+}
+
 auto TaskGroup::remainingWorkerLimit(const WorkerEntry &Worker) const
     -> std::uint32_t {
-  const auto Limit = spec().MaxPerWorker;
-  if (Limit == 0)
-    return std::numeric_limits<std::uint16_t>::max();
+  const auto Limit = workerLimit();
+  if (spec().MaxPerWorker == 0)
+    return Limit;
   std::uint32_t PresentCount = 0;
   for (const auto &[Id, LiveRun] : Worker.Runs)
     if (Id.Job == Job->Spec.Id && Id.Step == Step)
--- a/Source/Scheduling/TaskGroup.h
+++ b/Source/Scheduling/TaskGroup.h
@@ -26,15 +26,17 @@
   std::uint32_t TaskCount = 1;
   Lateness JobLateness = Lateness::OnTime;
   bool StaysInRack = false; ///< It is placed in one rack or not at all.
-  /// Why the pass makes no search for the group; absent if it does.
+  /// Why the pass does not look for workers for the group; absent if it does.
   std::optional<WaitReason> NotTried = std::nullopt;
 
   auto spec() const -> const StepSpec & { return Job->Spec.Steps[Step]; }
-  /// Returns the least number of its tasks that can be placed by themselves.
+  /// Returns the number of tasks that must be placed together.
   auto unitSize() const -> std::uint32_t { return spec().Gang ? TaskCount : 1; }
   /// Returns whether \p Worker belongs to the pool of the job and has the label
   /// that the tasks require.
   auto mayRunOn(const WorkerEntry &Worker) const -> bool;
+  /// Returns how many of the tasks one worker may hold.
+  auto workerLimit() const -> std::uint32_t;
   /// Returns how many more of the tasks the per-worker limit allows on
   /// \p Worker.
   auto remainingWorkerLimit(const WorkerEntry &Worker) const -> std::uint32_t;
--- a/Source/Scheduling/WaitDiagnosis.cpp
+++ b/Source/Scheduling/WaitDiagnosis.cpp
@@ -13,38 +13,38 @@
 
 /// Shorter waits are not diagnosed.
 constexpr Milliseconds MinDiagnosedWait{1000};
-/// Time until a job that still waits is diagnosed again.
+/// Shortest time until a job that still waits is diagnosed again.
 constexpr Milliseconds DiagnosisInterval{2000};
 constexpr std::size_t MaxDiagnosesPerPass = 4;
 
-/// Returns how many tasks of the group fit on the workers that \p Includes
-/// selects, by the resources that \p AvailableOn returns for each.
-template <typename Predicate, typename Available>
-auto roomOn(const ShardScheduler &Scheduler, const TaskGroup &Group,
-            Predicate Includes, Available AvailableOn) -> std::uint32_t {
-  std::uint32_t Count = 0;
-  for (const auto &[Id, Entry] : Scheduler.workers())
-    if (Entry.Registered && !Entry.Report.Draining && Includes(Entry) &&
-        Group.mayRunOn(Entry))
-      Count += std::min(AvailableOn(Entry).maxTaskCount(Group.spec().Need),
-                        Group.remainingWorkerLimit(Entry));
-  return Count;
+/// Returns whether a task of the group may run on the worker, which is
+/// registered and does not drain.
+auto isEligible(const TaskGroup &Group, const WorkerEntry &Entry) -> bool {
+  return Entry.Registered && !Entry.Report.Draining && Group.mayRunOn(Entry);
 }
 
-auto freeResources(const WorkerEntry &Entry) -> Resources {
+/// Returns how many more tasks of the group fit on the worker.
+auto roomOn(const TaskGroup &Group, const WorkerEntry &Entry) -> std::uint32_t {
   auto Free = Entry.Report.Capacity;
   Free -= Entry.Used;
-  return Free;
+  const auto &Need = Group.spec().Need;
+  if (!Free.covers(Need))
+    return 0;
+  return std::min(Free.maxTaskCount(Need), Group.remainingWorkerLimit(Entry));
 }
 
 } // namespace
 
 auto WaitDiagnosis::diagnose(const std::vector<TaskGroup> &Groups)
     -> std::vector<WaitReport> {
-  std::vector<std::pair<TimePoint, const TaskGroup *>> Due;
+  // Jobs that were never diagnosed come first, so that each gets its turn.
+  using Urgency = std::pair<TimePoint, TimePoint>;
+  std::vector<std::pair<Urgency, const TaskGroup *>> Due;
   for (const auto &Group : Groups)
     if (isDue(Group))
-      Due.emplace_back(*Group.Job->waitingSince(Group.Step), &Group);
+      Due.emplace_back(Urgency{Group.Job->NextWaitDiagnosis,
+                               *Group.Job->waitingSince(Group.Step)},
+                       &Group);
   const auto Count = std::min(Due.size(), MaxDiagnosesPerPass);
   std::partial_sort(Due.begin(),
                     Due.begin() + static_cast<std::ptrdiff_t>(Count), Due.end(),
@@ -53,16 +53,16 @@
                     });
   Due.resize(Count);
   std::vector<WaitReport> Reports;
-  for (const auto &[Since, Group] : Due) {
+  for (const auto &[Order, Group] : Due) {
     auto &Job = *Group->Job;
     const auto RoomFor = Search.roomFor(*Group);
     const auto Reason = reasonFor(*Group, RoomFor);
     Job.recordWaitReason(Group->Step, Reason);
     Job.NextWaitDiagnosis = Now + DiagnosisInterval;
-    Reports.push_back({Job.Spec.Id, Group->Step, Job.waitingTasks(Group->Step),
-                       Reason, RoomFor,
-                       poolUse(Scheduler.workers(), Job.Spec.Service),
-                       std::chrono::duration<double>(Now - Since).count()});
+    Reports.push_back(
+        {Job.Spec.Id, Group->Step, Job.waitingTasks(Group->Step), Reason,
+         RoomFor, poolUse(Scheduler.workers(), Job.Spec.Service),
+         std::chrono::duration<double>(Now - Order.second).count()});
   }
   return Reports;
 }
@@ -70,20 +70,25 @@
 auto WaitDiagnosis::isDue(const TaskGroup &Group) const -> bool {
   const auto &Job = *Group.Job;
   const auto Since = Job.waitingSince(Group.Step);
-  return Since && Now - *Since >= MinDiagnosedWait &&
-         Now >= Job.NextWaitDiagnosis;
+  return Job.waitingTasks(Group.Step) > 0 && Since &&
+         Now - *Since >= MinDiagnosedWait && Now >= Job.NextWaitDiagnosis;
 }
 
 auto WaitDiagnosis::reasonFor(const TaskGroup &Group,
                               std::uint32_t RoomFor) const -> WaitReason {
-  if (Group.NotTried)
+  const bool IsHeldByReserve = Group.NotTried == WaitReason::Reserve;
+  if (Group.NotTried && !IsHeldByReserve)
     return *Group.NotTried;
   const auto Needed = Group.unitSize();
-  if (RoomFor >= Needed)
+  if (RoomFor >= Needed) {
+    if (IsHeldByReserve)
+      return WaitReason::Reserve;
     return Group.StaysInRack ? WaitReason::Rack : WaitReason::Room;
-  if (RoomFor + roomOnQuarantined(Group) >= Needed)
+  }
+  const auto WithQuarantined = RoomFor + roomOnQuarantined(Group);
+  if (WithQuarantined >= Needed)
     return WaitReason::Quarantine;
-  if (RoomFor + roomOnUnreachable(Group) >= Needed)
+  if (WithQuarantined + roomOnUnreachable(Group) >= Needed)
     return WaitReason::Unreachable;
   return roomWhenEmpty(Group) < Needed ? WaitReason::NoWorker
                                        : WaitReason::Room;
@@ -91,26 +96,31 @@
 
 auto WaitDiagnosis::roomOnQuarantined(const TaskGroup &Group) const
     -> std::uint32_t {
-  return roomOn(
-      Scheduler, Group,
-      [this](const WorkerEntry &Entry) {
-        return Entry.Reachable && Now < Entry.QuarantinedUntil;
-      },
-      freeResources);
+  std::uint32_t Count = 0;
+  for (const auto &[Id, Entry] : Scheduler.workers())
+    if (isEligible(Group, Entry) && Entry.Reachable &&
+        Now < Entry.QuarantinedUntil)
+      Count += roomOn(Group, Entry);
+  return Count;
 }
 
 auto WaitDiagnosis::roomOnUnreachable(const TaskGroup &Group) const
     -> std::uint32_t {
-  return roomOn(
-      Scheduler, Group,
-      [](const WorkerEntry &Entry) { return !Entry.Reachable; }, freeResources);
+  std::uint32_t Count = 0;
+  for (const auto &[Id, Entry] : Scheduler.workers())
+    if (isEligible(Group, Entry) && !Entry.Reachable)
+      Count += roomOn(Group, Entry);
+  return Count;
 }
 
 auto WaitDiagnosis::roomWhenEmpty(const TaskGroup &Group) const
     -> std::uint32_t {
-  return roomOn(
-      Scheduler, Group, [](const WorkerEntry &) { return true; },
-      [](const WorkerEntry &Entry) { return Entry.Report.Capacity; });
+  std::uint32_t Count = 0;
+  for (const auto &[Id, Entry] : Scheduler.workers())
+    if (isEligible(Group, Entry))
+      Count += std::min(Entry.Report.Capacity.maxTaskCount(Group.spec().Need),
+                        Group.workerLimit());
+  return Count;
 }
 
 } // namespace jayramp::scheduling
--- a/Source/Scheduling/WaitDiagnosis.h
+++ b/Source/Scheduling/WaitDiagnosis.h
@@ -21,8 +21,8 @@
                 TimePoint Now)
       : Scheduler(Scheduler), Search(Search), Now(Now) {}
 
-  /// Diagnoses the groups that are due, those that have waited longest first,
-  /// and records the reasons in their jobs.
+  /// Diagnoses some of the groups that are due, those whose last diagnosis is
+  /// oldest first, and records the reasons in their jobs.
   auto diagnose(const std::vector<TaskGroup> &Groups)
       -> std::vector<WaitReport>;
 
@@ -31,7 +31,8 @@
   auto reasonFor(const TaskGroup &Group, std::uint32_t RoomFor) const
       -> WaitReason;
   /// Returns how many tasks of the group fit on quarantined workers, on
-  /// unreachable ones, or on all that do not drain if their runs are left out.
+  /// unreachable ones, or on all workers if they were empty. Workers that drain
+  /// are left out.
   auto roomOnQuarantined(const TaskGroup &Group) const -> std::uint32_t;
   auto roomOnUnreachable(const TaskGroup &Group) const -> std::uint32_t;
   auto roomWhenEmpty(const TaskGroup &Group) const -> std::uint32_t;
--- a/Tests/Shard/WaitDiagnosisTest.cpp
+++ b/Tests/Shard/WaitDiagnosisTest.cpp
@@ -23,6 +23,15 @@
     return *Found;
   }
 
+  /// Returns the last report about a job since the last call.
+  auto lastReportOf(const std::string &Job) -> std::optional<WaitReport> {
+    std::optional<WaitReport> Last;
+    for (const auto &Each : Scheduler.takeWaitReports())
+      if (Each.Job == Job)
+        Last = Each;
+    return Last;
+  }
+
   auto expectReason(const std::string &Job, std::int64_t Ms, WaitReason Reason)
       -> void {
     const auto Report = reportOf(Job, Ms);
@@ -42,7 +51,8 @@
   EXPECT_EQ(Report->Reason, WaitReason::Room);
   EXPECT_EQ(Report->Tasks, 2U);
   EXPECT_EQ(Report->RoomFor, 1U);
-  EXPECT_NEAR(Report->PoolUse, 0.25, 0.26);
+  // One core and eight accelerators of two workers.
+  EXPECT_NEAR(Report->PoolUse, 65.0 / 256.0, 0.001);
   EXPECT_DOUBLE_EQ(Report->WaitedSeconds, 1.25);
 }
 
@@ -117,16 +127,19 @@
   EXPECT_EQ(Seen.size(), 20U);
 }
 
-// Guards against reporting a wait of tasks of which some were just placed.
-TEST_F(WaitDiagnosisTest, tasksThatArePlacedInPartWaitAnew) {
+// Guards against counting the time before some tasks of a step have started as
+// a wait of the others.
+TEST_F(WaitDiagnosisTest, tasksOfAStepThatStartsWaitAnew) {
   addWorkers(1, 1);
-  Scheduler.quarantineWorker("w00", at(1400));
+  Scheduler.quarantineWorker("w00", at(900));
   addJob("tasks", {1, 2, 8});
-  EXPECT_FALSE(reportOf("tasks", 1500));
-  EXPECT_EQ(runsOf("tasks").size(), 1U);
-  const auto Report = reportOf("tasks", 3000);
-  ASSERT_FALSE(Report);
-  EXPECT_TRUE(reportOf("tasks", 4000));
+  Scheduler.schedule(at(900));
+  ASSERT_EQ(runsOf("tasks").size(), 1U);
+  confirmStarts(900);
+  EXPECT_FALSE(reportOf("tasks", 1800));
+  const auto Report = reportOf("tasks", 2900);
+  ASSERT_TRUE(Report);
+  EXPECT_DOUBLE_EQ(Report->WaitedSeconds, 1.1);
 }
 
 // Guards against counting the time of earlier steps as a wait of this step.
@@ -145,5 +158,71 @@
   EXPECT_DOUBLE_EQ(Report->WaitedSeconds, 1.0);
 }
 
+// Guards against jobs that are never diagnosed because older ones take all
+// turns.
+TEST_F(WaitDiagnosisTest, olderJobsKeepAWaitingJobFromItsDiagnosis) {
+  constexpr int JobCount = 200;
+  addWorkers(1, 1);
+  for (int Number = 0; Number < JobCount; ++Number)
+    addJob("j" + std::to_string(Number), {1, 2, 8, true}, Number);
+  std::set<std::string> Seen;
+  for (std::int64_t Ms = 1000; Ms <= 61000; Ms += 50) {
+    Scheduler.schedule(at(Ms));
+    for (const auto &Report : Scheduler.takeWaitReports())
+      Seen.insert(Report.Job);
+  }
+  EXPECT_EQ(Seen.size(), std::size_t(JobCount));
+}
+
+// Guards against naming the reserve when the processors are the bottleneck.
+TEST_F(WaitDiagnosisTest, fullProcessorsAreTakenForTheReserve) {
+  addWorkers(1, 1);
+  auto Filler = jobSpec("filler", {0, 1, 1});
+  Filler.Steps[0].Need.CpuMillis = 64000;
+  Scheduler.addJob(Filler, {}, at(0));
+  Scheduler.schedule(at(0));
+  addJob("urgent", {0, 1, 8}, 500);
+  addJob("batch", {2, 1, 4, false, false, Milliseconds(9000)}, 500);
+  for (std::int64_t Ms = 500; Ms <= 1900; Ms += 100)
+    Scheduler.schedule(at(Ms));
+  const auto Report = lastReportOf("batch");
+  ASSERT_TRUE(Report);
+  EXPECT_EQ(Report->RoomFor, 0U);
+  EXPECT_EQ(toString(Report->Reason), toString(WaitReason::Room));
+}
+
+// Guards against claiming that no workers could hold the tasks while others of
+// their step use up the limit per worker.
+TEST_F(WaitDiagnosisTest, limitPerWorkerIsTakenForAMissingWorker) {
+  addWorkers(1, 2);
+  addJob("apart", {1, 4, 1, false, false, Milliseconds(9000), "", 1});
+  for (std::int64_t Ms = 0; Ms <= 1600; Ms += 100)
+    Scheduler.schedule(at(Ms));
+  ASSERT_EQ(runsOf("apart").size(), 2U);
+  const auto Report = lastReportOf("apart");
+  ASSERT_TRUE(Report);
+  EXPECT_NE(toString(Report->Reason), toString(WaitReason::NoWorker));
+}
+
+// Guards against counting a wait from one that a late end had ended.
+TEST_F(WaitDiagnosisTest, waitThatALateEndEndedIsCountedOn) {
+  addWorkers(1, 2);
+  addJob("tasks", {1, 2, 8, false, false, Milliseconds(90000)});
+  Scheduler.schedule(at(0));
+  ASSERT_EQ(runsOf("tasks").size(), 2U);
+  Scheduler.quarantineWorker("w00", at(60000));
+  Scheduler.quarantineWorker("w01", at(60000));
+  Scheduler.runLost({"tasks", 0, 0, 1}, at(1000));
+  Scheduler.schedule(at(1000));
+  Scheduler.runEnded({"tasks", 0, 0, 1}, RunOutcome::Succeeded, {}, at(1500));
+  Scheduler.schedule(at(1500));
+  Scheduler.runLost({"tasks", 0, 1, 1}, at(30000));
+  for (std::int64_t Ms = 30000; Ms <= 31500; Ms += 100)
+    Scheduler.schedule(at(Ms));
+  const auto Report = lastReportOf("tasks");
+  ASSERT_TRUE(Report);
+  EXPECT_LT(Report->WaitedSeconds, 2.0);
+}
+
 } // namespace
 } // namespace jayramp::scheduling
