shard: log what a recovery that is held up waits for

Cause: a new owner retries reads of progress rows and of the job table without a log line while its heartbeats go on.

The time for which an owner may recover is still unbounded.

--- a/Source/Shard/JournalPartition.h
+++ b/Source/Shard/JournalPartition.h
@@ -65,6 +65,10 @@
   auto latestChange(const std::string &Job) const -> std::uint64_t;
   /// Returns true if the change is stored, or if the job is unknown.
   auto isDurable(const std::string &Job, std::uint64_t Change) const -> bool;
+  auto name() const -> const std::string & { return Name; }
+  auto isClaimed() const -> bool { return Claimed; }
+  /// Returns true once the partition is claimed and its rows have been read.
+  auto isOpen() const -> bool { return Claimed && !OpenDone; }
   /// Returns false while the store fails to serve this partition.
   auto isAvailable() const -> bool {
     return Failures < UnavailableAfterFailures;
--- a/Source/Shard/ProgressJournal.cpp
+++ b/Source/Shard/ProgressJournal.cpp
@@ -100,6 +100,16 @@
   flush();
 }
 
+auto ProgressJournal::recovery() const -> JournalRecovery {
+  JournalRecovery Remaining;
+  for (const auto &Each : Partitions)
+    if (!Each->isClaimed())
+      Remaining.Unclaimed.push_back(Each->name());
+    else if (!Each->isOpen())
+      Remaining.Unread.push_back(Each->name());
+  return Remaining;
+}
+
 auto ProgressJournal::lastConfirmedAt() const -> Milliseconds {
   Milliseconds Latest{0};
   for (const auto &Each : Partitions)
--- a/Source/Shard/ProgressJournal.h
+++ b/Source/Shard/ProgressJournal.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Shard/JournalPartition.h"
+#include "Shard/JournalRecovery.h"
 
 #include <map>
 #include <memory>
@@ -50,6 +51,8 @@
   auto isDurable(const ProgressChange &Change) const -> bool;
   /// Returns false while the store serves other partitions but not the job's.
   auto isWritable(const std::string &Job) const -> bool;
+  /// Returns the partitions that open() still has to claim or to read.
+  auto recovery() const -> JournalRecovery;
   /// Returns the latest lastConfirmedAt() of all partitions.
   auto lastConfirmedAt() const -> Milliseconds;
 
--- a/Source/Shard/ShardOwner.cpp
+++ b/Source/Shard/ShardOwner.cpp
@@ -41,6 +41,8 @@
                   [this](const auto &Jobs) { onCommitted(Jobs); },
                   [this] { holdBackUnwritableJobs(); },
                   [this](const char *Reason) { loseOwnership(Reason); }}),
+      RecoveryLog(this->Shard, CurrentOwnership.Owner.FencingToken,
+                  Clock::now()),
       SharedContext{Deps.Loop, Deps.Transport,
                     Scheduler, Deps.Settings,
                     Journal,   CurrentOwnership.Owner.FencingToken},
@@ -407,7 +409,9 @@
   removeObsoleteWaitingRows();
   if (suspendAwareNow() - Heartbeat->lastConfirmedAt() > MaxHeartbeatAge)
     Journal.confirmClaims();
-  if (!Recovering && Clock::now() >= NextDecision)
+  if (Recovering)
+    RecoveryLog.report(Journal.recovery(), Clock::now());
+  else if (Clock::now() >= NextDecision)
     decide();
   TickTimer = Deps.Loop.after(TickInterval, [this] { tick(); });
 }
--- a/Source/Shard/ShardOwner.h
+++ b/Source/Shard/ShardOwner.h
@@ -5,6 +5,7 @@
 #include "Shard/OwnerHeartbeat.h"
 #include "Shard/Ownership.h"
 #include "Shard/ProgressJournal.h"
+#include "Shard/RecoveryDelayLog.h"
 #include "Shard/RowCleaner.h"
 #include "Shard/SessionSchedule.h"
 #include "Shard/ShardRows.h"
@@ -98,6 +99,7 @@
   std::function<void()> OnLost;
   scheduling::ShardScheduler Scheduler;
   ProgressJournal Journal;
+  RecoveryDelayLog RecoveryLog;
   std::shared_ptr<OwnerHeartbeat> Heartbeat;
   std::shared_ptr<RowCleaner> Cleaner;
   std::set<std::string> JobsWithWaitingRow; ///< Ids of jobs that may have one.
--- a/Tests/Shard/FakeRowStore.h
+++ b/Tests/Shard/FakeRowStore.h
@@ -34,6 +34,14 @@
     else
       DownPartitions.erase(Partition);
   }
+  /// Refuses, or serves again, the reads of one partition but not its
+  /// transactions.
+  auto setReadsDown(const std::string &Partition, bool Down) -> void {
+    if (Down)
+      PartitionsWithoutReads.insert(Partition);
+    else
+      PartitionsWithoutReads.erase(Partition);
+  }
   /// Applies the delayed transactions in order and serves calls again.
   auto release() -> void {
     CurrentMode = Mode::Serving;
@@ -113,7 +121,8 @@
       return;
     }
     if (CurrentMode == Mode::Refusing ||
-        DownPartitions.contains(Query.Partition)) {
+        DownPartitions.contains(Query.Partition) ||
+        PartitionsWithoutReads.contains(Query.Partition)) {
       Loop.post([Done] { Done(store::StoreRefusal{"refused"}); });
       return;
     }
@@ -203,6 +212,7 @@
   net::EventLoop &Loop;
   Mode CurrentMode = Mode::Serving;
   std::set<std::string> DownPartitions;
+  std::set<std::string> PartitionsWithoutReads;
   std::string SilentPartition;
   Milliseconds TransactionDelay{0};
   bool FeedStale = false;
