shard: log what holds up a takeover from a silent owner

Cause: a host that has seen no heartbeat for long may still not take the shard, because its change feed is interrupted, its timeout has grown or was restarted, or its attempts fail.

Change: after 3 s of silence and then every 3 s, a host that follows the shard logs takeover-delayed as a warning, with the owner's host, the length of the silence, the reason and the present timeout. The silence counts from the last change of the owner's rows; a failed call restarts the timeout but not this count.

--- a/Source/Shard/OwnerElection.cpp
+++ b/Source/Shard/OwnerElection.cpp
@@ -33,6 +33,10 @@
 /// Exceeds the difference of the pauses, so that a late read of a heartbeat
 /// does not look like a silent owner.
 constexpr Milliseconds FarTakeoverDelay{500};
+/// Silence of the owner after which a host that has not taken the shard logs
+/// why.
+constexpr Milliseconds MaxUnreportedSilence{3000};
+constexpr Milliseconds DelayReportInterval{3000};
 constexpr store::FollowerTiming OwnerFollowerTiming{
     Milliseconds{1000}, NearPause, Milliseconds{150}};
 
@@ -44,18 +48,20 @@
                              std::function<void(Ownership)> OnElected)
     : Loop(Loop), Store(Store), Shard(std::move(Shard)), Rows(this->Shard),
       Settings(Settings), Self(std::move(Self)),
-      OnElected(std::move(OnElected)) {}
+      OnElected(std::move(OnElected)),
+      DelayReports(MaxUnreportedSilence, DelayReportInterval) {}
 
 OwnerElection::~OwnerElection() { *Alive = false; }
 
 auto OwnerElection::start() -> void {
+  OwnerHeardAt = Clock::now();
   Follower = std::make_unique<store::TableFollower>(
       Loop, Store, ShardRows::OwnershipTable, std::vector<std::string>{Shard},
       OwnerFollowerTiming,
       store::TableFollower::Observer{
           [this](std::vector<store::Row> All) {
             if (!OwnerRowsRead)
-              LastOwnerActivity = Clock::now();
+              recordOwnerActivity();
             OwnerRowsRead = true;
             onRows(All, false);
           },
@@ -69,7 +75,7 @@
 auto OwnerElection::onOwnershipLost() -> void {
   IsOwner = false;
   RelinquishedVersion = OwnerVersion;
-  LastOwnerActivity = Clock::now();
+  recordOwnerActivity();
 }
 
 auto OwnerElection::resign(std::function<void()> Done) -> void {
@@ -120,7 +126,7 @@
   if (Row.Version <= HeartbeatVersion)
     return;
   HeartbeatVersion = Row.Version;
-  LastOwnerActivity = Clock::now();
+  recordOwnerActivity();
   HeartbeatSeen = Row.Version > OwnerVersion;
   const auto DecodedHeartbeat = decodeHeartbeat(Row.Value);
   if (!DecodedHeartbeat) {
@@ -150,7 +156,7 @@
                {{"shard", Shard}, {"error", Decoded.error().message()}});
       continue;
     }
-    LastOwnerActivity = Clock::now();
+    recordOwnerActivity();
     Owner = Decoded.value();
     OwnerVersion = Each.Version;
     HeartbeatSeen = HeartbeatVersion > OwnerVersion;
@@ -162,6 +168,7 @@
 auto OwnerElection::tick() -> void {
   TickTimer = Loop.after(TickInterval, [this] { tick(); });
   adaptToRank();
+  reportTakeoverDelay();
   if (!OwnerRowsRead || AttemptInProgress || IsOwner || Resigned)
     return;
   if (Owner && isThisProcess(*Owner) && !Owner->Released &&
@@ -234,6 +241,38 @@
          (1U << std::min<std::size_t>(Doublings, MaxTimeoutDoublings));
 }
 
+auto OwnerElection::reportTakeoverDelay() -> void {
+  const auto Now = Clock::now();
+  if (IsOwner || Resigned || !DelayReports.takeDue(OwnerHeardAt, Now))
+    return;
+  const auto Silence =
+      std::chrono::duration_cast<Milliseconds>(Now - OwnerHeardAt);
+  const auto Host = ownerHost();
+  const auto Wait =
+      takeoverDelay() + (isVacant() ? Milliseconds(0) : takeoverTimeout());
+  logEvent(LogLevel::Warning, "takeover-delayed",
+           {{"shard", Shard},
+            {"owner", Host.empty() ? "none" : Host},
+            {"silent-ms", std::to_string(Silence.count())},
+            {"reason", takeoverDelayReason()},
+            {"timeout-ms", std::to_string(Wait.count())}});
+}
+
+auto OwnerElection::takeoverDelayReason() const -> std::string {
+  if (!OwnerRowsRead)
+    return "owner-unread";
+  if (FeedInterrupted && !isVacant())
+    return "feed-interrupted";
+  if (AttemptInProgress)
+    return "attempt-in-progress";
+  return Clock::now() < NextAttempt ? "retry" : "timeout";
+}
+
+auto OwnerElection::recordOwnerActivity() -> void {
+  LastOwnerActivity = Clock::now();
+  OwnerHeardAt = LastOwnerActivity;
+}
+
 auto OwnerElection::recordOwnerChange() -> void {
   const auto Now = Clock::now();
   OwnerChanges.push_back(Now);
--- a/Source/Shard/OwnerElection.h
+++ b/Source/Shard/OwnerElection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Net/EventLoop.h"
+#include "Shard/DelayReportTimer.h"
 #include "Shard/Ownership.h"
 #include "Shard/ShardRows.h"
 #include "Shard/ShardSettings.h"
@@ -68,6 +69,10 @@
   auto mayTakeOver() const -> bool;
   /// Returns the time without owner activity after which a takeover is allowed.
   auto takeoverTimeout() const -> Milliseconds;
+  /// Logs what prevents a takeover from an owner that has been silent for long.
+  auto reportTakeoverDelay() -> void;
+  auto takeoverDelayReason() const -> std::string;
+  auto recordOwnerActivity() -> void;
   auto recordOwnerChange() -> void;
   auto onStoreFailure() -> void;
   /// Called when the change feed of the ownership table works again.
@@ -104,7 +109,11 @@
   std::optional<std::map<std::string, std::uint64_t>>
       WaitingCounts; ///< By queue.
   TimePoint WaitingCountsReceivedAt;
-  TimePoint LastOwnerActivity;        ///< When the owner's rows last changed.
+  /// When the owner's rows last changed, or a later time from which the
+  /// takeover timeout counts.
+  TimePoint LastOwnerActivity;
+  TimePoint OwnerHeardAt; ///< When the owner's rows last changed.
+  DelayReportTimer DelayReports;
   std::deque<TimePoint> OwnerChanges; ///< Recent ones, oldest first.
   bool HeartbeatSeen = false; ///< The current owner has sent a heartbeat.
   TimePoint NextAttempt;
