shard: log why a placed run has not started

Cause: a run that is placed can wait for its write, a fresh list of workers, a lease, the worker's clock, its reply or its list of runs after a takeover. Only some of these were logged, and none with the run.

Change: StartConditions names the first condition of a start that is not met, and StartDelayLog writes start-delayed with it after 1 s and then every 2 s for each run, as a warning after 3 s. At most 4 lines are written each 250 ms for the whole shard. The wait counts from when the session learned of the run, which after a takeover is the takeover.

--- a/Source/Shard/WorkerSession.cpp
+++ b/Source/Shard/WorkerSession.cpp
@@ -207,6 +207,7 @@
       continue;
     RunOrders State;
     State.Recovered = RecoveredRuns.contains(Id);
+    State.PlacedAt = now();
     if (!State.Recovered)
       State.Assignment = SharedContext.Journal.latestChange(Id.Job);
     OrdersByRun.emplace(Id, State);
@@ -216,6 +217,8 @@
 auto WorkerSession::sendRunOrder(const Run &ActiveRun, RunOrders &State)
     -> void {
   const auto Id = ActiveRun.Id;
+  if (ActiveRun.Phase == RunPhase::Assigned)
+    reportStartDelay(Id, State);
   if (ActiveRun.Phase == RunPhase::Assigned && isDraining()) {
     if (!State.StartInFlight && (RunsKnown || !State.Recovered))
       withdrawStart(Id, State);
@@ -248,6 +251,29 @@
     sendStop(Id);
 }
 
+auto WorkerSession::reportStartDelay(const RunId &Id, const RunOrders &State)
+    -> void {
+  if (!StartDelayLog::isLong(State.PlacedAt, now()))
+    return;
+  if (const auto Reason = startConditions(State).delayReason())
+    SharedContext.StartDelays.report({Id, Worker, *Reason, State.PlacedAt},
+                                     now());
+}
+
+auto WorkerSession::startConditions(const RunOrders &State) const
+    -> StartConditions {
+  StartConditions Conditions;
+  Conditions.RunsKnown = RunsKnown || !State.Recovered;
+  Conditions.WorkerAnswers = RenewFailures == 0 && State.StartsUnanswered == 0;
+  Conditions.AnswerPending = State.StartInFlight;
+  Conditions.RetryDue = now() >= State.NextStart;
+  Conditions.Durable = SharedContext.Journal.isDurable(State.Assignment);
+  Conditions.WorkerListFresh = SharedContext.MayStartRuns();
+  Conditions.LeasesPermitted = SharedContext.MayGrantLeases();
+  Conditions.ClockKnown = Leases.canGrant();
+  return Conditions;
+}
+
 auto WorkerSession::isHeldBack(const RunId &Id) const -> bool {
   const auto *Job = SharedContext.Scheduler.job(Id.Job);
   return Job && Job->OnHold;
--- a/Source/Shard/WorkerSession.h
+++ b/Source/Shard/WorkerSession.h
@@ -6,6 +6,8 @@
 #include "Shard/ProgressJournal.h"
 #include "Shard/RunOverEvidence.h"
 #include "Shard/ShardSettings.h"
+#include "Shard/StartConditions.h"
+#include "Shard/StartDelayLog.h"
 #include "Shard/WorkerLeases.h"
 #include "Shard/WorkerRegistry.h"
 #include "Shard/WorkerTransport.h"
@@ -46,6 +48,7 @@
     std::function<void(const WorkerSession &)> OnIdle;
     /// Called when the worker has seen a higher fencing token.
     std::function<void()> OnFenced;
+    StartDelayLog StartDelays;
   };
 
   /// \p PredecessorLeasesExpireAt is the time at which leases granted by the
@@ -79,6 +82,7 @@
   struct RunOrders {
     ProgressChange Assignment; ///< Must be durable before a start is sent.
     bool Recovered = false;    ///< Assigned by a previous owner.
+    TimePoint PlacedAt;        ///< When this session learned of the run.
     unsigned StartsSent = 0;
     unsigned StartsUnanswered = 0;
     bool StartInFlight = false;
@@ -101,6 +105,9 @@
       -> void;
   auto syncOrders() -> void;
   auto sendRunOrder(const scheduling::Run &ActiveRun, RunOrders &State) -> void;
+  auto reportStartDelay(const scheduling::RunId &Id, const RunOrders &State)
+      -> void;
+  auto startConditions(const RunOrders &State) const -> StartConditions;
   auto isDraining() const -> bool;
   auto isHeldBack(const scheduling::RunId &Id) const -> bool;
   /// Cancels a run whose start was not confirmed.
