metrics: gauges of waiting tasks, the pool's use and recovering owners

Cause: the metrics page counted events but did not show how many tasks wait for what, so a pool without room looked like a shard that nobody schedules.

Change: OwnerGauges sets jayramp_waiting_tasks and jayramp_longest_wait_seconds by shard and reason (undiagnosed: not waited long enough), jayramp_pool_use and jayramp_owner_recovering by shard, at most once a second. All reasons are set each time, and those of a shard that this host no longer owns to 0. Tasks whose step waits for an earlier one are not counted.

The page of a running host was not read.

--- a/Source/Scheduling/JobEntry.h
+++ b/Source/Scheduling/JobEntry.h
@@ -52,6 +52,11 @@
   }
   /// Returns the number of tasks of all steps that are neither done nor placed.
   auto waitingTasks() const -> std::uint32_t { return WaitingTasks; }
+  /// Returns whether recordWaiting() has been called for \p Step since the last
+  /// placement of any of its tasks.
+  auto isWaitRecorded(std::uint32_t Step) const -> bool {
+    return Steps[Step].WaitingSince.has_value();
+  }
   /// Returns since when tasks of \p Step have waited; must be recorded.
   auto waitingSince(std::uint32_t Step) const -> TimePoint {
     return *Steps[Step].WaitingSince;
--- a/Source/Scheduling/WaitReason.h
+++ b/Source/Scheduling/WaitReason.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -18,6 +19,11 @@
   OnHold,      ///< Their progress cannot be stored at present.
 };
 
+inline constexpr std::array AllWaitReasons = {
+    WaitReason::Room,        WaitReason::Rack,        WaitReason::Reserve,
+    WaitReason::Quarantine,  WaitReason::Unreachable, WaitReason::NoWorker,
+    WaitReason::EarlierRuns, WaitReason::OnHold};
+
 /// Returns the name of \p Reason in logs and metrics.
 auto toString(WaitReason Reason) -> std::string_view;
 
--- /dev/null
+++ b/Source/Shard/OwnerGauges.cpp
@@ -0,0 +1,79 @@
+#include "Shard/OwnerGauges.h"
+
+#include "Base/Metrics.h"
+#include "Scheduling/PoolUse.h"
+#include "Scheduling/WaitStatistics.h"
+#include "Shard/ShardOwner.h"
+
+#include <optional>
+
+namespace jayramp::shard {
+
+using scheduling::WaitReason;
+using scheduling::WaitStatistics;
+
+namespace {
+
+constexpr Milliseconds UpdateInterval{1000};
+
+auto shardLabel(const std::string &Shard) -> std::string {
+  return "shard=\"" + Shard + "\"";
+}
+
+auto publishWaits(Metrics &Target, const std::string &Shard,
+                  std::optional<WaitReason> Reason,
+                  const WaitStatistics &Totals) -> void {
+  const auto Found = Totals.find(Reason);
+  const auto Total =
+      Found == Totals.end() ? scheduling::WaitTotals{} : Found->second;
+  const auto Labels = shardLabel(Shard) + ",reason=\"" +
+                      std::string(Reason ? toString(*Reason) : "undiagnosed") +
+                      "\"";
+  Target.gauge("jayramp_waiting_tasks", Labels,
+               static_cast<double>(Total.Tasks));
+  Target.gauge("jayramp_longest_wait_seconds", Labels, Total.LongestSeconds);
+}
+
+auto publishAllWaits(Metrics &Target, const std::string &Shard,
+                     const WaitStatistics &Totals) -> void {
+  publishWaits(Target, Shard, std::nullopt, Totals);
+  for (const auto Reason : scheduling::AllWaitReasons)
+    publishWaits(Target, Shard, Reason, Totals);
+}
+
+} // namespace
+
+auto OwnerGauges::update(const OwnersByShard &Owners, TimePoint Now) -> void {
+  if (Now < NextUpdate)
+    return;
+  NextUpdate = Now + UpdateInterval;
+  for (const auto &Shard : PublishedShards)
+    if (!Owners.contains(Shard))
+      clear(Shard);
+  PublishedShards.clear();
+  for (const auto &[Shard, Owner] : Owners) {
+    publish(Shard, *Owner, Now);
+    PublishedShards.insert(Shard);
+  }
+}
+
+auto OwnerGauges::publish(const std::string &Shard, const ShardOwner &Owner,
+                          TimePoint Now) -> void {
+  const auto &Scheduler = Owner.scheduler();
+  publishAllWaits(Target, Shard, collectWaitStatistics(Scheduler, Now));
+  // The workers are not known during the recovery.
+  Target.gauge("jayramp_pool_use", shardLabel(Shard),
+               Owner.isRecovering()
+                   ? 0
+                   : scheduling::poolUse(Scheduler.workers(), Shard));
+  Target.gauge("jayramp_owner_recovering", shardLabel(Shard),
+               Owner.isRecovering() ? 1 : 0);
+}
+
+auto OwnerGauges::clear(const std::string &Shard) -> void {
+  publishAllWaits(Target, Shard, {});
+  Target.gauge("jayramp_pool_use", shardLabel(Shard), 0);
+  Target.gauge("jayramp_owner_recovering", shardLabel(Shard), 0);
+}
+
+} // namespace jayramp::shard
--- /dev/null
+++ b/Source/Shard/OwnerGauges.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "Base/Clock.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace jayramp {
+
+class Metrics;
+
+namespace shard {
+
+class ShardOwner;
+
+/// Publishes, as gauges, what the tasks of the shards that this host owns wait
+/// for, how full their pools are, and whether their owners recover.
+class OwnerGauges {
+public:
+  using OwnersByShard = std::map<std::string, std::unique_ptr<ShardOwner>>;
+
+  explicit OwnerGauges(Metrics &Target) : Target(Target) {}
+
+  /// Sets the gauges of all shards that this host owns, and to 0 those of
+  /// shards that it no longer owns. Has no effect if it has done so recently.
+  auto update(const OwnersByShard &Owners, TimePoint Now) -> void;
+
+private:
+  auto publish(const std::string &Shard, const ShardOwner &Owner, TimePoint Now)
+      -> void;
+  auto clear(const std::string &Shard) -> void;
+
+  Metrics &Target;
+  TimePoint NextUpdate;
+  std::set<std::string> PublishedShards;
+};
+
+} // namespace shard
+
+} // namespace jayramp
--- a/Source/Shard/ShardOwner.h
+++ b/Source/Shard/ShardOwner.h
@@ -51,6 +51,9 @@
   auto scheduler() const -> const scheduling::ShardScheduler & {
     return Scheduler;
   }
+  /// Returns true until the stored state has been read; no decisions are made
+  /// before.
+  auto isRecovering() const -> bool { return Recovering; }
 
 private:
   auto onJournalOpened(ProgressJournal::RecoveredRows Found) -> void;
--- /dev/null
+++ b/Tests/Shard/OwnerGaugesTest.cpp
@@ -0,0 +1,108 @@
+#include "ShardFixture.h"
+
+#include "Base/Metrics.h"
+#include "Scheduling/WaitStatistics.h"
+#include "Shard/OwnerGauges.h"
+
+#include <sstream>
+
+namespace jayramp::test {
+namespace {
+
+using scheduling::WaitReason;
+
+class OwnerGaugesTest : public ShardFixture {
+protected:
+  /// Publishes the gauges, however recently that was done.
+  auto update() -> void {
+    shard::OwnerGauges::OwnersByShard Owners;
+    if (Owner)
+      Owners["pool"] = std::move(Owner);
+    UpdatedAt += Milliseconds(1000);
+    Gauges.update(Owners, UpdatedAt);
+    if (!Owners.empty())
+      Owner = std::move(Owners["pool"]);
+  }
+
+  /// Returns the value of a series on the metrics page; none if it is missing.
+  auto value(const std::string &Series) const -> std::optional<double> {
+    std::istringstream Page(Counters.renderText());
+    for (std::string Line; std::getline(Page, Line);)
+      if (Line.rfind(Series + " ", 0) == 0)
+        return std::stod(Line.substr(Series.size()));
+    return std::nullopt;
+  }
+
+  static auto series(const std::string &Name, const std::string &Reason)
+      -> std::string {
+    return Name + "{shard=\"pool\",reason=\"" + Reason + "\"}";
+  }
+
+  Metrics Counters;
+  shard::OwnerGauges Gauges{Counters};
+  TimePoint UpdatedAt = Clock::now();
+};
+
+// Guards against a metrics page that does not tell tasks that wait for room
+// from an owner that does not act.
+TEST_F(OwnerGaugesTest, showsWaitingTasksByReasonAndTheUseOfThePool) {
+  Registry.add("w1");
+  Workers["w1"].WorkTime = Milliseconds(60000);
+  startOwner();
+  submit(job("a", 1, false, 8));
+  ASSERT_TRUE(runUntil([&] { return Workers.startsOf("a") == 1; }));
+  submit(job("b", 3, false, 8));
+  ASSERT_TRUE(runUntil([&] {
+    const auto *Waiting = Owner->scheduler().job("b");
+    return Waiting && Waiting->waitReason(0) == WaitReason::Room;
+  }));
+  UpdatedAt = Clock::now();
+  update();
+  EXPECT_EQ(value(series("jayramp_waiting_tasks", "room")), 3);
+  EXPECT_GT(value(series("jayramp_longest_wait_seconds", "room")), 1.0);
+  EXPECT_EQ(value(series("jayramp_waiting_tasks", "rack")), 0);
+  EXPECT_GT(value("jayramp_pool_use{shard=\"pool\"}"), 0.0);
+  EXPECT_EQ(value("jayramp_owner_recovering{shard=\"pool\"}"), 0);
+}
+
+// Guards against gauges that keep the values of a shard that another host owns
+// now.
+TEST_F(OwnerGaugesTest, setsTheGaugesOfALostShardToZero) {
+  Store.setReadsDown(Rows.journalPartitions().front(), true);
+  startOwner();
+  runFor(Milliseconds(20));
+  update();
+  EXPECT_EQ(value("jayramp_owner_recovering{shard=\"pool\"}"), 1);
+  Owner.reset();
+  update();
+  EXPECT_EQ(value("jayramp_owner_recovering{shard=\"pool\"}"), 0);
+  EXPECT_EQ(value("jayramp_pool_use{shard=\"pool\"}"), 0);
+}
+
+// Guards against walking all jobs at each check of the host.
+TEST_F(OwnerGaugesTest, updatesAtMostOnceASecond) {
+  Gauges.update({}, UpdatedAt);
+  startOwner();
+  shard::OwnerGauges::OwnersByShard Owners;
+  Owners["pool"] = std::move(Owner);
+  Gauges.update(Owners, UpdatedAt + Milliseconds(999));
+  EXPECT_EQ(value("jayramp_owner_recovering{shard=\"pool\"}"), std::nullopt);
+  Gauges.update(Owners, UpdatedAt + Milliseconds(1000));
+  EXPECT_EQ(value("jayramp_owner_recovering{shard=\"pool\"}"), 1);
+}
+
+// Guards against counting tasks whose step waits for an earlier one, and
+// against reading a wait that was not recorded.
+TEST_F(OwnerGaugesTest, countsOnlyTasksWhoseTurnHasCome) {
+  scheduling::ShardScheduler Scheduler;
+  auto Spec = job("a", 2);
+  Spec.Steps.push_back(Spec.Steps[0]);
+  Spec.Steps[1].After = {0};
+  const auto Now = Clock::now();
+  Scheduler.addJob(Spec, {}, Now);
+  const scheduling::WaitStatistics Expected{{std::nullopt, {2, 0}}};
+  EXPECT_EQ(collectWaitStatistics(Scheduler, Now), Expected);
+}
+
+} // namespace
+} // namespace jayramp::test
