control: explain shows owner events of all hosts; the path to their causes

Cause: jayrampctl explain prints context only of hosts with a line about the job, up to the last such line. If nobody acts as the owner, no such host knows why, and a job that was never placed has no later line.

Change: lines about the owners of shards are taken from all hosts and, for a submitted job without tasks-placed, up to the end of the logs.

--- a/Source/Control/LogTimeline.cpp
+++ b/Source/Control/LogTimeline.cpp
@@ -18,6 +18,11 @@
 // Earlier lines of a host, such as a lost store connection, can explain its
 // first decision about the id.
 constexpr int ContextSeconds = 1;
+// Any host may be the one that delays a job by not acting as the owner of its
+// shard.
+constexpr std::array<std::string_view, 6> OwnerEvents = {
+    "shard-taken",      "shard-recovered", "shard-released",
+    "shard-recovering", "shard-lost",      "takeover-delayed"};
 
 /// Returns whether \p Predicate is true for any field key whose value can be
 /// the id of a request or job.
@@ -27,6 +32,11 @@
          std::any_of(LogIdKeys.begin(), LogIdKeys.end(), Predicate);
 }
 
+auto isOwnerEvent(std::string_view Event) -> bool {
+  return std::find(OwnerEvents.begin(), OwnerEvents.end(), Event) !=
+         OwnerEvents.end();
+}
+
 auto fieldValue(const LogEntry &Entry, std::string_view Key) -> std::string {
   auto Found = Entry.find(Key);
   return Found == Entry.end() ? std::string() : Found->second;
@@ -116,6 +126,12 @@
                      [](const Line &Entry) { return Entry.MatchesId; });
 }
 
+auto LogTimeline::containsEvent(std::string_view Event) const -> bool {
+  return std::any_of(Lines.begin(), Lines.end(), [&](const Line &Entry) {
+    return Entry.MatchesId && Entry.Event == Event;
+  });
+}
+
 auto LogTimeline::selectLines() const -> std::vector<const Line *> {
   std::set<std::string> Hosts;
   std::set<std::string> Workers = {""};
@@ -131,9 +147,13 @@
     LastTime = std::max(LastTime, Entry.Time);
   }
   FirstTime = subtractSeconds(FirstTime, ContextSeconds);
+  const bool IsUnplacedJob =
+      containsEvent("job-submitted") && !containsEvent("tasks-placed");
   std::vector<const Line *> Selected;
   for (const Line &Entry : Lines)
     if (Entry.MatchesId ||
+        (isOwnerEvent(Entry.Event) && Entry.Time >= FirstTime &&
+         (IsUnplacedJob || Entry.Time <= LastTime)) ||
         (Hosts.count(Entry.Host) > 0 && Workers.count(Entry.Worker) > 0 &&
          Entry.Time >= FirstTime && Entry.Time <= LastTime))
       Selected.push_back(&Entry);
--- a/Source/Control/LogTimeline.h
+++ b/Source/Control/LogTimeline.h
@@ -31,7 +31,9 @@
   /// Prints the lines that name the id, sorted by time. Between them, indented,
   /// come context lines of the same hosts: lines that name no request or job
   /// and no worker other than those in the lines of the id, from one second
-  /// before the first line of the id to the last one. If an event repeats
+  /// before the first line of the id to the last one. Lines about the owner of
+  /// a shard come from all hosts and, if no line of a submitted job says that
+  /// it was placed, up to the end of the logs. If an event repeats
   /// between two lines of the id, only its first line and the number of further
   /// lines are printed.
   auto print(std::ostream &Output) const -> void;
@@ -48,6 +50,7 @@
 
   /// Returns whether a field of \p Entry names the id or one of its runs.
   auto matchesId(const LogEntry &Entry) const -> bool;
+  auto containsEvent(std::string_view Event) const -> bool;
   /// Returns the lines to print, sorted by time.
   auto selectLines() const -> std::vector<const Line *>;
 
--- a/Tests/Unit/ControlProgramTest.cpp
+++ b/Tests/Unit/ControlProgramTest.cpp
@@ -320,5 +320,30 @@
   EXPECT_EQ(run({"explain", "j1"}).Code, ExitCode::InvalidInput);
 }
 
+// Guards against a timeline without the cause of a job's wait when no host that
+// has a line about the job acts as the owner of its shard.
+TEST(ControlProgramTest, explainShowsWhyNoOwnerActsOnAJob) {
+  const auto Path =
+      testing::TempDir() + "owner-" + std::to_string(::getpid()) + ".log";
+  const std::string Submitted =
+      "time=2026-12-04T16:00:01.000Z level=info host=a event=job-submitted "
+      "job=j1 outcome=0\n";
+  const std::string Delayed =
+      "time=2026-12-04T16:00:04.000Z level=warning host=b "
+      "event=takeover-delayed shard=s reason=feed-interrupted\n";
+  const std::string Recovering =
+      "time=2026-12-04T16:00:06.000Z level=warning host=c "
+      "event=shard-recovering shard=s reason=job-table\n";
+  const std::string Placed =
+      "time=2026-12-04T16:00:05.000Z level=info host=c event=tasks-placed "
+      "job=j1 run=1\n";
+  std::ofstream(Path) << Submitted << Delayed << Recovering;
+  EXPECT_EQ(run({"explain", "j1", "--log", Path}).Output,
+            Submitted + "    " + Delayed + "    " + Recovering);
+  std::ofstream(Path) << Submitted << Delayed << Recovering << Placed;
+  EXPECT_EQ(run({"explain", "j1", "--log", Path}).Output,
+            Submitted + "    " + Delayed + Placed);
+}
+
 } // namespace
 } // namespace jayramp
