--- a/Source/Shard/ShardOwner.h
+++ b/Source/Shard/ShardOwner.h
@@ -5,6 +5,7 @@
 #include "Shard/OwnerHeartbeat.h"
 #include "Shard/Ownership.h"
 #include "Shard/ProgressJournal.h"
+#include "Shard/RecoveryDelayLog.h"
 #include "Shard/RowCleaner.h"
 #include "Shard/SessionSchedule.h"
 #include "Shard/ShardRows.h"
@@ -50,6 +51,9 @@
   auto scheduler() const -> const scheduling::ShardScheduler & {
     return Scheduler;
   }
+  /// Returns true until the stored state has been read; no decisions are made
+  /// before.
+  auto isRecovering() const -> bool { return Recovering; }
 
 private:
   auto onJournalOpened(ProgressJournal::RecoveredRows Found) -> void;
@@ -98,6 +102,7 @@
   std::function<void()> OnLost;
   scheduling::ShardScheduler Scheduler;
   ProgressJournal Journal;
+  RecoveryDelayLog RecoveryLog;
   std::shared_ptr<OwnerHeartbeat> Heartbeat;
   std::shared_ptr<RowCleaner> Cleaner;
   std::set<std::string> JobsWithWaitingRow; ///< Ids of jobs that may have one.
