--- a/Source/Scheduling/JobEntry.cpp
+++ b/Source/Scheduling/JobEntry.cpp
@@ -88,6 +88,21 @@
   --UndoneTasks;
   if (Task.Worker.empty())
     removeFromWaiting(Step);
+  if (Steps[Step].Waiting == 0)
+    resetWait(Step);
+}
+
+auto JobEntry::recordWaiting(std::uint32_t Step, TimePoint Now) -> void {
+  auto &Since = Steps[Step].WaitingSince;
+  if (Since)
+    return;
+  const auto &Tasks = Progress.Steps[Step];
+  const bool NeverPlaced =
+      std::all_of(Tasks.begin(), Tasks.end(),
+                  [](const auto &Task) { return Task.LastRunNumber == 0; });
+  const bool WaitsSinceSubmission =
+      Spec.Steps[Step].After.empty() && NeverPlaced;
+  Since = WaitsSinceSubmission ? SubmittedAt : Now;
 }
 
 auto JobEntry::recordStartSent(std::uint32_t Step, std::uint32_t Index,
@@ -128,6 +143,11 @@
   ++WaitingTasks;
 }
 
+auto JobEntry::resetWait(std::uint32_t Step) -> void {
+  Steps[Step].WaitingSince.reset();
+  Steps[Step].LastWaitReason.reset();
+}
+
 auto JobEntry::removeFromWaiting(std::uint32_t Step) -> void {
   --Steps[Step].Waiting;
   --WaitingTasks;
--- a/Source/Scheduling/ShardScheduler.h
+++ b/Source/Scheduling/ShardScheduler.h
@@ -5,6 +5,8 @@
 #include "Scheduling/RunPollRate.h"
 #include "Scheduling/SchedulingDecisions.h"
 #include "Scheduling/SchedulingPolicy.h"
+#include "Scheduling/UrgentReserve.h"
+#include "Scheduling/WaitReason.h"
 #include "Scheduling/WorkerEntry.h"
 
 #include <deque>
@@ -22,7 +24,8 @@
 /// runLost() is called for it.
 class ShardScheduler {
 public:
-  explicit ShardScheduler(SchedulingPolicy Policy = {}) : Policy(Policy) {}
+  explicit ShardScheduler(SchedulingPolicy Policy = {})
+      : Policy(Policy), Reserve(Policy) {}
 
   // Commands.
 
@@ -90,6 +93,11 @@
     return std::exchange(PlacementDecisions, {});
   }
 
+  /// Returns what waiting tasks were found to wait for since the last call.
+  auto takeWaitReports() -> std::vector<WaitReport> {
+    return std::exchange(WaitReports, {});
+  }
+
   /// Returns the ids of the workers whose runs, registration or drain state
   /// changed since the last call.
   auto takeChangedWorkers() -> std::set<std::string> {
@@ -102,6 +110,7 @@
   /// result. The passing of time is not counted.
   auto needsPass() const -> bool { return PassNeeded; }
 
+  auto policy() const -> const SchedulingPolicy & { return Policy; }
   auto job(const std::string &Id) const -> const JobEntry *;
   auto jobs() const -> const std::map<std::string, JobEntry> & { return Jobs; }
   auto worker(const std::string &Id) const -> const WorkerEntry *;
@@ -151,9 +160,6 @@
                            TimePoint Now) -> void;
   auto finishJob(JobEntry &Job, JobState State, TimePoint Now) -> void;
   auto updateGuaranteedJobs() -> void;
-  /// Returns the number of accelerators, of \p TotalGpus, that less urgent jobs
-  /// leave free for arriving jobs of the most urgent priority.
-  auto urgentReserve(std::int64_t TotalGpus, TimePoint Now) -> std::int64_t;
 
   SchedulingPolicy Policy;
   std::map<std::string, JobEntry> Jobs;
@@ -173,11 +179,11 @@
   std::map<std::string, std::int64_t> Guarantees;
   std::deque<std::string> ChangedJobs;
   std::set<std::string> ChangedJobSet;
-  /// Accelerators that jobs of the most urgent priority requested, by time of
-  /// arrival.
-  std::deque<std::pair<TimePoint, std::int64_t>> UrgentArrivals;
+  UrgentReserve Reserve;
   std::vector<StopDecision> StopDecisions;
   std::vector<PlacementDecision> PlacementDecisions;
+  std::vector<WaitReport> WaitReports;
+  TimePoint NextWaitDiagnosis; ///< No wait is diagnosed before this time.
   std::uint64_t NextSequence = 1;
 };
 
