tests: outages of the store with real entry hosts and a check on idle room

OutageTest starts six jayramp-entryd processes, the stand-ins of review/ (the store and 48 workers in 8 racks) and clients at all hosts. It checks that no accepted job stands still beside idle room for more than 3 s, that all jobs end as completed, that none is denied and that no two runs of a task overlap.

--- /dev/null
+++ b/Tests/Platform/OutageStage.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "AcceptedJobs.h"
+#include "EntryHost.h"
+#include "FaultPlan.h"
+#include "IdleRoomCheck.h"
+#include "standins/Cluster.h"
+#include "standins/Record.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace jayramp::platform_test {
+
+/// Six entry hosts, the store and 48 workers in 8 racks. One thread plays the
+/// faults and looks for idle room. Never destroyed, because the threads of the
+/// stand-ins use it until the process ends; close() ends the hosts.
+class OutageStage {
+public:
+  static constexpr unsigned RackCount = 8;
+  static constexpr unsigned WorkersPerRack = 6;
+
+  /// Starts all processes with files in \p Folder and waits until the hosts are
+  /// ready. Errors: those of EntryHost::start(); Timeout if a host does not
+  /// become ready.
+  static auto start(const std::string &Folder) -> Result<OutageStage *>;
+  static auto rackName(unsigned Rack) -> std::string {
+    return "r" + std::to_string(Rack);
+  }
+
+  /// Sets the faults, whose times count from now.
+  auto beginFaults(FaultPlan Plan) -> void;
+  /// Plays the faults and looks for idle room for \p DurationMs.
+  auto run(std::int64_t DurationMs) -> void;
+  /// Runs until all accepted jobs are shown as completed, or for \p LimitMs.
+  /// Returns the jobs that are not.
+  auto runUntilCompleted(std::int64_t LimitMs) -> std::vector<std::string>;
+  auto close() -> void { Hosts.clear(); }
+
+  auto jobs() -> AcceptedJobs & { return Jobs; }
+  auto callers() const -> const std::vector<std::string> & { return Callers; }
+  /// Idle room, contradicting answers, overlapping runs and hosts that ended by
+  /// themselves, each with the lines of the logs that belong to it.
+  auto findings() -> std::vector<std::string>;
+  auto summary() -> std::string;
+
+private:
+  /// The end of a signal to a host.
+  struct Recovery {
+    std::size_t Host = 0;
+    std::int64_t AtMs = 0;
+  };
+
+  explicit OutageStage(const std::string &Folder);
+
+  auto startHosts(const std::string &Folder) -> Result<void>;
+  auto waitUntilReady() -> Result<void>;
+  auto playStoreOutage(std::int64_t SinceMs) -> void;
+  auto playHostFaults(std::int64_t SinceMs) -> void;
+  auto playRecoveries(std::int64_t SinceMs) -> void;
+  auto lookForIdleRoom() -> void;
+  auto findDeadHosts() -> void;
+  auto isCalm() const -> bool;
+  /// Returns the host that took the shard last.
+  auto owner() const -> std::size_t;
+  auto tick() -> void;
+  auto addFinding(const std::string &Text) -> void;
+
+  review::Record Output;
+  review::Cluster Platform;
+  AcceptedJobs Jobs;
+  std::vector<EntryHost> Hosts;
+  std::vector<std::string> Callers;
+  std::unique_ptr<IdleRoomCheck> Check;
+  FaultPlan Plan;
+  std::size_t NextHostFault = 0;
+  std::vector<Recovery> Recoveries;
+  std::int64_t FaultsBeginMs = 0;
+  std::int64_t LastFaultMs = 0;
+  std::int64_t CheckedMs = 0; ///< For how long idle room was looked for.
+  bool IsStoreDown = false;
+  std::vector<std::string> Findings;
+};
+
+} // namespace jayramp::platform_test
--- /dev/null
+++ b/Tests/Platform/OutageTest.cpp
@@ -0,0 +1,189 @@
+// Real entry hosts through outages of the whole store. JAYRAMP_SEED repeats a
+// run; README.md names the other variables.
+#include "OutageStage.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <cinttypes>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+#include <thread>
+
+namespace jayramp::platform_test {
+namespace {
+
+constexpr std::int64_t SettleMs = 3000;
+/// From the end of the traffic until all jobs are completed.
+constexpr std::int64_t CompletionLimitMs = 25000;
+constexpr unsigned ClientCount = 3;
+constexpr unsigned FillersPerRack = 2;
+/// So long that a gang that waits for a rack does so until after the outage.
+constexpr std::int64_t RoundFillerMs = 28000;
+
+auto environmentNumber(const char *Name, std::uint64_t Default)
+    -> std::uint64_t {
+  const auto *Value = std::getenv(Name);
+  return Value ? std::strtoull(Value, nullptr, 10) : Default;
+}
+
+auto jobId(std::uint64_t Client, std::uint64_t Number) -> std::string {
+  // The multiplier spreads the ids over the partitions of the store.
+  const auto Id = (Client << 32U | Number) * std::uint64_t{0x9e3779b97f4a7c15};
+  char Text[17];
+  std::snprintf(Text, sizeof(Text), "%016" PRIx64, Id);
+  return Text;
+}
+
+class OutageTest : public testing::Test {
+protected:
+  OutageTest() {
+    const auto *Given = std::getenv("JAYRAMP_KEEP_LOGS");
+    const auto *Name =
+        testing::UnitTest::GetInstance()->current_test_info()->name();
+    IsKept = Given;
+    Folder = std::string(Given ? Given : testing::TempDir()) + "/outage-" +
+             Name + "-" + std::to_string(Seed) + "-" +
+             std::to_string(::getpid());
+    std::filesystem::create_directories(Folder);
+    std::cout << "JAYRAMP_SEED=" << Seed << "\n";
+  }
+
+  ~OutageTest() override {
+    if (Stage)
+      Stage->close();
+    if (HasFailure())
+      std::cout << "logs are kept in " << Folder << "\n";
+    else if (!IsKept)
+      std::filesystem::remove_all(Folder);
+  }
+
+  auto start() -> void {
+    auto Started = OutageStage::start(Folder);
+    ASSERT_TRUE(Started) << Started.error().message();
+    Stage = Started.value();
+    Stage->run(SettleMs);
+  }
+
+  auto submit(const JobPlan &Plan) -> void {
+    ASSERT_TRUE(Stage->jobs().submit(Plan, Stage->callers(), NextCaller++));
+  }
+
+  /// Keeps two workers of each rack busy, so that no rack holds a wide gang.
+  auto fillRacks(unsigned Round, std::int64_t WorkMs) -> void {
+    for (unsigned Rack = 0; Rack < OutageStage::RackCount; ++Rack)
+      submit(JobPlan::rackFiller(
+          jobId(0, 1 + Round * OutageStage::RackCount + Rack),
+          OutageStage::rackName(Rack), FillersPerRack, WorkMs));
+  }
+
+  /// A host may reject jobs for a moment after an outage, so the client submits
+  /// another gang after each rejection.
+  auto submitWideGang() -> void {
+    bool IsAccepted = false;
+    for (unsigned Attempt = 1; !IsAccepted && Attempt <= 20; ++Attempt) {
+      IsAccepted =
+          Stage->jobs().submit(JobPlan::wideGang(jobId(1, Attempt), 2000),
+                               Stage->callers(), NextCaller++);
+      Stage->run(100);
+    }
+    ASSERT_TRUE(IsAccepted);
+  }
+
+  /// Submits random jobs through random hosts until \p Stop is set.
+  auto sendJobs(std::uint64_t Client, const std::atomic<bool> &Stop) -> void {
+    std::mt19937_64 Random(Seed << 32U | Client);
+    for (std::uint64_t Number = 1; !Stop; ++Number) {
+      Stage->jobs().submit(JobPlan::random(jobId(Client, Number), Random),
+                           Stage->callers(), Random() % FaultPlan::HostCount);
+      review::sleepMs(std::uniform_int_distribution(400, 1600)(Random));
+    }
+  }
+
+  /// Asks hosts in turn for the states of jobs until \p Stop is set.
+  auto askForStates(const std::atomic<bool> &Stop) -> void {
+    std::mt19937_64 Random(Seed);
+    while (!Stop) {
+      if (const auto Jobs = Stage->jobs().all(); !Jobs.empty())
+        Stage->jobs().stateOf(
+            Jobs[Random() % Jobs.size()],
+            Stage->callers()[Random() % FaultPlan::HostCount]);
+      review::sleepMs(100);
+    }
+  }
+
+  auto runTraffic(unsigned Round, std::int64_t DurationMs) -> void {
+    std::atomic<bool> Stop = false;
+    std::vector<std::jthread> Clients;
+    for (std::uint64_t Number = 1; Number <= ClientCount; ++Number) {
+      const auto Client = Round * ClientCount + Number;
+      Clients.emplace_back([this, Client, &Stop] { sendJobs(Client, Stop); });
+    }
+    Clients.emplace_back([this, &Stop] { askForStates(Stop); });
+    Stage->run(DurationMs);
+    Stop = true;
+  }
+
+  auto expectNoFindings() -> void {
+    std::cout << Stage->summary() << "\n";
+    for (const auto &Each : Stage->findings())
+      ADD_FAILURE() << Each;
+  }
+
+  const std::uint64_t Seed = environmentNumber("JAYRAMP_SEED", 6);
+  std::string Folder;
+  bool IsKept = false;
+  OutageStage *Stage = nullptr;
+  std::size_t NextCaller = 0;
+};
+
+// Guards against a wide gang that starves for a rack beside idle workers when
+// it arrives just after an outage of the store.
+TEST_F(OutageTest, gangStarvesForARackAfterAStoreOutage) {
+  ASSERT_NO_FATAL_FAILURE(start());
+  ASSERT_NO_FATAL_FAILURE(fillRacks(0, 60000));
+  FaultPlan Plan;
+  Plan.OutagesAtMs = {1000};
+  Stage->beginFaults(Plan);
+  Stage->run(1000 + FaultPlan::OutageMs + 400);
+  ASSERT_NO_FATAL_FAILURE(submitWideGang());
+  Stage->run(9000);
+  expectNoFindings();
+}
+
+// Guards against accepted jobs that stand still, are denied, are lost or run
+// twice when the store and hosts fail together.
+TEST_F(OutageTest, jobsAreLostOrStandStillAfterOutages) {
+  std::mt19937_64 Random(Seed);
+  const auto TrafficMs =
+      static_cast<std::int64_t>(environmentNumber("JAYRAMP_SECONDS", 24)) *
+      1000;
+  const auto Plan = FaultPlan::random(Random, TrafficMs);
+  for (const auto &Fault : Plan.HostFaults)
+    std::cout << Fault.describe() << "\n";
+  for (const auto AtMs : Plan.OutagesAtMs)
+    std::cout << "outage at " << AtMs << " ms\n";
+  ASSERT_NO_FATAL_FAILURE(start());
+  Stage->beginFaults(Plan);
+  unsigned Round = 0;
+  for (auto LeftMs = TrafficMs; LeftMs > 0; LeftMs -= FaultPlan::RoundMs) {
+    ASSERT_NO_FATAL_FAILURE(fillRacks(Round, RoundFillerMs));
+    runTraffic(Round++, std::min(LeftMs, FaultPlan::RoundMs));
+  }
+  for (const auto &Each : Stage->runUntilCompleted(CompletionLimitMs))
+    ADD_FAILURE() << Each;
+  expectNoFindings();
+}
+
+} // namespace
+} // namespace jayramp::platform_test
+
+auto main(int ArgumentCount, char **Arguments) -> int {
+  testing::InitGoogleTest(&ArgumentCount, Arguments);
+  const auto Result = RUN_ALL_TESTS();
+  std::cout.flush();
+  // The threads of the stand-ins still use objects of static lifetime.
+  std::_Exit(Result);
+}
