scheduling: a gang that may be spread takes a rack that has room all the same

Once its wait for a rack was over, a gang was placed on the fullest workers of all racks, although one rack may have room by then: a repeated gang has often waited for the end of its earlier run, and not for a rack. Spread over racks it runs up to three times as long. Racks are tried first now, in each pass. RackWaitTest.gangIsSpreadBesideAFreeRack failed before (two racks instead of one).

--- a/Source/Scheduling/PlacementPass.cpp
+++ b/Source/Scheduling/PlacementPass.cpp
@@ -133,10 +133,17 @@
     Gang.NotTried = WaitReason::Reserve;
     return;
   }
-  Gang.StaysInRack = mustStayInRack(Gang);
-  const auto Shape = shapeOf(Gang);
-  if (placeNow(Gang, Shape) == 0 && Gang.Job->Spec.Priority == 0)
-    placeAfterStops(Gang, Shape);
+  // A gang that may be spread takes a rack that has room all the same.
+  Gang.StaysInRack = prefersSingleRack(Gang);
+  if (placeNow(Gang, shapeOf(Gang)) > 0)
+    return;
+  if (Gang.StaysInRack && !mustStayInRack(Gang)) {
+    Gang.StaysInRack = false;
+    if (placeNow(Gang, shapeOf(Gang)) > 0)
+      return;
+  }
+  if (Gang.Job->Spec.Priority == 0)
+    placeAfterStops(Gang, shapeOf(Gang));
 }
 
 auto PlacementPass::placeTasks(TaskGroup &Group) -> void {
@@ -300,8 +307,12 @@
       Candidates.reserve(Position, Need);
 }
 
+auto PlacementPass::prefersSingleRack(const TaskGroup &Group) -> bool {
+  return Group.spec().SameRack && Group.TaskCount > 1;
+}
+
 auto PlacementPass::mustStayInRack(const TaskGroup &Group) -> bool {
-  if (!Group.spec().SameRack || Group.TaskCount < 2)
+  if (!prefersSingleRack(Group))
     return false;
   const auto &Job = *Group.Job;
   const auto &Policy = Scheduler.Policy;
--- a/Source/Scheduling/PlacementPass.h
+++ b/Source/Scheduling/PlacementPass.h
@@ -40,8 +40,10 @@
   /// accelerators that are reserved for urgent arrivals.
   auto tasksOutsideReserve(const TaskGroup &Group) const -> std::uint32_t;
   auto mayUseReserve(const TaskGroup &Group) const -> bool;
-  /// Returns whether a group that runs slowly if it is spread over racks should
-  /// wait for room in one rack. Bounded for every group.
+  /// Returns whether the group runs slowly if it is spread over racks.
+  static auto prefersSingleRack(const TaskGroup &Group) -> bool;
+  /// Returns whether a group that prefers a single rack should wait for room in
+  /// one. Bounded for every group.
   auto mustStayInRack(const TaskGroup &Group) -> bool;
   /// Returns whether the group can be spread over racks without taking room
   /// that others need: it holds its resources for longer then.
--- a/Tests/Shard/RackWaitTest.cpp
+++ b/Tests/Shard/RackWaitTest.cpp
@@ -124,6 +124,22 @@
   EXPECT_EQ(runsOf("gang").size(), 2U);
 }
 
+// Guards against spreading a gang although a rack has room for it: it may have
+// waited for long for the end of an earlier run and not for a rack.
+TEST_F(RackWaitTest, gangIsSpreadBesideAFreeRack) {
+  addRack("r0", 3);
+  for (const auto *Rack : {"r1", "r2"})
+    addRack(Rack, 0);
+  Scheduler.schedule(at(0));
+  addJob("gang", WideGang, 0);
+  Scheduler.setOnHold("gang", true);
+  scheduleUntil(0, 5000);
+  Scheduler.setOnHold("gang", false);
+  Scheduler.schedule(at(5000));
+  EXPECT_EQ(runsOf("gang").size(), 10U);
+  EXPECT_EQ(racksOf("gang").size(), 1U);
+}
+
 // Guards against spreading a gang into the last free room of an idle pool,
 // where it would hold it for three times as long.
 TEST_F(RackWaitTest, gangIsSpreadIntoTheLastRoom) {
