--- a/Tests/Shard/RackWaitTest.cpp
+++ b/Tests/Shard/RackWaitTest.cpp
@@ -9,7 +9,10 @@
 protected:
   static constexpr int WorkersPerRack = 6;
   static constexpr std::int64_t LongestWaitMs = 20000; ///< For a rack.
-  static constexpr JobShape WideGang{1, 10, 4, true, true, Milliseconds(9000)};
+
+  static auto wideGang() -> JobShape {
+    return {1, 10, 4, true, true, Milliseconds(9000)};
+  }
 
   /// Adds a rack of which \p Busy workers run a long task of another job.
   auto addRack(const std::string &Rack, int Busy) -> void {
@@ -44,7 +47,7 @@
   for (const auto *Rack : {"r0", "r1", "r2", "r3"})
     addRack(Rack, 2);
   Scheduler.schedule(at(0));
-  addJob("gang", WideGang, 1000);
+  addJob("gang", wideGang(), 1000);
   scheduleUntil(1000, 4000);
   EXPECT_EQ(runsOf("gang").size(), 10U);
 }
@@ -55,7 +58,7 @@
   for (const auto *Rack : {"r0", "r1", "r2", "r3"})
     addRack(Rack, 3);
   Scheduler.schedule(at(0));
-  addJob("gang", WideGang, 1000);
+  addJob("gang", wideGang(), 1000);
   scheduleUntil(1000, 1000 + LongestWaitMs - 100);
   EXPECT_TRUE(runsOf("gang").empty());
 }
@@ -64,7 +67,7 @@
   for (const auto *Rack : {"r0", "r1", "r2", "r3"})
     addRack(Rack, 3);
   Scheduler.schedule(at(0));
-  addJob("gang", WideGang, 1000);
+  addJob("gang", wideGang(), 1000);
   scheduleUntil(1000, 1000 + LongestWaitMs);
   EXPECT_EQ(runsOf("gang").size(), 10U);
 }
@@ -74,7 +77,7 @@
   for (const auto *Rack : {"r0", "r1", "r2", "r3"})
     addRack(Rack, 2);
   Scheduler.schedule(at(0));
-  addJob("gang", WideGang, 1000);
+  addJob("gang", wideGang(), 1000);
   scheduleUntil(1000, 1500);
   Scheduler.runEnded({"on-r2-w0", 0, 0, 1}, RunOutcome::Succeeded, {},
                      at(1500));
@@ -89,7 +92,7 @@
   for (const auto *Rack : {"r0", "r1", "r2", "r3"})
     addRack(Rack, 1);
   Scheduler.schedule(at(0));
-  addJob("gang", WideGang, 0);
+  addJob("gang", wideGang(), 0);
   Scheduler.schedule(at(0));
   confirmStarts(0);
   for (const auto &LiveRun : runsOf("gang"))
@@ -131,7 +134,7 @@
   for (const auto *Rack : {"r1", "r2"})
     addRack(Rack, 0);
   Scheduler.schedule(at(0));
-  addJob("gang", WideGang, 0);
+  addJob("gang", wideGang(), 0);
   Scheduler.setOnHold("gang", true);
   scheduleUntil(0, 5000);
   Scheduler.setOnHold("gang", false);
@@ -147,7 +150,7 @@
   Scheduler.updateWorker(workerReport("r1-w0", "r1"), at(0));
   Scheduler.schedule(at(0));
   // Two tasks fit on each of five free workers, and a rack holds at most eight.
-  auto Gang = jobSpec("gang", WideGang);
+  auto Gang = jobSpec("gang", wideGang());
   Gang.Steps[0].Count = 9;
   Scheduler.addJob(Gang, {}, at(1000));
   scheduleUntil(1000, 10000);
