--- a/Tests/Shard/ShardSchedulerTest.cpp
+++ b/Tests/Shard/ShardSchedulerTest.cpp
@@ -362,6 +362,25 @@
                                   at(400)));
 }
 
+// Guards against a job that waits for a repeated run although its success is
+// known: only the acknowledgement of the late end must be withheld.
+TEST_F(ShardSchedulerTest, withheldSuccessHoldsBackTheNextStep) {
+  addWorkers(1, 2);
+  auto Job = jobSpec("job", {1, 1, 8});
+  Job.Steps.push_back(Job.Steps[0]);
+  Job.Steps[1].After = {0};
+  Scheduler.addJob(Job, {}, at(0));
+  Scheduler.schedule(at(0));
+  Scheduler.runStartSent({"job", 0, 0, 1});
+  Scheduler.runLost({"job", 0, 0, 1}, at(100));
+  Scheduler.schedule(at(100));
+  Scheduler.runStartSent({"job", 0, 0, 2});
+  EXPECT_FALSE(
+      Scheduler.runEnded({"job", 0, 0, 1}, RunOutcome::Succeeded, {}, at(200)));
+  Scheduler.schedule(at(200));
+  EXPECT_NE(Scheduler.run({"job", 1, 0, 1}), nullptr);
+}
+
 // Guards against more attempts than the job's limit: a failure counts although
 // it is reported only after the task was started again.
 TEST_F(ShardSchedulerTest, lateFailureCountsAsAnAttempt) {
