--- a/Source/Scheduling/ShardScheduler.cpp
+++ b/Source/Scheduling/ShardScheduler.cpp
@@ -112,6 +112,7 @@
     Entry.FailedJobs.clear();
     Entry.QuarantinedUntil = {};
     Entry.Reachable = true;
+    RunTimes.forgetWorker(Report.Id);
   }
   if (Report.Draining && Report.Remaining) {
     const auto LeavesAt = Now + *Report.Remaining;
@@ -146,6 +147,7 @@
 auto ShardScheduler::removeWorker(
     std::map<std::string, WorkerEntry>::iterator Position) -> void {
   DrainingWorkers.erase(Position->first);
+  RunTimes.forgetWorker(Position->first);
   Workers.erase(Position);
 }
 
@@ -208,6 +210,8 @@
   if (Step.Checkpointing && !Checkpoint.empty())
     LiveRun.Job->Progress.Steps[Id.Step][sharedProgressIndex(Step, Id.Index)]
         .Checkpoint = Checkpoint;
+  if (const auto *Entry = worker(LiveRun.Worker))
+    RunTimes.recordProgress(LiveRun, *Entry, Percent, Now);
   LiveRun.LastReportAt = Now;
   if (LiveRun.ProgressPercent != Percent) {
     LiveRun.ProgressPercent = Percent;
@@ -323,6 +327,7 @@
   Supervision.stopStalledGangMembers();
   Supervision.evacuateLeavingWorkers();
   updateGuaranteedJobs();
+  updateTimeFactors();
   PlacementPass(*this, Now).run();
 }
 
@@ -452,12 +457,14 @@
     finishJob(Job, JobState::Failed, Now);
 }
 
-auto ShardScheduler::recordSuccess(JobEntry &Job, const RunId &Id, TimePoint)
-    -> void {
+auto ShardScheduler::recordSuccess(JobEntry &Job, const RunId &Id,
+                                   TimePoint Now) -> void {
   if (const auto *LiveRun = run(Id)) {
     auto WorkerIt = Workers.find(LiveRun->Worker);
-    if (WorkerIt != Workers.end())
+    if (WorkerIt != Workers.end()) {
       WorkerIt->second.FailedJobs.clear();
+      RunTimes.recordSuccess(*LiveRun, WorkerIt->second, Now);
+    }
   }
   if (Job.Spec.Steps[Id.Step].Gang) {
     // The members of a gang succeed together, so the success of one member
@@ -532,4 +539,9 @@
   }
 }
 
+auto ShardScheduler::updateTimeFactors() -> void {
+  for (auto &[Id, Entry] : Workers)
+    Entry.TimeFactor = RunTimes.timeFactor(Entry);
+}
+
 } // namespace jayramp::scheduling
--- a/Source/Scheduling/ShardScheduler.h
+++ b/Source/Scheduling/ShardScheduler.h
@@ -3,6 +3,7 @@
 #include "Scheduling/JobEntry.h"
 #include "Scheduling/Run.h"
 #include "Scheduling/RunPollRate.h"
+#include "Scheduling/RunTimeModel.h"
 #include "Scheduling/SchedulingDecisions.h"
 #include "Scheduling/SchedulingPolicy.h"
 #include "Scheduling/UrgentReserve.h"
@@ -121,6 +122,8 @@
   auto runs() const -> const std::map<RunId, Run> & { return Runs; }
   /// Returns how often the progress of the run should be polled.
   auto pollRateOf(const RunId &Id, TimePoint Now) const -> RunPollRate;
+  /// Returns what was learned from the runs of this shard.
+  auto runTimes() const -> const RunTimeModel & { return RunTimes; }
   auto hasChangedJobs() const -> bool { return !ChangedJobs.empty(); }
 
 private:
@@ -160,6 +163,7 @@
                            TimePoint Now) -> void;
   auto finishJob(JobEntry &Job, JobState State, TimePoint Now) -> void;
   auto updateGuaranteedJobs() -> void;
+  auto updateTimeFactors() -> void;
 
   SchedulingPolicy Policy;
   std::map<std::string, JobEntry> Jobs;
@@ -180,6 +184,7 @@
   std::deque<std::string> ChangedJobs;
   std::set<std::string> ChangedJobSet;
   UrgentReserve Reserve;
+  RunTimeModel RunTimes;
   std::vector<StopDecision> StopDecisions;
   std::vector<PlacementDecision> PlacementDecisions;
   std::vector<WaitReport> WaitReports;
--- a/Source/Scheduling/WorkerEntry.h
+++ b/Source/Scheduling/WorkerEntry.h
@@ -26,6 +26,9 @@
   /// Jobs that failed on the worker since its last success.
   std::set<std::string> FailedJobs;
   TimePoint QuarantinedUntil;
+  /// Expected time of a task here as a multiple of its time on a typical
+  /// worker; updated before each scheduling pass.
+  double TimeFactor = 1.0;
   TimePoint LeavesAt; ///< When a draining worker leaves; zero if unknown.
 };
 
