scheduling: a success that must not be acknowledged counts all the same

Cause: a success that a worker listed after its task had been started again was ignored altogether, because it must not be acknowledged, so the next step waited for the repeated run, which may never end. Now the task is done, the repeated run is stopped, and only the acknowledgement is withheld.

--- a/Source/Scheduling/ShardScheduler.cpp
+++ b/Source/Scheduling/ShardScheduler.cpp
@@ -271,11 +271,12 @@
 
 auto ShardScheduler::lateRunEnded(JobEntry &Job, const RunId &Id,
                                   RunOutcome Outcome, TimePoint Now) -> bool {
-  if (Outcome == RunOutcome::Succeeded &&
-      Job.mayHaveRunAfter(Id.Step, Id.Index, Id.Run))
-    return false;
+  // The success counts in any case: the work is done.
+  const bool MustNotBeAcknowledged =
+      Outcome == RunOutcome::Succeeded &&
+      Job.mayHaveRunAfter(Id.Step, Id.Index, Id.Run);
   if (Job.Progress.Steps[Id.Step][Id.Index].Done)
-    return true;
+    return !MustNotBeAcknowledged;
   if (Outcome == RunOutcome::Succeeded) {
     recordSuccess(Job, Id, Now);
     stopSupersededRuns(Job, Id);
@@ -283,7 +284,7 @@
   } else if (Outcome == RunOutcome::Failed) {
     recordFailure(Job, Id, Now);
   }
-  return true;
+  return !MustNotBeAcknowledged;
 }
 
 auto ShardScheduler::stopSupersededRuns(const JobEntry &Job,
