shard: a weak owner hands its shard over to a stronger host

A host with 0.09 of a core that took a shard while all stronger ones were down kept it until it failed. Now an owner with less than 0.25 of a core that knows hosts with at least twice its share asks them in turn after 5 s of calm, and releases the shard once one accepts; a host that is down does not answer, so nothing is released to it. Owners that are strong enough do nothing new.

--- a/Source/Relay/HttpRelayTransport.cpp
+++ b/Source/Relay/HttpRelayTransport.cpp
@@ -10,6 +10,7 @@
 
 /// After this time the row reaches the owner sooner through the change feed.
 constexpr Milliseconds NoticeTimeout{500};
+constexpr Milliseconds OfferTimeout{500};
 
 auto makePostRequest(const char *Path, std::string Body) -> net::HttpRequest {
   return {"POST",
@@ -57,4 +58,14 @@
               });
 }
 
+auto HttpRelayTransport::offerShard(const std::string &Address,
+                                    const std::string &Shard,
+                                    std::function<void(bool)> Done) -> void {
+  Client.call(
+      Address, {"POST", ShardOfferPath, {}, Shard}, OfferTimeout,
+      [Done = std::move(Done)](const Result<net::HttpResponse> &Response) {
+        Done(Response && Response.value().Status == 200);
+      });
+}
+
 } // namespace jayramp::relay
--- a/Source/Relay/PeerDirectory.cpp
+++ b/Source/Relay/PeerDirectory.cpp
@@ -72,6 +72,19 @@
       }));
 }
 
+auto PeerDirectory::peersByCpuShare() const
+    -> std::vector<std::pair<std::string, double>> {
+  std::vector<std::pair<std::string, double>> Peers;
+  for (const auto &[Name, Each] : PeersByHost)
+    if (Name != Host)
+      Peers.emplace_back(Each.Address, Each.CpuShare);
+  std::stable_sort(Peers.begin(), Peers.end(),
+                   [](const auto &Left, const auto &Right) {
+                     return Left.second > Right.second;
+                   });
+  return Peers;
+}
+
 auto PeerDirectory::parsePeer(const std::string &Value) -> Peer {
   const auto Space = Value.find(' ');
   if (Space == std::string::npos)
--- a/Source/Relay/PeerDirectory.h
+++ b/Source/Relay/PeerDirectory.h
@@ -9,6 +9,8 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace jayramp::relay {
 
@@ -34,6 +36,10 @@
   /// \p Shard: those with a larger CPU share and, among equal ones, those that
   /// a hash of host and shard puts first.
   auto rankForShard(const std::string &Shard) const -> std::size_t;
+  /// Returns the internal address and the CPU share, in cores, of each other
+  /// host, those with the largest share first. A host that was lost without a
+  /// planned stop is still listed.
+  auto peersByCpuShare() const -> std::vector<std::pair<std::string, double>>;
 
 private:
   struct Peer {
--- a/Source/Shard/OwnerElection.cpp
+++ b/Source/Shard/OwnerElection.cpp
@@ -12,6 +12,8 @@
 /// Delay after a failed takeover attempt, so that attempts of many hosts do not
 /// overload a slow store.
 constexpr Milliseconds TakeoverRetryDelay{500};
+/// Time that other hosts have to take a shard that this host has released.
+constexpr Milliseconds ReleaseTakeoverPause{2000};
 /// The takeover timeout is at least this multiple of the store's latency,
 /// because a slow store delays heartbeats too.
 constexpr int TakeoverLatencyFactor = 12;
@@ -88,6 +90,15 @@
   writeRelease(std::move(Done));
 }
 
+auto OwnerElection::release() -> void {
+  if (!IsOwner)
+    return;
+  IsOwner = false;
+  RelinquishedVersion = OwnerVersion;
+  NextAttempt = Clock::now() + ReleaseTakeoverPause;
+  writeRelease([] {});
+}
+
 auto OwnerElection::writeRelease(std::function<void()> Done) -> void {
   auto Released = *Owner;
   Released.Released = true;
--- a/Source/Shard/OwnerElection.h
+++ b/Source/Shard/OwnerElection.h
@@ -47,6 +47,10 @@
   /// calls \p Done once the release was written or has failed.
   auto resign(std::function<void()> Done) -> void;
 
+  /// Releases the shard, which this process owns, to another host. This process
+  /// remains a candidate, but lets other hosts go first.
+  auto release() -> void;
+
   /// Returns the name of the host that owns the shard according to the latest
   /// owner row seen; empty if none is known.
   auto ownerHost() const -> std::string;
--- a/Tests/Platform/EntryHost.cpp
+++ b/Tests/Platform/EntryHost.cpp
@@ -50,7 +50,8 @@
        << "\nlisten-addrs.control=" << ControlAddress
        << "\ninternal-ports=" << PeerPort
        << ",65535\nbootstrap=" << (IsFirstStart ? "true" : "false")
-       << "\nlimits.cpu-share=0.25\nlimits.cores=1\nlimits.memory-mb=260\n"
+       << "\nlimits.cpu-share=" << Settings.CpuShare
+       << "\nlimits.cores=1\nlimits.memory-mb=260\n"
           "limits.max-fds=4100\nheartbeat-ms=1500\nbounds.contact-ms=3000\n"
           "bounds.drain-ms=2000\nbounds.grace-s=6\n"
           "bounds.config-apply-ms=2000\nbounds.revoke-ms=5000\n"
--- a/Tests/Platform/EntryHost.h
+++ b/Tests/Platform/EntryHost.h
@@ -19,6 +19,7 @@
     std::string Zone;
     std::vector<std::string> Zones; ///< All zones of the deployment.
     std::string StoreAddress;
+    std::string CpuShare = "0.25"; ///< In processor cores.
   };
   enum class State { Running, Paused, Down };
 
