scheduling: learn how long tasks run and how fast workers are

Change: RunTimeModel learns from progress reports and ends, apart from each other, the work of each kind of task and the speed of each zone, kind, rack and worker (WorkerSpeeds, WorkKinds, StepWork). A summary goes into a row with the owner's heartbeat, so that a new owner need not start from nothing. Where workers are alike, knowsSpeeds() stays false and nothing changes.

--- a/Source/Scheduling/JobEntry.cpp
+++ b/Source/Scheduling/JobEntry.cpp
@@ -36,7 +36,7 @@
       CriticalPathSeconds(seconds(criticalPathEstimate(Spec))),
       ObjectiveSeconds(CriticalPathSeconds * Spec.Stretch +
                        seconds(Spec.TargetLatency)),
-      Steps(Spec.Steps.size()) {
+      MeasuredWork(Spec.Steps.size()), Steps(Spec.Steps.size()) {
   Progress.Steps.resize(Spec.Steps.size());
   for (std::uint32_t Step = 0; Step < Spec.Steps.size(); ++Step) {
     const auto &Declared = Spec.Steps[Step];
--- a/Source/Scheduling/JobEntry.h
+++ b/Source/Scheduling/JobEntry.h
@@ -3,6 +3,7 @@
 #include "Base/Clock.h"
 #include "Scheduling/JobProgress.h"
 #include "Scheduling/JobSpec.h"
+#include "Scheduling/StepWork.h"
 #include "Scheduling/WaitReason.h"
 
 #include <cstdint>
@@ -33,6 +34,11 @@
   /// Records that a worker has started a task of \p Step. A placement alone
   /// does not end a wait: the worker may refuse the start.
   auto recordStarted(std::uint32_t Step) -> void { resetWait(Step); }
+  /// Frees what was measured of the work of the steps, which is not needed once
+  /// the job is final.
+  auto releaseMeasuredWork() -> void {
+    MeasuredWork = std::vector<StepWork>(Spec.Steps.size());
+  }
   auto recordWaitReason(std::uint32_t Step, WaitReason Reason) -> void {
     Steps[Step].LastWaitReason = Reason;
   }
@@ -85,6 +91,8 @@
   double ObjectiveSeconds = 0;    ///< Latency objective.
   std::int64_t TotalGpus = 0; ///< Accelerators that all tasks need together.
   double Work = 0;            ///< Estimated work of all tasks, in core-seconds.
+  /// By step: what its runs have shown about its work.
+  std::vector<StepWork> MeasuredWork;
 
 private:
   struct StepState {
--- a/Source/Scheduling/Run.h
+++ b/Source/Scheduling/Run.h
@@ -4,6 +4,7 @@
 #include "Scheduling/RunId.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace jayramp::scheduling {
@@ -26,6 +27,12 @@
   Stopping, ///< Occupies its resources until the worker reports its end.
 };
 
+/// The progress of a run at some time.
+struct ProgressMark {
+  std::uint32_t Percent = 0;
+  TimePoint At;
+};
+
 /// A run that may be alive on a worker.
 struct Run {
   RunId Id;
@@ -40,6 +47,11 @@
   /// When the worker last reported the state of its runs, or StartedAt before
   /// the first such report.
   TimePoint LastReportAt;
+  /// Assigned by this owner, without a checkpoint to resume from.
+  bool IsFresh = false;
+  /// Where the next measurement of the run's speed begins, if its progress is
+  /// known there.
+  std::optional<ProgressMark> MeasuredFrom = std::nullopt;
 };
 
 } // namespace jayramp::scheduling
--- a/Source/Scheduling/ShardScheduler.cpp
+++ b/Source/Scheduling/ShardScheduler.cpp
@@ -112,7 +112,9 @@
     Entry.FailedJobs.clear();
     Entry.QuarantinedUntil = {};
     Entry.Reachable = true;
-    RunTimes.forgetWorker(Report.Id);
+    // A worker that is new to this owner may be known to the one before.
+    if (Entry.Report.Incarnation != 0)
+      RunTimes.forgetWorker(Report.Id);
   }
   if (Report.Draining && Report.Remaining) {
     const auto LeavesAt = Now + *Report.Remaining;
@@ -127,6 +129,7 @@
   Entry.Registered = true;
   Entry.Rack =
       RackNumbers.emplace(Report.Rack, RackNumbers.size()).first->second;
+  Entry.TimeFactor = RunTimes.timeFactor(Entry);
   if (Report.Draining)
     DrainingWorkers.insert(Report.Id);
   else
@@ -328,7 +331,7 @@
   Supervision.stopStalledGangMembers();
   Supervision.evacuateLeavingWorkers();
   updateGuaranteedJobs();
-  updateTimeFactors();
+  updateTimeFactors(Now);
   PlacementPass(*this, Now).run();
 }
 
@@ -389,6 +392,9 @@
                             std::uint32_t Index, std::uint32_t RunNumber,
                             WorkerEntry &Target, TimePoint Now) -> void {
   const auto &Report = Target.Report;
+  const auto &Shared =
+      Job.Progress
+          .Steps[Step][sharedProgressIndex(Job.Spec.Steps[Step], Index)];
   Job.placeTask(Step, Index, RunNumber, Report.Id, Report.Incarnation);
   addRun({{Job.Spec.Id, Step, Index, RunNumber},
           &Job,
@@ -399,7 +405,8 @@
           Now,
           0,
           Now,
-          Now},
+          Now,
+          Shared.Checkpoint.empty()},
          Target);
   markChanged(Job.Spec.Id);
 }
@@ -503,6 +510,7 @@
     -> void {
   Job.Progress.State = State;
   Job.FinishedAt = Now;
+  Job.releaseMeasuredWork();
   ActiveJobs.erase(Job.Sequence);
   PassNeeded = true;
   markChanged(Job.Spec.Id);
@@ -540,7 +548,9 @@
   }
 }
 
-auto ShardScheduler::updateTimeFactors() -> void {
+auto ShardScheduler::updateTimeFactors(TimePoint Now) -> void {
+  if (!RunTimes.refresh(Workers, Now))
+    return;
   for (auto &[Id, Entry] : Workers)
     Entry.TimeFactor = RunTimes.timeFactor(Entry);
 }
--- a/Source/Scheduling/ShardScheduler.h
+++ b/Source/Scheduling/ShardScheduler.h
@@ -80,6 +80,10 @@
   /// Makes one scheduling pass: stops stalled runs and runs on leaving workers,
   /// places waiting tasks and preempts runs for more urgent ones.
   auto schedule(TimePoint Now) -> void;
+  /// Takes over what another owner has learned of the speeds of workers.
+  auto restoreSpeeds(const SpeedSummary &Known, TimePoint Now) -> void {
+    RunTimes.restoreSpeeds(Known, Now);
+  }
   /// Returns the ids of jobs whose progress changed since the last call, at
   /// most \p MaxCount, oldest change first. The rest is left for the next call.
   auto takeChangedJobs(std::size_t MaxCount) -> std::vector<std::string>;
@@ -163,7 +167,7 @@
                            TimePoint Now) -> void;
   auto finishJob(JobEntry &Job, JobState State, TimePoint Now) -> void;
   auto updateGuaranteedJobs() -> void;
-  auto updateTimeFactors() -> void;
+  auto updateTimeFactors(TimePoint Now) -> void;
 
   SchedulingPolicy Policy;
   std::map<std::string, JobEntry> Jobs;
--- a/Source/Shard/OwnerGauges.cpp
+++ b/Source/Shard/OwnerGauges.cpp
@@ -15,11 +15,18 @@
 namespace {
 
 constexpr Milliseconds UpdateInterval{1000};
+/// Zones come from the entries of workers; their number bounds that of gauges.
+constexpr std::size_t MaxZonesPerShard = 64;
 
 auto shardLabel(const std::string &Shard) -> std::string {
   return "shard=\"" + Shard + "\"";
 }
 
+auto zoneLabels(const std::string &Shard, const std::string &Zone)
+    -> std::string {
+  return shardLabel(Shard) + ",zone=\"" + Zone + "\"";
+}
+
 auto publishWaits(Metrics &Target, const std::string &Shard,
                   std::optional<WaitReason> Reason,
                   const WaitStatistics &Totals) -> void {
@@ -68,12 +75,33 @@
                    : scheduling::poolUse(Scheduler.workers(), Shard));
   Target.gauge("jayramp_owner_recovering", shardLabel(Shard),
                Owner.isRecovering() ? 1 : 0);
+  publishSpeeds(Shard, Owner);
+}
+
+auto OwnerGauges::publishSpeeds(const std::string &Shard,
+                                const ShardOwner &Owner) -> void {
+  const auto &RunTimes = Owner.scheduler().runTimes();
+  auto &Zones = PublishedZones[Shard];
+  for (const auto &[Zone, Factor] : RunTimes.zoneFactors()) {
+    if (!Zones.contains(Zone) && Zones.size() >= MaxZonesPerShard)
+      continue;
+    Zones.insert(Zone);
+    Target.gauge("jayramp_zone_time_factor", zoneLabels(Shard, Zone), Factor);
+  }
+  Target.gauge("jayramp_worker_speeds_differ", shardLabel(Shard),
+               RunTimes.knowsSpeeds() ? 1 : 0);
+  Target.gauge("jayramp_slow_workers", shardLabel(Shard),
+               static_cast<double>(RunTimes.slowWorkers().size()));
 }
 
 auto OwnerGauges::clear(const std::string &Shard) -> void {
   publishAllWaits(Target, Shard, {});
   Target.gauge("jayramp_pool_use", shardLabel(Shard), 0);
   Target.gauge("jayramp_owner_recovering", shardLabel(Shard), 0);
+  for (const auto &Zone : PublishedZones[Shard])
+    Target.gauge("jayramp_zone_time_factor", zoneLabels(Shard, Zone), 0);
+  Target.gauge("jayramp_worker_speeds_differ", shardLabel(Shard), 0);
+  Target.gauge("jayramp_slow_workers", shardLabel(Shard), 0);
 }
 
 } // namespace jayramp::shard
--- a/Source/Shard/OwnerGauges.h
+++ b/Source/Shard/OwnerGauges.h
@@ -16,7 +16,8 @@
 class ShardOwner;
 
 /// Publishes, as gauges, what the tasks of the shards that this host owns wait
-/// for, how full their pools are, and whether their owners recover.
+/// for, how full their pools are, how fast their workers are, and whether their
+/// owners recover.
 class OwnerGauges {
 public:
   using OwnersByShard = std::map<std::string, std::unique_ptr<ShardOwner>>;
@@ -30,11 +31,14 @@
 private:
   auto publish(const std::string &Shard, const ShardOwner &Owner, TimePoint Now)
       -> void;
+  auto publishSpeeds(const std::string &Shard, const ShardOwner &Owner) -> void;
   auto clear(const std::string &Shard) -> void;
 
   Metrics &Target;
   TimePoint NextUpdate;
   std::set<std::string> PublishedShards;
+  /// Zones with a gauge of their time factor, by shard.
+  std::map<std::string, std::set<std::string>> PublishedZones;
 };
 
 } // namespace shard
--- a/Source/Shard/OwnerHeartbeat.cpp
+++ b/Source/Shard/OwnerHeartbeat.cpp
@@ -20,11 +20,13 @@
                                ShardRows Rows, const ShardSettings &Settings,
                                Ownership CurrentOwnership,
                                WaitingCounts ReadWaitingCounts,
+                               SpeedQuery ReadSpeeds,
                                std::function<void(const char *)> OnLost)
     : Loop(Loop), Store(Store), Rows(std::move(Rows)), Settings(Settings),
       CurrentOwnership(std::move(CurrentOwnership)),
       ReadWaitingCounts(std::move(ReadWaitingCounts)),
-      OnLost(std::move(OnLost)), LastConfirmedAt(suspendAwareNow()) {}
+      ReadSpeeds(std::move(ReadSpeeds)), OnLost(std::move(OnLost)),
+      LastConfirmedAt(suspendAwareNow()) {}
 
 auto OwnerHeartbeat::close() -> void {
   Closed = true;
@@ -52,6 +54,8 @@
   Change.Writes.push_back({Rows.heartbeatKey(),
                            encodeHeartbeat({CurrentOwnership.Owner.FencingToken,
                                             Sequence, ReadWaitingCounts()})});
+  if (const auto Speeds = SpeedRow.takeDue(ReadSpeeds(), Clock::now()))
+    Change.Writes.push_back({Rows.speedKey(), encodeSpeeds(*Speeds)});
   SentAt = suspendAwareNow();
   Store.transact(
       Change, Settings.StoreTimeout,
@@ -64,6 +68,7 @@
 auto OwnerHeartbeat::onOutcome(const store::TransactionCommitted &) -> void {
   WriteInProgress = false;
   LastConfirmedAt = SentAt;
+  SpeedRow.confirmWrite();
   LastWriteDuration = suspendAwareNow() - SentAt;
 }
 
--- a/Source/Shard/OwnerHeartbeat.h
+++ b/Source/Shard/OwnerHeartbeat.h
@@ -4,6 +4,7 @@
 #include "Shard/Ownership.h"
 #include "Shard/ShardRows.h"
 #include "Shard/ShardSettings.h"
+#include "Shard/SpeedRowSchedule.h"
 #include "Store/RowStore.h"
 
 #include <cstdint>
@@ -12,11 +13,13 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace jayramp::shard {
 
 /// Writes the heartbeat row of a shard's owner on condition that this process
-/// still is the owner.
+/// still is the owner, and with it the row of learned speeds when it has
+/// changed.
 class OwnerHeartbeat : public std::enable_shared_from_this<OwnerHeartbeat> {
 public:
   /// Returns the number of waiting jobs of each queue, or nothing while they
@@ -24,14 +27,21 @@
   using WaitingCounts =
       std::function<std::optional<std::map<std::string, std::uint64_t>>()>;
 
+  /// Returns what is known of the speeds of workers.
+  using SpeedQuery = std::function<scheduling::SpeedSummary()>;
+
   /// \p OnLost is called if another host owns the shard.
   OwnerHeartbeat(net::EventLoop &Loop, store::RowStore &Store, ShardRows Rows,
                  const ShardSettings &Settings, Ownership CurrentOwnership,
-                 WaitingCounts ReadWaitingCounts,
+                 WaitingCounts ReadWaitingCounts, SpeedQuery ReadSpeeds,
                  std::function<void(const char *Reason)> OnLost);
 
   /// Sends a heartbeat if one is due and none is in flight.
   auto sendIfDue() -> void;
+  /// Records what the row of speeds held when this owner took over.
+  auto recordStoredSpeeds(scheduling::SpeedSummary Found) -> void {
+    SpeedRow.recordStored(std::move(Found));
+  }
   auto close() -> void;
   /// Returns the time at which the last successful write was sent, on the clock
   /// of suspendAwareNow().
@@ -52,6 +62,8 @@
   const ShardSettings &Settings;
   Ownership CurrentOwnership;
   WaitingCounts ReadWaitingCounts;
+  SpeedQuery ReadSpeeds;
+  SpeedRowSchedule SpeedRow;
   std::function<void(const char *)> OnLost;
   bool WriteInProgress = false;
   bool Closed = false;
--- a/Source/Shard/ShardOwner.cpp
+++ b/Source/Shard/ShardOwner.cpp
@@ -43,6 +43,7 @@
                   [this](const char *Reason) { loseOwnership(Reason); }}),
       RecoveryLog(this->Shard, CurrentOwnership.Owner.FencingToken,
                   Clock::now()),
+      LearnedSpeedLog(this->Shard),
       SharedContext{Deps.Loop, Deps.Transport,
                     Scheduler, Deps.Settings,
                     Journal,   CurrentOwnership.Owner.FencingToken},
@@ -51,7 +52,14 @@
   Heartbeat = std::make_shared<OwnerHeartbeat>(
       Deps.Loop, Deps.Store, Rows, Deps.Settings, CurrentOwnership,
       [this] { return waitingCounts(); },
+      [this] { return Scheduler.runTimes().summary(); },
       [this](const char *Reason) { loseOwnership(Reason); });
+  SpeedReader = std::make_shared<SpeedRowReader>(
+      Deps.Loop, Deps.Store, Rows, Deps.Settings,
+      [this](const scheduling::SpeedSummary &Found) {
+        Scheduler.restoreSpeeds(Found, Clock::now());
+        Heartbeat->recordStoredSpeeds(Found);
+      });
   SharedContext.MayGrantLeases = [this] {
     // A successor claims all partitions before it acts, so a successful write
     // to any of them proves that no successor was acting when it was sent.
@@ -73,6 +81,7 @@
 ShardOwner::~ShardOwner() {
   *Alive = false;
   Cleaner->close();
+  SpeedReader->close();
   Deps.Registry.unsubscribe();
   Heartbeat->close();
   Journal.close();
@@ -84,6 +93,7 @@
   Journal.open([this](ProgressJournal::RecoveredRows Found) {
     onJournalOpened(std::move(Found));
   });
+  SpeedReader->start();
   TickTimer = Deps.Loop.after(TickInterval, [this] { tick(); });
 }
 
@@ -404,6 +414,7 @@
   if (OwnershipLost)
     return;
   logWorkerListFreshness();
+  LearnedSpeedLog.report(Scheduler.runTimes(), Clock::now());
   forgetFinalJobs();
   Heartbeat->sendIfDue();
   removeObsoleteWaitingRows();
@@ -471,6 +482,7 @@
             {"token", std::to_string(CurrentOwnership.Owner.FencingToken)},
             {"reason", Reason}});
   Heartbeat->close();
+  SpeedReader->close();
   Journal.close();
   for (auto &[Id, Session] : Sessions)
     Session->close();
--- a/Source/Shard/ShardOwner.h
+++ b/Source/Shard/ShardOwner.h
@@ -9,6 +9,8 @@
 #include "Shard/RowCleaner.h"
 #include "Shard/SessionSchedule.h"
 #include "Shard/ShardRows.h"
+#include "Shard/SpeedLog.h"
+#include "Shard/SpeedRowReader.h"
 #include "Shard/WorkerRegistry.h"
 #include "Shard/WorkerSession.h"
 #include "Store/RowStore.h"
@@ -103,7 +105,9 @@
   scheduling::ShardScheduler Scheduler;
   ProgressJournal Journal;
   RecoveryDelayLog RecoveryLog;
+  SpeedLog LearnedSpeedLog;
   std::shared_ptr<OwnerHeartbeat> Heartbeat;
+  std::shared_ptr<SpeedRowReader> SpeedReader;
   std::shared_ptr<RowCleaner> Cleaner;
   std::set<std::string> JobsWithWaitingRow; ///< Ids of jobs that may have one.
   /// Intake partitions that hold rows of each job. A caller's repeated request
--- a/Source/Shard/ShardRows.cpp
+++ b/Source/Shard/ShardRows.cpp
@@ -3,6 +3,7 @@
 #include "jayramp/shard/v1/shard.pb.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace jayramp::shard {
 
@@ -135,6 +136,10 @@
   return {OwnershipTable, Shard, HeartbeatKey};
 }
 
+auto ShardRows::speedKey() const -> store::RowKey {
+  return {SpeedTable, Shard, SpeedKey};
+}
+
 auto ShardRows::claimKey(const std::string &Journal) const -> store::RowKey {
   return {ClaimTable, Journal, OwnerKey};
 }
@@ -262,4 +267,37 @@
   return Beat;
 }
 
+auto encodeSpeeds(const scheduling::SpeedSummary &Speeds) -> std::string {
+  rows::SpeedRow Row;
+  for (const auto &Each : Speeds.Entries) {
+    auto &Group = *Row.add_groups();
+    Group.set_level(static_cast<rows::SpeedLevel>(Each.Level));
+    Group.set_group(Each.Group);
+    Group.set_log_cents(Each.LogCents);
+  }
+  return Row.SerializeAsString();
+}
+
+auto decodeSpeeds(const std::string &Value)
+    -> Result<scheduling::SpeedSummary> {
+  // Workers that differ by more than a factor of e^5 do not work.
+  constexpr std::int32_t MaxLogCents = 500;
+  rows::SpeedRow Row;
+  constexpr auto MaxGroups =
+      static_cast<int>(scheduling::SpeedLevelCount *
+                       scheduling::SpeedSummary::MaxEntriesPerLevel);
+  if (!Row.ParseFromString(Value) || Row.groups_size() > MaxGroups)
+    return malformedRowError("speeds");
+  scheduling::SpeedSummary Speeds;
+  for (const auto &Group : Row.groups()) {
+    if (!rows::SpeedLevel_IsValid(Group.level()) ||
+        std::abs(static_cast<std::int64_t>(Group.log_cents())) > MaxLogCents)
+      return malformedRowError("speeds");
+    Speeds.Entries.push_back(
+        {static_cast<scheduling::SpeedLevel>(Group.level()), Group.group(),
+         Group.log_cents()});
+  }
+  return Speeds;
+}
+
 } // namespace jayramp::shard
--- a/Source/Shard/ShardRows.h
+++ b/Source/Shard/ShardRows.h
@@ -3,6 +3,7 @@
 #include "Base/Result.h"
 #include "Scheduling/JobProgress.h"
 #include "Scheduling/JobSpec.h"
+#include "Scheduling/SpeedSummary.h"
 #include "Store/RowStore.h"
 
 #include <map>
@@ -49,8 +50,10 @@
   static constexpr const char *WaitingTable = "waiting";
   static constexpr const char *OwnershipTable = "ownership";
   static constexpr const char *ClaimTable = "claims";
+  static constexpr const char *SpeedTable = "speeds";
   static constexpr const char *OwnerKey = "owner";
   static constexpr const char *HeartbeatKey = "heartbeat";
+  static constexpr const char *SpeedKey = "workers";
   static constexpr const char *ConfirmationKey = "confirmation";
 
   explicit ShardRows(std::string Shard) : Shard(std::move(Shard)) {}
@@ -81,6 +84,9 @@
   auto isIntakePartition(const std::string &Partition) const -> bool;
   auto ownerKey() const -> store::RowKey;
   auto heartbeatKey() const -> store::RowKey;
+  /// Key of a row with what the owner has learned of the speeds of workers. It
+  /// can be changed in one transaction with the heartbeat row.
+  auto speedKey() const -> store::RowKey;
   /// Key of the row that names the owner that may write to a journal partition.
   auto claimKey(const std::string &Journal) const -> store::RowKey;
   /// Key of a row that is written to check whether the claim is still valid.
@@ -104,5 +110,7 @@
 auto decodeOwner(const std::string &Value) -> Result<OwnerRecord>;
 auto encodeHeartbeat(const Heartbeat &Beat) -> std::string;
 auto decodeHeartbeat(const std::string &Value) -> Result<Heartbeat>;
+auto encodeSpeeds(const scheduling::SpeedSummary &Speeds) -> std::string;
+auto decodeSpeeds(const std::string &Value) -> Result<scheduling::SpeedSummary>;
 
 } // namespace jayramp::shard
--- a/Tests/Shard/MalformedInputTest.cpp
+++ b/Tests/Shard/MalformedInputTest.cpp
@@ -133,6 +133,15 @@
          (void)shard::decodeOwner(Bytes);
          (void)shard::decodeHeartbeat(Bytes);
        }},
+      {"speed row",
+       {shard::encodeSpeeds({{{scheduling::SpeedLevel::Zone, "a", 87},
+                              {scheduling::SpeedLevel::Worker, "w", -30}}})},
+       [](const auto &Bytes) {
+         if (const auto Speeds = shard::decodeSpeeds(Bytes)) {
+           scheduling::ShardScheduler Scheduler;
+           Scheduler.restoreSpeeds(Speeds.value(), Clock::now());
+         }
+       }},
       {"peer messages",
        {relay::encodeRelayCall({Change, Milliseconds(100)}),
         relay::encodeRelayReply(store::RowPage{{Row}, false, 8}),
@@ -225,6 +234,17 @@
   EXPECT_FALSE(shard::decodeJob(shard::encodeJob(Job)));
 }
 
+TEST(MalformedInputTest, rejectsSpeedRowsThatNoReleaseWrites) {
+  using scheduling::SpeedLevel;
+  EXPECT_FALSE(shard::decodeSpeeds("no message"));
+  EXPECT_FALSE(shard::decodeSpeeds(
+      shard::encodeSpeeds({{{SpeedLevel::Zone, "a", 100000}}})));
+  EXPECT_FALSE(shard::decodeSpeeds(
+      shard::encodeSpeeds({{{static_cast<SpeedLevel>(200), "a", 10}}})));
+  EXPECT_FALSE(shard::decodeSpeeds(shard::encodeSpeeds(
+      {std::vector<scheduling::SpeedSummary::Entry>(5000)})));
+}
+
 // Guards against an unexpected error in one handler that ends the process.
 TEST(MalformedInputTest, exceptionInAHandlerDoesNotStopTheEventLoop) {
   net::EventLoop Loop;
