scheduling: placement and order by learned speed

Cause: urgent work landed on workers that are too slow for its objective while fast ones ran work with slack.

Change: SpeedPreference ranks classes of workers by whether a task group is expected to end in time there; work with slack takes the slowest class that will do, urgent work waits for at most 1.5 s or preempts for a faster one, gangs take members that are alike, the urgent reserve is kept on workers that are fast enough, and runs that end soon are no victims.

--- a/Source/Scheduling/CandidateWorkers.cpp
+++ b/Source/Scheduling/CandidateWorkers.cpp
@@ -1,5 +1,7 @@
 #include "Scheduling/CandidateWorkers.h"
 
+#include <algorithm>
+
 namespace jayramp::scheduling {
 
 auto CandidateWorkers::reset(std::size_t RackCount) -> void {
@@ -7,15 +9,23 @@
   PositionByWorker.clear();
   RackFreeGpus.assign(RackCount, 0);
   FreeGpus = 0;
+  SpeedClasses.clear();
+  FreeGpusByClass.clear();
 }
 
-auto CandidateWorkers::add(WorkerEntry &Worker) -> void {
-  CandidateWorker Added{&Worker, Worker.Report.Capacity, {}};
+auto CandidateWorkers::add(WorkerEntry &Worker, SpeedClass Speed) -> void {
+  CandidateWorker Added{&Worker, Speed, Worker.Report.Capacity, {}};
   Added.Free -= Worker.Used;
   Added.FreeAfterStops = Added.Free;
   Added.FreeAfterStops += Worker.Stopping;
-  RackFreeGpus[Worker.Rack] += Added.Free.Gpus;
-  FreeGpus += Added.Free.Gpus;
+  const auto Class =
+      std::lower_bound(SpeedClasses.begin(), SpeedClasses.end(), Speed);
+  if (Class == SpeedClasses.end() || *Class != Speed) {
+    FreeGpusByClass.insert(
+        FreeGpusByClass.begin() + (Class - SpeedClasses.begin()), 0);
+    SpeedClasses.insert(Class, Speed);
+  }
+  addFreeGpus(Added, Added.Free.Gpus);
   Candidates.push_back(Added);
 }
 
@@ -24,8 +34,26 @@
   auto &Target = Candidates[Position];
   Target.Free -= Need;
   Target.FreeAfterStops -= Need;
-  RackFreeGpus[Target.Worker->Rack] -= Need.Gpus;
-  FreeGpus -= Need.Gpus;
+  addFreeGpus(Target, -Need.Gpus);
+}
+
+auto CandidateWorkers::addFreeGpus(const CandidateWorker &Candidate,
+                                   std::int64_t Gpus) -> void {
+  RackFreeGpus[Candidate.Worker->Rack] += Gpus;
+  FreeGpus += Gpus;
+  const auto Class = std::lower_bound(SpeedClasses.begin(), SpeedClasses.end(),
+                                      Candidate.Speed);
+  FreeGpusByClass[static_cast<std::size_t>(Class - SpeedClasses.begin())] +=
+      Gpus;
+}
+
+auto CandidateWorkers::freeGpusWithin(const SpeedRange &Speeds) const
+    -> std::int64_t {
+  std::int64_t Sum = 0;
+  for (std::size_t Index = 0; Index < SpeedClasses.size(); ++Index)
+    if (Speeds.contains(SpeedClasses[Index]))
+      Sum += FreeGpusByClass[Index];
+  return Sum;
 }
 
 auto CandidateWorkers::indexById() -> void {
--- a/Source/Scheduling/CandidateWorkers.h
+++ b/Source/Scheduling/CandidateWorkers.h
@@ -2,6 +2,7 @@
 
 #include "Base/Clock.h"
 #include "Scheduling/Resources.h"
+#include "Scheduling/SpeedPreference.h"
 #include "Scheduling/WorkerEntry.h"
 
 #include <cstddef>
@@ -15,6 +16,7 @@
 /// A worker that may take tasks in a placement pass.
 struct CandidateWorker {
   WorkerEntry *Worker = nullptr;
+  SpeedClass Speed = 0;
   Resources Free; ///< Available now.
   /// Available once the stopping runs have ended, minus the resources that are
   /// reserved for waiting task groups.
@@ -34,7 +36,9 @@
 
   /// Forgets all workers. Racks are numbered from 0 to \p RackCount - 1.
   auto reset(std::size_t RackCount) -> void;
-  auto add(WorkerEntry &Worker) -> void;
+  /// Adds a worker of the class \p Speed; the same for all workers while
+  /// their speeds are unknown.
+  auto add(WorkerEntry &Worker, SpeedClass Speed) -> void;
   /// Takes the resources of a task that is placed now.
   auto occupy(std::size_t Position, const Resources &Need) -> void;
   /// Reserves resources for a task that is placed once they are free.
@@ -64,12 +68,24 @@
   }
   /// Returns the number of free accelerators of all workers.
   auto freeGpus() const -> std::int64_t { return FreeGpus; }
+  /// Returns the number of free accelerators of the workers in \p Speeds.
+  auto freeGpusWithin(const SpeedRange &Speeds) const -> std::int64_t;
+  /// Returns the speed classes of the workers, the fastest first.
+  auto speedClasses() const -> const std::vector<SpeedClass> & {
+    return SpeedClasses;
+  }
 
 private:
+  /// Adds to the number of free accelerators.
+  auto addFreeGpus(const CandidateWorker &Candidate, std::int64_t Gpus) -> void;
+
   std::vector<CandidateWorker> Candidates;
   std::unordered_map<std::string_view, std::size_t> PositionByWorker;
   std::vector<std::int64_t> RackFreeGpus;
   std::int64_t FreeGpus = 0;
+  std::vector<SpeedClass> SpeedClasses;
+  /// By position in SpeedClasses.
+  std::vector<std::int64_t> FreeGpusByClass;
 };
 
 } // namespace jayramp::scheduling
--- a/Source/Scheduling/JobEntry.h
+++ b/Source/Scheduling/JobEntry.h
@@ -51,6 +51,9 @@
   /// Returns whether all steps that \p Step depends on are done.
   auto isReady(std::uint32_t Step) const -> bool;
   auto isAllDone() const -> bool { return UndoneTasks == 0; }
+  auto isDone(std::uint32_t Step) const -> bool {
+    return Steps[Step].Undone == 0;
+  }
   /// Returns whether a start of a run after \p RunNumber may have been sent for
   /// the task or, if it belongs to a gang, for any member.
   auto mayHaveRunAfter(std::uint32_t Step, std::uint32_t Index,
--- a/Source/Scheduling/LayoutSearch.cpp
+++ b/Source/Scheduling/LayoutSearch.cpp
@@ -11,11 +11,42 @@
 
 namespace jayramp::scheduling {
 
+namespace {
+
+/// Costs that rank layouts without victims.
+constexpr double RecentFailureCost = 1e6;
+constexpr double RemoteDataCost = 1e4;
+
+} // namespace
+
 auto LayoutSearch::cheapestLayout(const TaskGroup &Group,
                                   ResourceSource Source) const
     -> std::optional<Layout> {
+  // Tasks that run far from their data are slowed down by more than the speed
+  // of their workers.
+  const bool IsPlacedByClass = Group.spec().Gang &&
+                               Group.spec().DataRack.empty() &&
+                               Source != ResourceSource::WithVictims;
+  if (!IsPlacedByClass || Workers.speedClasses().size() <= 1)
+    return cheapestLayoutWithin(Group.AllowedSpeeds, Group, Source);
+  std::optional<Layout> BestLayout;
+  for (const auto &Speeds : Group.Speeds.rangesForGang(Workers.speedClasses(),
+                                                       Group.AllowedSpeeds)) {
+    auto Result = cheapestLayoutWithin(Speeds, Group, Source);
+    if (Result && Result->Cost < RecentFailureCost)
+      return Result;
+    if (Result && (!BestLayout || Result->Cost < BestLayout->Cost))
+      BestLayout = std::move(Result);
+  }
+  return BestLayout;
+}
+
+auto LayoutSearch::cheapestLayoutWithin(const SpeedRange &Speeds,
+                                        const TaskGroup &Group,
+                                        ResourceSource Source) const
+    -> std::optional<Layout> {
   std::optional<Layout> BestLayout;
-  for (const auto &WorkerSet : eligibleWorkerSets(Group)) {
+  for (const auto &WorkerSet : eligibleWorkerSets(Speeds, Group)) {
     auto Result =
         Source == ResourceSource::WithVictims
             ? layoutWithVictims(Group, WorkerSet)
@@ -27,21 +58,25 @@
   return BestLayout;
 }
 
-auto LayoutSearch::eligibleWorkerSets(const TaskGroup &Group) const
+auto LayoutSearch::eligibleWorkerSets(const SpeedRange &Speeds,
+                                      const TaskGroup &Group) const
     -> std::vector<std::vector<std::size_t>> {
   if (Group.StaysInRack)
-    return racksThatMayHold(Group);
+    return racksThatMayHold(Speeds, Group);
   std::vector<std::size_t> AllWorkers;
   AllWorkers.reserve(Workers.size());
   for (std::size_t Position = 0; Position < Workers.size(); ++Position)
-    if (Group.mayRunOn(*Workers[Position].Worker))
+    if (Speeds.contains(Workers[Position].Speed) &&
+        Group.mayRunOn(*Workers[Position].Worker))
       AllWorkers.push_back(Position);
   return {std::move(AllWorkers)};
 }
 
-auto LayoutSearch::racksThatMayHold(const TaskGroup &Gang) const
+auto LayoutSearch::racksThatMayHold(const SpeedRange &Speeds,
+                                    const TaskGroup &Gang) const
     -> std::vector<std::vector<std::size_t>> {
   std::vector<std::vector<std::size_t>> ByRack(Workers.rackCount());
+  // Of all workers, whatever their speed.
   std::vector<std::uint32_t> Capacities(Workers.rackCount());
   std::vector<std::size_t> AllWorkers;
   const auto &Spec = Gang.spec();
@@ -49,10 +84,12 @@
     if (!Gang.mayRunOn(*Workers[Position].Worker))
       continue;
     const auto &Entry = *Workers[Position].Worker;
-    ByRack[Entry.Rack].push_back(Position);
     Capacities[Entry.Rack] +=
         std::min(Entry.Report.Capacity.maxTaskCount(Spec.Need),
                  Spec.MaxPerWorker > 0 ? Spec.MaxPerWorker : Gang.TaskCount);
+    if (!Speeds.contains(Workers[Position].Speed))
+      continue;
+    ByRack[Entry.Rack].push_back(Position);
     AllWorkers.push_back(Position);
   }
   // A gang that is too large for every rack is spread over racks: it runs more
@@ -68,12 +105,12 @@
     bool IncludeStoppingRuns) const -> std::optional<Layout> {
   const auto &Spec = Group.spec();
   struct Option {
-    std::tuple<bool, bool, std::int64_t, std::int64_t, std::int64_t,
+    std::tuple<bool, bool, int, std::int64_t, std::int64_t, std::int64_t,
                std::size_t>
         Preference;
     std::uint32_t MaxTasks;
 
-    auto position() const -> std::size_t { return std::get<5>(Preference); }
+    auto position() const -> std::size_t { return std::get<6>(Preference); }
   };
   std::vector<Option> Options;
   std::uint32_t Total = 0;
@@ -94,11 +131,12 @@
     const bool HasRecentFailure = !Entry.FailedJobs.empty();
     const bool IsFarFromData =
         !Spec.DataRack.empty() && Entry.Report.Rack != Spec.DataRack;
-    // Fill the racks and workers with the least free resources first, so that
-    // whole racks and workers stay free.
+    // Among workers of one speed, fill the racks and workers with the least
+    // free resources first, so that whole racks and workers stay free.
     Options.push_back(
-        {{HasRecentFailure, IsFarFromData, Workers.freeGpusOfRack(Entry.Rack),
-          Available.Gpus, Available.MemoryMb, Position},
+        {{HasRecentFailure, IsFarFromData, Group.Speeds.rankOf(Candidate.Speed),
+          Workers.freeGpusOfRack(Entry.Rack), Available.Gpus,
+          Available.MemoryMb, Position},
          MaxTasks});
     Total += MaxTasks;
   }
@@ -110,8 +148,6 @@
   };
   std::make_heap(Options.begin(), Options.end(), IsWorse);
   Layout Result;
-  constexpr double RecentFailureCost = 1e6;
-  constexpr double RemoteDataCost = 1e4;
   while (Result.TaskCount < Group.TaskCount && !Options.empty()) {
     std::pop_heap(Options.begin(), Options.end(), IsWorse);
     const auto &Choice = Options.back();
@@ -237,6 +273,24 @@
   return reclaimsGuarantee(Group) && !Candidate.Guaranteed;
 }
 
+auto LayoutSearch::fitsWhenEmpty(const TaskGroup &Group) const -> bool {
+  std::vector<std::uint32_t> Capacities(Group.StaysInRack ? Workers.rackCount()
+                                                          : 1);
+  for (std::size_t Position = 0; Position < Workers.size(); ++Position) {
+    const auto &Candidate = Workers[Position];
+    if (!Group.AllowedSpeeds.contains(Candidate.Speed) ||
+        !Group.mayRunOn(*Candidate.Worker))
+      continue;
+    auto &Capacity = Capacities[Group.StaysInRack ? Candidate.Worker->Rack : 0];
+    Capacity += std::min(
+        Candidate.Worker->Report.Capacity.maxTaskCount(Group.spec().Need),
+        Group.workerLimit());
+    if (Capacity >= Group.unitSize())
+      return true;
+  }
+  return false;
+}
+
 auto LayoutSearch::roomFor(const TaskGroup &Group) const -> std::uint32_t {
   std::uint32_t Count = 0;
   for (std::size_t Position = 0; Position < Workers.size(); ++Position)
--- a/Source/Scheduling/LayoutSearch.h
+++ b/Source/Scheduling/LayoutSearch.h
@@ -52,6 +52,9 @@
   /// Returns how many tasks like those of the group fit into the resources that
   /// are available now, regardless of racks.
   auto roomFor(const TaskGroup &Group) const -> std::uint32_t;
+  /// Returns whether the workers that the group may use, or those of one rack
+  /// if it stays in one, could hold it if they were empty.
+  auto fitsWhenEmpty(const TaskGroup &Group) const -> bool;
   /// Returns whether the job is within the guarantee of its client account and
   /// has waited long enough to preempt equally urgent jobs without a guarantee.
   auto reclaimsGuarantee(const TaskGroup &Group) const -> bool;
@@ -64,11 +67,17 @@
     std::vector<RunId> Victims;
   };
 
-  /// Returns the sets of workers that may each hold the group, by position: one
-  /// set for each rack if the group must stay in one rack, else a single set.
-  auto eligibleWorkerSets(const TaskGroup &Group) const
+  /// Returns the layout of least cost on workers in \p Speeds, or none.
+  auto cheapestLayoutWithin(const SpeedRange &Speeds, const TaskGroup &Group,
+                            ResourceSource Source) const
+      -> std::optional<Layout>;
+  /// Returns the sets of workers in \p Speeds that may each hold the group, by
+  /// position: one set for each rack if the group must stay in one rack, else a
+  /// single set.
+  auto eligibleWorkerSets(const SpeedRange &Speeds,
+                          const TaskGroup &Group) const
       -> std::vector<std::vector<std::size_t>>;
-  auto racksThatMayHold(const TaskGroup &Gang) const
+  auto racksThatMayHold(const SpeedRange &Speeds, const TaskGroup &Gang) const
       -> std::vector<std::vector<std::size_t>>;
   /// Returns a layout on the workers of \p WorkerSet that stops no runs.
   auto layoutWithoutVictims(const TaskGroup &Group,
--- a/Source/Scheduling/PlacementFailureCache.cpp
+++ b/Source/Scheduling/PlacementFailureCache.cpp
@@ -16,6 +16,7 @@
     return Shape == Failed;
   return Shape.TaskCount >= Failed.TaskCount &&
          Shape.Need.covers(Failed.Need) &&
+         Failed.AllowedSpeeds.contains(Shape.AllowedSpeeds) &&
          Shape.RequiredLabel == Failed.RequiredLabel &&
          Shape.Service == Failed.Service;
 }
--- a/Source/Scheduling/PlacementFailureCache.h
+++ b/Source/Scheduling/PlacementFailureCache.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Scheduling/Resources.h"
+#include "Scheduling/SpeedPreference.h"
 
 #include <cstddef>
 #include <limits>
@@ -18,6 +19,7 @@
   std::size_t TaskCount = 0;
   bool RequiresSingleRack = false;
   bool HasPerWorkerLimit = false; ///< The tasks per worker are limited.
+  SpeedRange AllowedSpeeds;       ///< Of the workers that may be used.
 
   auto operator==(const TaskGroupShape &) const -> bool = default;
 };
--- a/Source/Scheduling/PlacementPass.cpp
+++ b/Source/Scheduling/PlacementPass.cpp
@@ -1,11 +1,13 @@
 #include "Scheduling/PlacementPass.h"
 
+#include "Scheduling/JobTimeEstimate.h"
 #include "Scheduling/PoolUse.h"
 #include "Scheduling/ShardScheduler.h"
 #include "Scheduling/WaitDiagnosis.h"
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -22,6 +24,11 @@
   return std::chrono::duration<double>(Duration).count();
 }
 
+auto milliseconds(double Seconds) -> Milliseconds {
+  return std::chrono::duration_cast<Milliseconds>(
+      std::chrono::duration<double>(Seconds));
+}
+
 /// Limits the time of one pass: a search compares the runs of all workers.
 constexpr unsigned MaxPreemptionSearches = 8;
 
@@ -32,7 +39,8 @@
 
 PlacementPass::PlacementPass(ShardScheduler &Scheduler, TimePoint Now)
     : Scheduler(Scheduler), Now(Now), PreemptableRuns(Scheduler, Now),
-      Search(Scheduler, Candidates, PreemptableRuns, Now) {}
+      Search(Scheduler, Candidates, PreemptableRuns, Now),
+      SpeedsKnown(Scheduler.knowsSpeeds()) {}
 
 auto PlacementPass::run() -> void {
   collectCandidates();
@@ -50,17 +58,34 @@
 
 auto PlacementPass::collectCandidates() -> void {
   Candidates.reset(Scheduler.RackNumbers.size());
+  updateReserveSpeeds();
   std::int64_t TotalGpus = 0;
   for (auto &[Id, Entry] : Scheduler.Workers) {
-    if (Entry.Registered)
+    const auto Speed = speedClassOf(Entry);
+    if (Entry.Registered && ReserveSpeeds.contains(Speed))
       TotalGpus += Entry.Report.Capacity.Gpus;
     if (Entry.Registered && Entry.Reachable && !Entry.Report.Draining &&
         Now >= Entry.QuarantinedUntil)
-      Candidates.add(Entry);
+      Candidates.add(Entry, Speed);
   }
   ReservedGpus = Scheduler.Reserve.size(TotalGpus, Now);
 }
 
+auto PlacementPass::speedClassOf(const WorkerEntry &Worker) const
+    -> SpeedClass {
+  return SpeedsKnown ? scheduling::speedClassOf(Worker.TimeFactor) : 0;
+}
+
+auto PlacementPass::updateReserveSpeeds() -> void {
+  if (!SpeedsKnown)
+    return;
+  auto Fastest = std::numeric_limits<SpeedClass>::max();
+  for (const auto &[Id, Entry] : Scheduler.Workers)
+    Fastest = std::min(Fastest, speedClassOf(Entry));
+  ReserveSpeeds.Slowest =
+      std::max(Fastest, Scheduler.Reserve.slowestUsefulClass());
+}
+
 auto PlacementPass::collectTaskGroups() -> std::vector<TaskGroup> {
   // The submission order is unique, so the order of the jobs is total.
   using SortKey = std::tuple<std::uint32_t, bool, Lateness, std::uint64_t>;
@@ -82,6 +107,9 @@
 
 auto PlacementPass::addTaskGroups(JobEntry &Job, Lateness JobLateness,
                                   std::vector<TaskGroup> &Groups) -> void {
+  std::optional<JobTimeEstimate> Estimate;
+  if (SpeedsKnown)
+    Estimate.emplace(Job, Scheduler.RunTimes);
   for (std::uint32_t Step = 0; Step < Job.Spec.Steps.size(); ++Step) {
     const auto &Spec = Job.Spec.Steps[Step];
     const auto Waiting = Job.waitingTasks(Step);
@@ -89,6 +117,8 @@
       continue;
     Job.recordWaiting(Step, Now);
     TaskGroup Group{&Job, Step, Waiting, JobLateness};
+    if (Estimate)
+      setSpeedPreference(*Estimate, Group);
     if (Job.OnHold)
       Group.NotTried = WaitReason::OnHold;
     else if (Spec.Gang && Waiting < Spec.Count)
@@ -97,9 +127,28 @@
   }
 }
 
+auto PlacementPass::setSpeedPreference(const JobTimeEstimate &Estimate,
+                                       TaskGroup &Group) const -> void {
+  const auto &Job = *Group.Job;
+  // A job that misses its objective should end while its result is of value.
+  const auto Limit = Group.JobLateness == Lateness::OnTime
+                         ? Job.ObjectiveSeconds
+                         : Job.ObjectiveSeconds * MaxLatenessFactor;
+  const auto TimeLeft = milliseconds(Limit - seconds(Now - Job.SubmittedAt));
+  Group.TaskTime = Estimate.taskTime(Group.Step);
+  Group.TimeLeft = TimeLeft - Estimate.timeAfter(Group.Step);
+  Group.Speeds = SpeedPreference::forTasks(
+      Group.TaskTime, Group.TimeLeft,
+      Job.Spec.Priority == 0 ? Scheduler.Policy.UrgentSlackFactor : 1);
+}
+
 auto PlacementPass::latenessOf(const JobEntry &Job) const -> Lateness {
   const auto Elapsed = seconds(Now - Job.SubmittedAt);
-  if (Elapsed + Job.CriticalPathSeconds <= Job.ObjectiveSeconds)
+  auto Remaining = Job.CriticalPathSeconds;
+  if (SpeedsKnown && !Candidates.speedClasses().empty())
+    Remaining = seconds(JobTimeEstimate(Job, Scheduler.RunTimes).total()) *
+                timeFactorOf(Candidates.speedClasses().front());
+  if (Elapsed + Remaining <= Job.ObjectiveSeconds)
     return Lateness::OnTime;
   return Elapsed <= Job.ObjectiveSeconds * MaxLatenessFactor
              ? Lateness::Late
@@ -116,52 +165,123 @@
                   seconds(Policy.MaxReserveWait));
 }
 
-auto PlacementPass::tasksOutsideReserve(const TaskGroup &Group) const
-    -> std::uint32_t {
+auto PlacementPass::sharesOutsideReserve(const TaskGroup &Group) const
+    -> std::vector<PoolShare> {
   const auto Gpus = Group.spec().Need.Gpus;
   if (Gpus == 0 || mayUseReserve(Group))
-    return Group.TaskCount;
-  const auto Available = Candidates.freeGpus() - ReservedGpus;
-  if (Available < 0)
-    return 0;
-  return static_cast<std::uint32_t>(
-      std::min<std::int64_t>(Group.TaskCount, Available / Gpus));
+    return {{{}, Group.TaskCount}};
+  const auto Unreserved = std::max<std::int64_t>(
+      0, Candidates.freeGpusWithin(ReserveSpeeds) - ReservedGpus);
+  const PoolShare WholePool{{},
+                            static_cast<std::uint32_t>(std::min<std::int64_t>(
+                                Group.TaskCount, Unreserved / Gpus))};
+  if (ReserveSpeeds == SpeedRange{})
+    return {WholePool};
+  const PoolShare SlowWorkers{{ReserveSpeeds.Slowest + 1, SpeedRange{}.Slowest},
+                              Group.TaskCount};
+  if (Group.Speeds.slowestInTime() >= SlowWorkers.Speeds.Fastest)
+    return {SlowWorkers, WholePool};
+  return {WholePool, SlowWorkers};
 }
 
 auto PlacementPass::placeGang(TaskGroup &Gang) -> void {
-  if (tasksOutsideReserve(Gang) < Gang.TaskCount) {
-    Gang.NotTried = WaitReason::Reserve;
+  if (placeInTime(Gang))
     return;
-  }
+  auto Shares = sharesOutsideReserve(Gang);
+  const bool IsHeldBack = std::erase_if(Shares, [&](const PoolShare &Share) {
+                            return Share.MaxTasks < Gang.TaskCount;
+                          }) > 0;
+  if (IsHeldBack)
+    Gang.NotTried = WaitReason::Reserve;
   // A gang that may be spread takes a rack that has room all the same.
   Gang.StaysInRack = prefersSingleRack(Gang);
-  if (placeNow(Gang, shapeOf(Gang)) > 0)
+  if (placeGangIn(Shares, Gang))
     return;
-  if (Gang.StaysInRack && !mustStayInRack(Gang)) {
+  if (Gang.StaysInRack && !Shares.empty() && !mustStayInRack(Gang)) {
     Gang.StaysInRack = false;
-    if (placeNow(Gang, shapeOf(Gang)) > 0)
+    if (placeGangIn(Shares, Gang))
       return;
   }
   if (Gang.Job->Spec.Priority == 0)
     placeAfterStops(Gang, shapeOf(Gang));
 }
 
+auto PlacementPass::placeGangIn(const std::vector<PoolShare> &Shares,
+                                TaskGroup &Gang) -> bool {
+  return std::any_of(Shares.begin(), Shares.end(), [&](const auto &Share) {
+    Gang.AllowedSpeeds = Share.Speeds;
+    return placeNow(Gang, shapeOf(Gang)) > 0;
+  });
+}
+
 auto PlacementPass::placeTasks(TaskGroup &Group) -> void {
-  Group.TaskCount = tasksOutsideReserve(Group);
-  if (Group.TaskCount == 0) {
-    Group.NotTried = WaitReason::Reserve;
+  if (placeInTime(Group))
     return;
+  const auto Shares = sharesOutsideReserve(Group);
+  auto Remaining = Group.TaskCount;
+  bool IsTried = false;
+  for (const auto &Share : Shares) {
+    Group.TaskCount = std::min(Remaining, Share.MaxTasks);
+    if (Group.TaskCount == 0)
+      continue;
+    IsTried = true;
+    Group.AllowedSpeeds = Share.Speeds;
+    Group.StaysInRack = mustStayInRack(Group);
+    Remaining -= placeNow(Group, shapeOf(Group));
   }
-  Group.StaysInRack = mustStayInRack(Group);
-  const auto Shape = shapeOf(Group);
-  auto Remaining = Group.TaskCount - placeNow(Group, Shape);
-  if (Group.Job->Spec.Priority != 0)
-    return;
+  if (!IsTried)
+    Group.NotTried = WaitReason::Reserve;
+  if (Group.Job->Spec.Priority == 0)
+    placeTasksAfterStops(Group, Remaining);
+}
+
+auto PlacementPass::placeTasksAfterStops(TaskGroup &Group, std::uint32_t Count)
+    -> std::uint32_t {
   // The tasks are equal, so once one does not fit, the others do not either.
   Group.TaskCount = 1;
   Group.StaysInRack = false;
-  while (Remaining > 0 && placeAfterStops(Group, Shape))
-    --Remaining;
+  const auto Shape = shapeOf(Group);
+  std::uint32_t Placed = 0;
+  while (Placed < Count && placeAfterStops(Group, Shape))
+    ++Placed;
+  return Placed;
+}
+
+auto PlacementPass::isWorthWaitingForSpeed(const TaskGroup &Group) const
+    -> bool {
+  const auto &Classes = Candidates.speedClasses();
+  if (Group.Job->Spec.Priority != 0 || Classes.size() <= 1 ||
+      Group.JobLateness != Lateness::OnTime || Search.reclaimsGuarantee(Group))
+    return false;
+  const auto Slowest = Group.Speeds.slowestInTime();
+  return Slowest >= Classes.front() && Slowest < Classes.back() &&
+         Now - Group.Job->waitingSince(Group.Step).value_or(Now) <
+             Scheduler.Policy.MaxSpeedWait;
+}
+
+auto PlacementPass::placeInTime(TaskGroup &Group) -> bool {
+  if (!isWorthWaitingForSpeed(Group))
+    return false;
+  const auto TaskCount = Group.TaskCount;
+  Group.StaysInRack = prefersSingleRack(Group);
+  Group.AllowedSpeeds.Slowest = Group.Speeds.slowestInTime();
+  if (!Search.fitsWhenEmpty(Group)) {
+    Group.AllowedSpeeds = {};
+    return false;
+  }
+  const auto Placed = placeNow(Group, shapeOf(Group));
+  if (Placed == TaskCount)
+    return true;
+  Group.AllowedSpeeds.Slowest =
+      SpeedPreference::forTasks(
+          Group.TaskTime, Group.TimeLeft - Scheduler.Policy.ExpectedStopTime)
+          .slowestInTime();
+  if (Group.spec().Gang)
+    placeAfterStops(Group, shapeOf(Group));
+  else
+    placeTasksAfterStops(Group, TaskCount - Placed);
+  Group.NotTried = WaitReason::Speed;
+  return true;
 }
 
 auto PlacementPass::diagnoseWaits(const std::vector<TaskGroup> &Groups)
@@ -186,7 +306,8 @@
           Spec.Need,
           Spec.Gang ? Group.TaskCount : 1,
           Group.StaysInRack,
-          Spec.MaxPerWorker > 0};
+          Spec.MaxPerWorker > 0,
+          Group.AllowedSpeeds};
 }
 
 auto PlacementPass::findLayout(const TaskGroup &Group,
@@ -282,9 +403,11 @@
     RunNumber = std::max(RunNumber, Tasks[Index].LastRunNumber + 1);
   std::size_t Next = 0;
   std::set<std::size_t> Racks;
+  auto Slowest = SpeedRange{}.Fastest;
   for (const auto &[Position, Count] : ChosenLayout.TaskCounts) {
     auto &Target = *Candidates[Position].Worker;
     Racks.insert(Target.Rack);
+    Slowest = std::max(Slowest, Candidates[Position].Speed);
     for (std::uint32_t Task = 0; Task < Count; ++Task) {
       const auto Index = Indices[Next++];
       // The members of a gang share one run number.
@@ -294,9 +417,26 @@
       Candidates.occupy(Position, Spec.Need);
     }
   }
-  Scheduler.PlacementDecisions.push_back({Job.Spec.Id, Group.Step, RunNumber,
-                                          ChosenLayout.TaskCount, Racks.size(),
-                                          seconds(Now - Job.SubmittedAt)});
+  Scheduler.PlacementDecisions.push_back(
+      {Job.Spec.Id, Group.Step, RunNumber, ChosenLayout.TaskCount, Racks.size(),
+       seconds(Now - Job.SubmittedAt), speedChoice(Group, Slowest),
+       timeFactorOf(Slowest)});
+}
+
+auto PlacementPass::speedChoice(const TaskGroup &Group,
+                                SpeedClass Slowest) const
+    -> std::optional<SpeedChoice> {
+  const auto &Classes = Candidates.speedClasses();
+  if (Classes.size() <= 1)
+    return std::nullopt;
+  const auto SlowestInTime = Group.Speeds.slowestInTime();
+  if (Slowest > SlowestInTime)
+    return SpeedChoice::Late;
+  if (SlowestInTime < Classes.back())
+    return SpeedChoice::Deadline;
+  if (Slowest > Classes.front())
+    return SpeedChoice::Slack;
+  return std::nullopt;
 }
 
 auto PlacementPass::reserveLayout(const TaskGroup &Group,
--- a/Source/Scheduling/PlacementPass.h
+++ b/Source/Scheduling/PlacementPass.h
@@ -5,6 +5,8 @@
 #include "Scheduling/LayoutSearch.h"
 #include "Scheduling/PlacementFailureCache.h"
 #include "Scheduling/PreemptionCandidates.h"
+#include "Scheduling/SchedulingDecisions.h"
+#include "Scheduling/SpeedPreference.h"
 #include "Scheduling/TaskGroup.h"
 
 #include <cstdint>
@@ -14,6 +16,7 @@
 namespace jayramp::scheduling {
 
 class JobEntry;
+class JobTimeEstimate;
 class ShardScheduler;
 
 /// One pass over the waiting tasks of a shard: places the tasks that fit and
@@ -30,15 +33,43 @@
   auto collectTaskGroups() -> std::vector<TaskGroup>;
   auto addTaskGroups(JobEntry &Job, Lateness JobLateness,
                      std::vector<TaskGroup> &Groups) -> void;
+  auto setSpeedPreference(const JobTimeEstimate &Estimate,
+                          TaskGroup &Group) const -> void;
   auto latenessOf(const JobEntry &Job) const -> Lateness;
   auto placeGang(TaskGroup &Gang) -> void;
   /// Places as many tasks of the group as fit.
   auto placeTasks(TaskGroup &Group) -> void;
+  /// Places an urgent group, or stops less urgent runs for it, only on workers
+  /// on which it ends in time. Returns whether the group needs no further
+  /// attempt in this pass: it fits, or it waits for such workers.
+  auto placeInTime(TaskGroup &Group) -> bool;
+  /// Returns whether some workers, but not all, are fast enough for the urgent
+  /// group, and it may still wait for them.
+  auto isWorthWaitingForSpeed(const TaskGroup &Group) const -> bool;
+  /// Stops runs for as many of \p Count single tasks as possible. Returns how
+  /// many.
+  auto placeTasksAfterStops(TaskGroup &Group, std::uint32_t Count)
+      -> std::uint32_t;
+  /// Finds out which workers the reserve covers.
+  auto updateReserveSpeeds() -> void;
+  auto speedClassOf(const WorkerEntry &Worker) const -> SpeedClass;
+  auto speedChoice(const TaskGroup &Group, SpeedClass Slowest) const
+      -> std::optional<SpeedChoice>;
   /// Reports what groups wait for, at intervals.
   auto diagnoseWaits(const std::vector<TaskGroup> &Groups) -> void;
-  /// Returns how many tasks of the group may be placed without using the
+  /// A part of the pool, and how many tasks of a group it may take.
+  struct PoolShare {
+    SpeedRange Speeds;
+    std::uint32_t MaxTasks = 0;
+  };
+
+  /// Returns what the group may use, in the order of preference, without the
   /// accelerators that are reserved for urgent arrivals.
-  auto tasksOutsideReserve(const TaskGroup &Group) const -> std::uint32_t;
+  auto sharesOutsideReserve(const TaskGroup &Group) const
+      -> std::vector<PoolShare>;
+  /// Places the gang in the first of \p Shares that can hold it.
+  auto placeGangIn(const std::vector<PoolShare> &Shares, TaskGroup &Gang)
+      -> bool;
   auto mayUseReserve(const TaskGroup &Group) const -> bool;
   /// Returns whether the group runs slowly if it is spread over racks.
   static auto prefersSingleRack(const TaskGroup &Group) -> bool;
@@ -92,6 +123,9 @@
   PlacementFailureCache ReclaimFailures;
   /// Share of the pool in use; computed at the first need.
   std::optional<double> PoolUse;
+  bool SpeedsKnown = false; ///< Workers are known to differ in speed.
+  /// Workers on which less urgent jobs leave ReservedGpus free.
+  SpeedRange ReserveSpeeds;
   /// Number of accelerators that less urgent jobs leave free.
   std::int64_t ReservedGpus = 0;
   unsigned PreemptionSearches = 0; ///< Searches for runs to stop so far.
--- a/Source/Scheduling/PreemptionCandidates.cpp
+++ b/Source/Scheduling/PreemptionCandidates.cpp
@@ -28,7 +28,8 @@
     for (const auto &[Id, LiveRun] : Workers[WorkerIndex]->Runs) {
       const auto &Job = *LiveRun->Job;
       if (LiveRun->Phase == RunPhase::Stopping ||
-          Job.Progress.Steps[Id.Step][Id.Index].Done)
+          Job.Progress.Steps[Id.Step][Id.Index].Done ||
+          endsBeforeStop(*LiveRun))
         continue;
       Candidates.push_back({Id, Job.Spec.Steps[Id.Step].Need, costOf(*LiveRun),
                             Job.Spec.Priority, Job.Guaranteed});
@@ -49,6 +50,23 @@
                 });
 }
 
+auto PreemptionCandidates::endsBeforeStop(const Run &LiveRun) const -> bool {
+  // Without progress that shows how long it takes, nothing is concluded.
+  constexpr std::uint32_t MinPercent = 50;
+  constexpr std::uint32_t CompletePercent = 100;
+  const auto Percent = LiveRun.ProgressPercent;
+  if (!Scheduler.knowsSpeeds() || Percent < MinPercent ||
+      Percent >= CompletePercent ||
+      LiveRun.Job->Spec.Steps[LiveRun.Id.Step].Gang)
+    return false;
+  const auto WorkTime = LiveRun.LastProgressAt - LiveRun.StartedAt;
+  const auto ExpectedEnd =
+      LiveRun.StartedAt + WorkTime * CompletePercent / Percent;
+  // Not a run that is overdue: its end cannot be foreseen.
+  return ExpectedEnd >= Now &&
+         ExpectedEnd <= Now + Scheduler.policy().ExpectedStopTime;
+}
+
 auto PreemptionCandidates::costOf(const Run &Candidate) -> double {
   const auto &Id = Candidate.Id;
   if (!Candidate.Job->Spec.Steps[Id.Step].Gang)
--- a/Source/Scheduling/PreemptionCandidates.h
+++ b/Source/Scheduling/PreemptionCandidates.h
@@ -52,6 +52,10 @@
   auto gangOf(const RunId &Member) const -> std::vector<RunId>;
 
 private:
+  /// Returns whether the run is expected to end before a stop would take
+  /// effect. Only runs outside gangs are judged: a gang ends with its slowest
+  /// member.
+  auto endsBeforeStop(const Run &LiveRun) const -> bool;
   /// Returns the cost of stopping \p Candidate and the rest of its gang.
   auto costOf(const Run &Candidate) -> double;
   /// Returns the cost of stopping \p LiveRun alone.
--- a/Source/Scheduling/SchedulingDecisions.cpp
+++ b/Source/Scheduling/SchedulingDecisions.cpp
@@ -22,4 +22,16 @@
   return "unknown";
 }
 
+auto toString(SpeedChoice Choice) -> std::string_view {
+  switch (Choice) {
+  case SpeedChoice::Deadline:
+    return "deadline";
+  case SpeedChoice::Slack:
+    return "slack";
+  case SpeedChoice::Late:
+    return "late";
+  }
+  return "unknown";
+}
+
 } // namespace jayramp::scheduling
--- a/Source/Scheduling/SchedulingDecisions.h
+++ b/Source/Scheduling/SchedulingDecisions.h
@@ -3,6 +3,7 @@
 #include "Scheduling/RunId.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -30,6 +31,16 @@
   std::uint32_t ProgressPercent = 0; ///< Progress of the run so far.
 };
 
+/// Why tasks were placed on workers of a certain speed.
+enum class SpeedChoice {
+  Deadline, ///< On slower workers with room the tasks would have been late.
+  Slack,    ///< On slow workers, because the tasks have time.
+  Late,     ///< No workers with room were fast enough.
+};
+
+/// Returns the name of \p Choice in logs.
+auto toString(SpeedChoice Choice) -> std::string_view;
+
 /// A decision to place the tasks of a gang, or a single task; used for logs
 /// and metrics.
 struct PlacementDecision {
@@ -39,6 +50,11 @@
   std::size_t Tasks = 0;    ///< Number of tasks that were placed.
   std::size_t Racks = 0;    ///< Number of racks that the tasks are spread over.
   double WaitedSeconds = 0; ///< Time since the job was submitted.
+  /// Absent if the speeds of workers made no difference.
+  std::optional<SpeedChoice> Speed = std::nullopt;
+  /// Expected time on the slowest of the workers, as a multiple of the time on
+  /// a typical one.
+  double TimeFactor = 1;
 };
 
 } // namespace jayramp::scheduling
--- a/Source/Scheduling/SchedulingPolicy.h
+++ b/Source/Scheduling/SchedulingPolicy.h
@@ -32,6 +32,15 @@
   /// A job within the guarantee of its client account may preempt other work
   /// regardless of the loss after waiting this long.
   Milliseconds GuaranteeReclaimDelay{1200};
+  /// Tasks of the most urgent priority wait at most this long for workers on
+  /// which they end in time while slower ones have room.
+  Milliseconds MaxSpeedWait{1500};
+  /// Tasks of the most urgent priority leave faster workers to others only if
+  /// they could take this many times as long as expected.
+  double UrgentSlackFactor = 1.6;
+  /// Expected time from the decision to stop a run until its resources are
+  /// free.
+  Milliseconds ExpectedStopTime{400};
   /// Period over which arrivals of the most urgent jobs are counted to size the
   /// reserve for further ones.
   Milliseconds ArrivalWindow{3000};
--- a/Source/Scheduling/ShardScheduler.cpp
+++ b/Source/Scheduling/ShardScheduler.cpp
@@ -1,5 +1,6 @@
 #include "Scheduling/ShardScheduler.h"
 
+#include "Scheduling/JobTimeEstimate.h"
 #include "Scheduling/PlacementPass.h"
 #include "Scheduling/RunSupervision.h"
 
@@ -38,7 +39,7 @@
   if (!isFinal(Job.Progress.State))
     ActiveJobs.emplace(Job.Sequence, &Job);
   if (Job.Spec.Priority == 0 && Job.Progress.State == JobState::Pending)
-    Reserve.recordArrival(SubmittedAt, Job.TotalGpus);
+    Reserve.recordArrival(SubmittedAt, Job.TotalGpus, slowestInTime(Job));
   for (std::uint32_t Step = 0; Step < Job.Progress.Steps.size(); ++Step) {
     const auto &Tasks = Job.Progress.Steps[Step];
     for (std::uint32_t Index = 0; Index < Tasks.size(); ++Index) {
@@ -129,7 +130,7 @@
   Entry.Registered = true;
   Entry.Rack =
       RackNumbers.emplace(Report.Rack, RackNumbers.size()).first->second;
-  Entry.TimeFactor = RunTimes.timeFactor(Entry);
+  Entry.TimeFactor = timeFactor(Entry);
   if (Report.Draining)
     DrainingWorkers.insert(Report.Id);
   else
@@ -548,11 +549,26 @@
   }
 }
 
+auto ShardScheduler::slowestInTime(const JobEntry &Job) const -> SpeedClass {
+  const std::chrono::duration<double> Objective(Job.ObjectiveSeconds);
+  return SpeedPreference::forTasks(
+             JobTimeEstimate(Job, RunTimes).total(),
+             std::chrono::duration_cast<Milliseconds>(Objective))
+      .slowestInTime();
+}
+
+auto ShardScheduler::timeFactor(const WorkerEntry &Entry) const -> double {
+  if (!KnownTimeFactors)
+    return RunTimes.timeFactor(Entry);
+  const auto Known = KnownTimeFactors->find(Entry.Report.Id);
+  return Known == KnownTimeFactors->end() ? 1.0 : Known->second;
+}
+
 auto ShardScheduler::updateTimeFactors(TimePoint Now) -> void {
-  if (!RunTimes.refresh(Workers, Now))
+  if (!RunTimes.refresh(Workers, Now) && !KnownTimeFactors)
     return;
   for (auto &[Id, Entry] : Workers)
-    Entry.TimeFactor = RunTimes.timeFactor(Entry);
+    Entry.TimeFactor = timeFactor(Entry);
 }
 
 } // namespace jayramp::scheduling
--- a/Source/Scheduling/ShardScheduler.h
+++ b/Source/Scheduling/ShardScheduler.h
@@ -6,12 +6,14 @@
 #include "Scheduling/RunTimeModel.h"
 #include "Scheduling/SchedulingDecisions.h"
 #include "Scheduling/SchedulingPolicy.h"
+#include "Scheduling/SpeedPreference.h"
 #include "Scheduling/UrgentReserve.h"
 #include "Scheduling/WaitReason.h"
 #include "Scheduling/WorkerEntry.h"
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -43,6 +45,11 @@
   auto setOnHold(const std::string &Id, bool OnHold) -> void;
   /// Sets the number of guaranteed accelerators of each client account.
   auto setGuarantees(std::map<std::string, std::int64_t> GpusByAccount) -> void;
+  /// Replaces the learned speeds of the workers by known time factors. Workers
+  /// that are not named are typical ones; if none is named, all are alike.
+  auto setTimeFactors(std::map<std::string, double> FactorsByWorker) -> void {
+    KnownTimeFactors = std::move(FactorsByWorker);
+  }
   auto updateWorker(const WorkerReport &Report, TimePoint Now) -> void;
   /// Marks a worker as no longer listed. It is removed once all of its runs
   /// have ended.
@@ -128,6 +135,11 @@
   auto pollRateOf(const RunId &Id, TimePoint Now) const -> RunPollRate;
   /// Returns what was learned from the runs of this shard.
   auto runTimes() const -> const RunTimeModel & { return RunTimes; }
+  /// Returns whether workers are known to differ in speed.
+  auto knowsSpeeds() const -> bool {
+    return KnownTimeFactors ? !KnownTimeFactors->empty()
+                            : RunTimes.knowsSpeeds();
+  }
   auto hasChangedJobs() const -> bool { return !ChangedJobs.empty(); }
 
 private:
@@ -168,6 +180,10 @@
   auto finishJob(JobEntry &Job, JobState State, TimePoint Now) -> void;
   auto updateGuaranteedJobs() -> void;
   auto updateTimeFactors(TimePoint Now) -> void;
+  auto timeFactor(const WorkerEntry &Entry) const -> double;
+  /// Returns the slowest class of workers on which \p Job, started without
+  /// wait, is expected to end in time.
+  auto slowestInTime(const JobEntry &Job) const -> SpeedClass;
 
   SchedulingPolicy Policy;
   std::map<std::string, JobEntry> Jobs;
@@ -189,6 +205,8 @@
   std::set<std::string> ChangedJobSet;
   UrgentReserve Reserve;
   RunTimeModel RunTimes;
+  /// By worker; absent if the learned ones apply.
+  std::optional<std::map<std::string, double>> KnownTimeFactors;
   std::vector<StopDecision> StopDecisions;
   std::vector<PlacementDecision> PlacementDecisions;
   std::vector<WaitReport> WaitReports;
--- a/Source/Scheduling/TaskGroup.h
+++ b/Source/Scheduling/TaskGroup.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Scheduling/JobEntry.h"
+#include "Scheduling/SpeedPreference.h"
 #include "Scheduling/WaitReason.h"
 
 #include <cstdint>
@@ -26,6 +27,11 @@
   std::uint32_t TaskCount = 1;
   Lateness JobLateness = Lateness::OnTime;
   bool StaysInRack = false; ///< It is placed in one rack or not at all.
+  Milliseconds TaskTime{0}; ///< Expected time of a task on a typical worker.
+  /// Time in which the tasks should end; meaningless while speeds are unknown.
+  Milliseconds TimeLeft{0};
+  SpeedPreference Speeds;   ///< Order in which speed classes are used.
+  SpeedRange AllowedSpeeds; ///< Other workers are not used.
   /// Why the pass does not look for workers for the group; absent if it does.
   std::optional<WaitReason> NotTried = std::nullopt;
 
--- a/Source/Scheduling/UrgentReserve.h
+++ b/Source/Scheduling/UrgentReserve.h
@@ -2,10 +2,10 @@
 
 #include "Base/Clock.h"
 #include "Scheduling/SchedulingPolicy.h"
+#include "Scheduling/SpeedPreference.h"
 
 #include <cstdint>
 #include <deque>
-#include <utility>
 
 namespace jayramp::scheduling {
 
@@ -15,18 +15,29 @@
 public:
   explicit UrgentReserve(const SchedulingPolicy &Policy) : Policy(Policy) {}
 
-  /// Records the arrival of an urgent job that needs \p Gpus accelerators.
-  auto recordArrival(TimePoint ArrivedAt, std::int64_t Gpus) -> void {
-    Arrivals.emplace_back(ArrivedAt, Gpus);
+  /// Records the arrival of an urgent job that needs \p Gpus accelerators on
+  /// workers that are not slower than \p Slowest to end in time.
+  auto recordArrival(TimePoint ArrivedAt, std::int64_t Gpus, SpeedClass Slowest)
+      -> void {
+    Arrivals.push_back({ArrivedAt, Gpus, Slowest});
   }
+  /// Returns the slowest class of workers on which the reserve is of use: at
+  /// least half of the accelerators that recently arrived jobs requested may be
+  /// that slow. The maximum if there were none.
+  auto slowestUsefulClass() const -> SpeedClass;
   /// Returns the size of the reserve in a pool of \p TotalGpus accelerators,
   /// and forgets the arrivals that do not count any more.
   auto size(std::int64_t TotalGpus, TimePoint Now) -> std::int64_t;
 
 private:
+  struct Arrival {
+    TimePoint ArrivedAt;
+    std::int64_t Gpus = 0;
+    SpeedClass Slowest = 0;
+  };
+
   SchedulingPolicy Policy;
-  /// Accelerators that urgent jobs requested, by time of arrival.
-  std::deque<std::pair<TimePoint, std::int64_t>> Arrivals;
+  std::deque<Arrival> Arrivals; ///< Of urgent jobs, by time.
 };
 
 } // namespace jayramp::scheduling
--- a/Source/Scheduling/WaitDiagnosis.cpp
+++ b/Source/Scheduling/WaitDiagnosis.cpp
@@ -76,13 +76,14 @@
 
 auto WaitDiagnosis::reasonFor(const TaskGroup &Group,
                               std::uint32_t RoomFor) const -> WaitReason {
-  const bool IsHeldByReserve = Group.NotTried == WaitReason::Reserve;
-  if (Group.NotTried && !IsHeldByReserve)
+  const bool IsHeldBack = Group.NotTried == WaitReason::Reserve ||
+                          Group.NotTried == WaitReason::Speed;
+  if (Group.NotTried && !IsHeldBack)
     return *Group.NotTried;
   const auto Needed = Group.unitSize();
   if (RoomFor >= Needed) {
-    if (IsHeldByReserve)
-      return WaitReason::Reserve;
+    if (IsHeldBack)
+      return *Group.NotTried;
     return Group.StaysInRack ? WaitReason::Rack : WaitReason::Room;
   }
   const auto WithQuarantined = RoomFor + roomOnQuarantined(Group);
--- a/Source/Scheduling/WaitReason.cpp
+++ b/Source/Scheduling/WaitReason.cpp
@@ -10,6 +10,8 @@
     return "rack";
   case WaitReason::Reserve:
     return "reserve";
+  case WaitReason::Speed:
+    return "speed";
   case WaitReason::Quarantine:
     return "quarantine";
   case WaitReason::Unreachable:
@@ -28,6 +30,7 @@
   switch (Reason) {
   case WaitReason::Rack:
   case WaitReason::Reserve:
+  case WaitReason::Speed:
   case WaitReason::Quarantine:
   case WaitReason::Unreachable:
     return true;
--- a/Source/Scheduling/WaitReason.h
+++ b/Source/Scheduling/WaitReason.h
@@ -12,6 +12,7 @@
   Room,        ///< The workers that may run them are too full.
   Rack,        ///< There is room, but not in a single rack.
   Reserve,     ///< The free accelerators are kept for more urgent arrivals.
+  Speed,       ///< There is room only on workers too slow for the deadline.
   Quarantine,  ///< There is room only on workers that get no tasks at present.
   Unreachable, ///< There is room only on workers that do not answer.
   NoWorker,    ///< No set of registered workers could hold them when empty.
@@ -20,9 +21,9 @@
 };
 
 inline constexpr std::array AllWaitReasons = {
-    WaitReason::Room,        WaitReason::Rack,        WaitReason::Reserve,
-    WaitReason::Quarantine,  WaitReason::Unreachable, WaitReason::NoWorker,
-    WaitReason::EarlierRuns, WaitReason::OnHold};
+    WaitReason::Room,     WaitReason::Rack,        WaitReason::Reserve,
+    WaitReason::Speed,    WaitReason::Quarantine,  WaitReason::Unreachable,
+    WaitReason::NoWorker, WaitReason::EarlierRuns, WaitReason::OnHold};
 
 /// Returns the name of \p Reason in logs and metrics.
 auto toString(WaitReason Reason) -> std::string_view;
--- a/Source/Shard/ShardOwner.cpp
+++ b/Source/Shard/ShardOwner.cpp
@@ -297,7 +297,7 @@
 }
 
 auto ShardOwner::logDecisions() -> void {
-  for (const auto &Placed : Scheduler.takePlacementDecisions())
+  for (const auto &Placed : Scheduler.takePlacementDecisions()) {
     logEvent(LogLevel::Info, "tasks-placed",
              {{"job", Placed.Job},
               {"step", std::to_string(Placed.Step)},
@@ -305,6 +305,13 @@
               {"tasks", std::to_string(Placed.Tasks)},
               {"racks", std::to_string(Placed.Racks)},
               {"waited-s", std::to_string(Placed.WaitedSeconds)}});
+    if (Placed.Speed)
+      logEvent(LogLevel::Info, "placed-by-speed",
+               {{"job", Placed.Job},
+                {"step", std::to_string(Placed.Step)},
+                {"reason", std::string(toString(*Placed.Speed))},
+                {"time-factor", std::to_string(Placed.TimeFactor)}});
+  }
   for (const auto &Stop : Scheduler.takeStopDecisions())
     logEvent(LogLevel::Info, "task-stopped",
              {{"run", toString(Stop.Run)},
--- /dev/null
+++ b/Tests/Shard/SpeedPreferenceTest.cpp
@@ -0,0 +1,63 @@
+#include "Scheduling/SpeedPreference.h"
+
+#include <gtest/gtest.h>
+
+namespace jayramp::scheduling {
+namespace {
+
+// Guards against workers that differ only by noise being packed apart.
+TEST(SpeedPreferenceTest, smallDifferencesMakeNoClass) {
+  EXPECT_EQ(speedClassOf(1.0), 0);
+  EXPECT_EQ(speedClassOf(0.92), 0);
+  EXPECT_EQ(speedClassOf(1.1), 0);
+  EXPECT_EQ(speedClassOf(1.3), 1);
+  EXPECT_EQ(speedClassOf(2.4), 4);
+  EXPECT_EQ(speedClassOf(0.0), 0);
+}
+
+// Guards against work with slack taking the fast workers, and against work that
+// is late anyhow taking the slowest.
+TEST(SpeedPreferenceTest, slowestInTimeComesFirstThenTheFastest) {
+  const auto Speeds =
+      SpeedPreference::forTasks(Milliseconds(1000), Milliseconds(2200));
+  EXPECT_EQ(Speeds.slowestInTime(), 2);
+  EXPECT_LT(Speeds.rankOf(2), Speeds.rankOf(0));
+  EXPECT_LT(Speeds.rankOf(0), Speeds.rankOf(3));
+  EXPECT_LT(Speeds.rankOf(3), Speeds.rankOf(4));
+}
+
+// Guards against urgent work that takes the slowest worker that will just do.
+TEST(SpeedPreferenceTest, withoutSlackTheFastestComesFirst) {
+  const auto Speeds =
+      SpeedPreference::forTasks(Milliseconds(1000), Milliseconds(2200), 2);
+  EXPECT_EQ(Speeds.slowestInTime(), 2);
+  EXPECT_LT(Speeds.rankOf(0), Speeds.rankOf(1));
+  EXPECT_LT(Speeds.rankOf(-1), Speeds.rankOf(0));
+}
+
+TEST(SpeedPreferenceTest, withoutTimeLeftNoClassIsInTime) {
+  const auto Speeds =
+      SpeedPreference::forTasks(Milliseconds(1000), Milliseconds(-50));
+  EXPECT_LT(Speeds.slowestInTime(), speedClassOf(0.01));
+  EXPECT_LT(Speeds.rankOf(0), Speeds.rankOf(1));
+}
+
+// Guards against one slow member slowing down a gang that fits on fast workers.
+TEST(SpeedPreferenceTest, gangsAreTriedOnAlikeWorkersFirst) {
+  const auto Speeds =
+      SpeedPreference::forTasks(Milliseconds(1000), Milliseconds(2200));
+  const auto Ranges = Speeds.rangesForGang({-2, -1, 1, 4, 5}, {});
+  ASSERT_EQ(Ranges.size(), 4U);
+  EXPECT_EQ(Ranges[0], (SpeedRange{1, 1}));
+  EXPECT_EQ(Ranges[1], (SpeedRange{-2, -1}));
+  EXPECT_EQ(Ranges[2], (SpeedRange{-2, 1}));
+  EXPECT_EQ(Ranges[3], (SpeedRange{-2, 5}));
+}
+
+// Guards against a search that is repeated although there is one class only.
+TEST(SpeedPreferenceTest, oneClassIsSearchedOnce) {
+  EXPECT_EQ(SpeedPreference().rangesForGang({0}, {}).size(), 1U);
+}
+
+} // namespace
+} // namespace jayramp::scheduling
