scheduling: an availability zone that the operator closes gets no new runs

Change: entry hosts read the requests from the feed that they follow for the configuration (ClosedZoneRows), owners start nothing on workers of closed zones and withdraw starts that were not confirmed, and start nothing at all while their knowledge is older than the setting allows (FreshnessGuard). Runs that have started go on.

--- a/Source/Scheduling/PlacementPass.cpp
+++ b/Source/Scheduling/PlacementPass.cpp
@@ -62,9 +62,9 @@
   std::int64_t TotalGpus = 0;
   for (auto &[Id, Entry] : Scheduler.Workers) {
     const auto Speed = speedClassOf(Entry);
-    if (Entry.Registered && ReserveSpeeds.contains(Speed))
+    if (Entry.isOpen() && ReserveSpeeds.contains(Speed))
       TotalGpus += Entry.Report.Capacity.Gpus;
-    if (Entry.Registered && Entry.Reachable && !Entry.Report.Draining &&
+    if (Entry.isOpen() && Entry.Reachable && !Entry.Report.Draining &&
         Now >= Entry.QuarantinedUntil)
       Candidates.add(Entry, Speed);
   }
--- a/Source/Scheduling/PoolUse.cpp
+++ b/Source/Scheduling/PoolUse.cpp
@@ -7,7 +7,7 @@
   double Used = 0;
   double Capacity = 0;
   for (const auto &[Id, Entry] : Workers) {
-    if (!Entry.Registered || Entry.Report.Service != Service)
+    if (!Entry.isOpen() || Entry.Report.Service != Service)
       continue;
     Used += Entry.Used.coreEquivalents();
     Capacity += Entry.Report.Capacity.coreEquivalents();
--- a/Source/Scheduling/RunSupervision.cpp
+++ b/Source/Scheduling/RunSupervision.cpp
@@ -161,7 +161,7 @@
          std::max(Policy.GangMemberStallTimeout, SlowestPercentTime);
 }
 
-auto RunSupervision::evacuateLeavingWorkers() -> void {
+auto RunSupervision::stopRunsOnLeavingWorkers() -> void {
   std::vector<RunId> RunsToStop;
   for (const auto &Name : Scheduler.DrainingWorkers) {
     const auto &Entry = Scheduler.Workers.at(Name);
--- a/Source/Scheduling/RunSupervision.h
+++ b/Source/Scheduling/RunSupervision.h
@@ -29,7 +29,7 @@
   /// progress, and stops members that hold up the others.
   auto stopStalledGangMembers() -> void;
   /// Stops runs that are not expected to end before their worker leaves.
-  auto evacuateLeavingWorkers() -> void;
+  auto stopRunsOnLeavingWorkers() -> void;
 
 private:
   /// The live members of one run of a gang.
--- a/Source/Scheduling/SchedulingDecisions.cpp
+++ b/Source/Scheduling/SchedulingDecisions.cpp
@@ -12,6 +12,8 @@
     return "gang-broken";
   case StopReason::WorkerLeaves:
     return "worker-leaves";
+  case StopReason::ZoneClosed:
+    return "zone-closed";
   case StopReason::JobFinal:
     return "job-final";
   case StopReason::StartRefused:
--- a/Source/Scheduling/SchedulingDecisions.h
+++ b/Source/Scheduling/SchedulingDecisions.h
@@ -14,7 +14,8 @@
   Stalled,    ///< The run made no progress.
   GangBroken, ///< Another member of the gang ended or is being stopped.
   WorkerLeaves,
-  JobFinal, ///< The job was cancelled or has failed.
+  ZoneClosed, ///< Not known to have started; its zone was closed.
+  JobFinal,   ///< The job was cancelled or has failed.
   StartRefused,
   TaskDone, ///< An earlier run of the task is reported to have succeeded.
 };
--- a/Source/Scheduling/ShardScheduler.cpp
+++ b/Source/Scheduling/ShardScheduler.cpp
@@ -122,6 +122,7 @@
     Entry.LeavesAt =
         Entry.Report.Draining ? std::min(Entry.LeavesAt, LeavesAt) : LeavesAt;
   }
+  Entry.InClosedZone = ClosedZones.contains(Report.Zone);
   auto Before = std::exchange(Entry.Report, Report);
   // The remaining time changes with every report of a draining worker.
   Before.Remaining = Report.Remaining;
@@ -138,6 +139,16 @@
   markWorkerChanged(Report.Id);
 }
 
+auto ShardScheduler::setClosedZones(std::set<std::string> Zones) -> void {
+  ClosedZones = std::move(Zones);
+  for (auto &[Id, Entry] : Workers) {
+    const bool IsClosed = ClosedZones.contains(Entry.Report.Zone);
+    // Starts that have not been confirmed yet are withdrawn.
+    if (std::exchange(Entry.InClosedZone, IsClosed) != IsClosed)
+      markWorkerChanged(Id);
+  }
+}
+
 auto ShardScheduler::unregisterWorker(const std::string &Id) -> void {
   auto Found = Workers.find(Id);
   if (Found == Workers.end())
@@ -330,7 +341,7 @@
   PassNeeded = false;
   RunSupervision Supervision(*this, Now);
   Supervision.stopStalledGangMembers();
-  Supervision.evacuateLeavingWorkers();
+  Supervision.stopRunsOnLeavingWorkers();
   updateGuaranteedJobs();
   updateTimeFactors(Now);
   PlacementPass(*this, Now).run();
--- a/Source/Scheduling/ShardScheduler.h
+++ b/Source/Scheduling/ShardScheduler.h
@@ -50,6 +50,9 @@
   auto setTimeFactors(std::map<std::string, double> FactorsByWorker) -> void {
     KnownTimeFactors = std::move(FactorsByWorker);
   }
+  /// Sets the availability zones whose workers get no new runs. Runs that have
+  /// started there go on.
+  auto setClosedZones(std::set<std::string> Zones) -> void;
   auto updateWorker(const WorkerReport &Report, TimePoint Now) -> void;
   /// Marks a worker as no longer listed. It is removed once all of its runs
   /// have ended.
@@ -129,6 +132,9 @@
   auto workers() const -> const std::map<std::string, WorkerEntry> & {
     return Workers;
   }
+  auto closedZones() const -> const std::set<std::string> & {
+    return ClosedZones;
+  }
   auto run(const RunId &Id) const -> const Run *;
   auto runs() const -> const std::map<RunId, Run> & { return Runs; }
   /// Returns how often the progress of the run should be polled.
@@ -190,6 +196,7 @@
   /// The jobs that are not final, in the order of submission.
   std::map<std::uint64_t, JobEntry *> ActiveJobs;
   std::map<std::string, WorkerEntry> Workers;
+  std::set<std::string> ClosedZones;
   std::map<std::string, std::size_t> RackNumbers;
   std::set<std::string> DrainingWorkers;
   std::set<std::string> ChangedWorkers;
--- a/Source/Scheduling/WaitDiagnosis.cpp
+++ b/Source/Scheduling/WaitDiagnosis.cpp
@@ -18,11 +18,24 @@
 constexpr std::size_t MaxDiagnosesPerPass = 4;
 
 /// Returns whether a task of the group may run on the worker, which is
-/// registered and does not drain.
-auto isEligible(const TaskGroup &Group, const WorkerEntry &Entry) -> bool {
+/// registered and does not drain, if its zone is open.
+auto isEligibleIfOpen(const TaskGroup &Group, const WorkerEntry &Entry)
+    -> bool {
   return Entry.Registered && !Entry.Report.Draining && Group.mayRunOn(Entry);
 }
 
+/// The same for a worker whose zone is open.
+auto isEligible(const TaskGroup &Group, const WorkerEntry &Entry) -> bool {
+  return Entry.isOpen() && isEligibleIfOpen(Group, Entry);
+}
+
+/// Returns how many tasks of the group the worker could hold if it were empty.
+auto roomWhenEmptyOn(const TaskGroup &Group, const WorkerEntry &Entry)
+    -> std::uint32_t {
+  return std::min(Entry.Report.Capacity.maxTaskCount(Group.spec().Need),
+                  Group.workerLimit());
+}
+
 /// Returns how many more tasks of the group fit on the worker.
 auto roomOn(const TaskGroup &Group, const WorkerEntry &Entry) -> std::uint32_t {
   auto Free = Entry.Report.Capacity;
@@ -89,10 +102,15 @@
   const auto WithQuarantined = RoomFor + roomOnQuarantined(Group);
   if (WithQuarantined >= Needed)
     return WaitReason::Quarantine;
-  if (WithQuarantined + roomOnUnreachable(Group) >= Needed)
+  const auto WithUnreachable = WithQuarantined + roomOnUnreachable(Group);
+  if (WithUnreachable >= Needed)
     return WaitReason::Unreachable;
-  return roomWhenEmpty(Group) < Needed ? WaitReason::NoWorker
-                                       : WaitReason::Room;
+  if (WithUnreachable + roomInClosedZones(Group) >= Needed)
+    return WaitReason::ClosedZone;
+  if (roomWhenEmpty(Group) >= Needed)
+    return WaitReason::Room;
+  return roomWhenEmptyAndOpen(Group) >= Needed ? WaitReason::ClosedZone
+                                               : WaitReason::NoWorker;
 }
 
 auto WaitDiagnosis::roomOnQuarantined(const TaskGroup &Group) const
@@ -114,13 +132,30 @@
   return Count;
 }
 
+auto WaitDiagnosis::roomInClosedZones(const TaskGroup &Group) const
+    -> std::uint32_t {
+  std::uint32_t Count = 0;
+  for (const auto &[Id, Entry] : Scheduler.workers())
+    if (Entry.InClosedZone && isEligibleIfOpen(Group, Entry))
+      Count += roomOn(Group, Entry);
+  return Count;
+}
+
 auto WaitDiagnosis::roomWhenEmpty(const TaskGroup &Group) const
     -> std::uint32_t {
   std::uint32_t Count = 0;
   for (const auto &[Id, Entry] : Scheduler.workers())
     if (isEligible(Group, Entry))
-      Count += std::min(Entry.Report.Capacity.maxTaskCount(Group.spec().Need),
-                        Group.workerLimit());
+      Count += roomWhenEmptyOn(Group, Entry);
+  return Count;
+}
+
+auto WaitDiagnosis::roomWhenEmptyAndOpen(const TaskGroup &Group) const
+    -> std::uint32_t {
+  std::uint32_t Count = 0;
+  for (const auto &[Id, Entry] : Scheduler.workers())
+    if (isEligibleIfOpen(Group, Entry))
+      Count += roomWhenEmptyOn(Group, Entry);
   return Count;
 }
 
--- a/Source/Scheduling/WaitDiagnosis.h
+++ b/Source/Scheduling/WaitDiagnosis.h
@@ -31,11 +31,15 @@
   auto reasonFor(const TaskGroup &Group, std::uint32_t RoomFor) const
       -> WaitReason;
   /// Returns how many tasks of the group fit on quarantined workers, on
-  /// unreachable ones, or on all workers if they were empty. Workers that drain
-  /// are left out.
+  /// unreachable ones, on those in closed zones, or on all workers if they were
+  /// empty. Workers that drain are left out. Those in closed zones count only
+  /// where the name says so.
   auto roomOnQuarantined(const TaskGroup &Group) const -> std::uint32_t;
   auto roomOnUnreachable(const TaskGroup &Group) const -> std::uint32_t;
+  auto roomInClosedZones(const TaskGroup &Group) const -> std::uint32_t;
   auto roomWhenEmpty(const TaskGroup &Group) const -> std::uint32_t;
+  /// The same if all zones were open.
+  auto roomWhenEmptyAndOpen(const TaskGroup &Group) const -> std::uint32_t;
 
   const ShardScheduler &Scheduler;
   const LayoutSearch &Search;
--- a/Source/Scheduling/WaitReason.cpp
+++ b/Source/Scheduling/WaitReason.cpp
@@ -16,6 +16,8 @@
     return "quarantine";
   case WaitReason::Unreachable:
     return "unreachable";
+  case WaitReason::ClosedZone:
+    return "closed-zone";
   case WaitReason::NoWorker:
     return "no-worker";
   case WaitReason::EarlierRuns:
@@ -35,6 +37,7 @@
   case WaitReason::Unreachable:
     return true;
   case WaitReason::Room:
+  case WaitReason::ClosedZone:
   case WaitReason::NoWorker:
   case WaitReason::EarlierRuns:
   case WaitReason::OnHold:
--- a/Source/Scheduling/WaitReason.h
+++ b/Source/Scheduling/WaitReason.h
@@ -15,15 +15,17 @@
   Speed,       ///< There is room only on workers too slow for the deadline.
   Quarantine,  ///< There is room only on workers that get no tasks at present.
   Unreachable, ///< There is room only on workers that do not answer.
+  ClosedZone,  ///< There is room only in availability zones that are closed.
   NoWorker,    ///< No set of registered workers could hold them when empty.
   EarlierRuns, ///< Earlier runs of the gang may be alive.
   OnHold,      ///< Their progress cannot be stored at present.
 };
 
 inline constexpr std::array AllWaitReasons = {
-    WaitReason::Room,     WaitReason::Rack,        WaitReason::Reserve,
-    WaitReason::Speed,    WaitReason::Quarantine,  WaitReason::Unreachable,
-    WaitReason::NoWorker, WaitReason::EarlierRuns, WaitReason::OnHold};
+    WaitReason::Room,       WaitReason::Rack,       WaitReason::Reserve,
+    WaitReason::Speed,      WaitReason::Quarantine, WaitReason::Unreachable,
+    WaitReason::ClosedZone, WaitReason::NoWorker,   WaitReason::EarlierRuns,
+    WaitReason::OnHold};
 
 /// Returns the name of \p Reason in logs and metrics.
 auto toString(WaitReason Reason) -> std::string_view;
--- a/Source/Scheduling/WorkerEntry.h
+++ b/Source/Scheduling/WorkerEntry.h
@@ -17,11 +17,12 @@
 /// A worker with the runs placed on it.
 struct WorkerEntry {
   WorkerReport Report;
-  bool Registered = true; ///< Listed by service discovery.
-  bool Reachable = true;  ///< Answers start and stop orders.
-  std::size_t Rack = 0;   ///< Number of the rack, from 0.
-  Resources Used;         ///< Resources of runs that may be alive.
-  Resources Stopping;     ///< The part of Used that stopping runs occupy.
+  bool Registered = true;    ///< Listed by service discovery.
+  bool Reachable = true;     ///< Answers start and stop orders.
+  bool InClosedZone = false; ///< Gets no new runs.
+  std::size_t Rack = 0;      ///< Number of the rack, from 0.
+  Resources Used;            ///< Resources of runs that may be alive.
+  Resources Stopping;        ///< The part of Used that stopping runs occupy.
   std::map<RunId, Run *> Runs;
   /// Jobs that failed on the worker since its last success.
   std::set<std::string> FailedJobs;
@@ -30,6 +31,9 @@
   /// worker; updated before each scheduling pass.
   double TimeFactor = 1.0;
   TimePoint LeavesAt; ///< When a draining worker leaves; zero if unknown.
+
+  /// Returns whether the worker's capacity counts as capacity of its pool.
+  auto isOpen() const -> bool { return Registered && !InClosedZone; }
 };
 
 } // namespace jayramp::scheduling
--- a/Source/Shard/OwnerGauges.cpp
+++ b/Source/Shard/OwnerGauges.cpp
@@ -1,11 +1,13 @@
 #include "Shard/OwnerGauges.h"
 
 #include "Base/Metrics.h"
+#include "Scheduling/ClosedZoneStatistics.h"
 #include "Scheduling/PoolUse.h"
 #include "Scheduling/WaitStatistics.h"
 #include "Shard/ShardOwner.h"
 
 #include <optional>
+#include <utility>
 
 namespace jayramp::shard {
 
@@ -76,6 +78,7 @@
   Target.gauge("jayramp_owner_recovering", shardLabel(Shard),
                Owner.isRecovering() ? 1 : 0);
   publishSpeeds(Shard, Owner);
+  publishClosedZones(Shard, &Scheduler);
 }
 
 auto OwnerGauges::publishSpeeds(const std::string &Shard,
@@ -94,6 +97,28 @@
                static_cast<double>(RunTimes.slowWorkers().size()));
 }
 
+auto OwnerGauges::publishClosedZones(
+    const std::string &Shard, const scheduling::ShardScheduler *Scheduler)
+    -> void {
+  std::map<std::string, scheduling::ClosedZoneUse> UseByZone;
+  if (Scheduler)
+    UseByZone = collectClosedZoneStatistics(*Scheduler);
+  // Zones that have been opened since keep their series, with 0.
+  std::set<std::string> Closed;
+  auto ToPublish = std::exchange(PublishedClosedZones[Shard], {});
+  for (const auto &[Zone, Use] : UseByZone) {
+    Closed.insert(Zone);
+    ToPublish.insert(Zone);
+  }
+  for (const auto &Zone : ToPublish) {
+    const auto Labels = zoneLabels(Shard, Zone);
+    Target.gauge("jayramp_zone_closed", Labels, Closed.contains(Zone) ? 1 : 0);
+    Target.gauge("jayramp_closed_zone_runs", Labels,
+                 static_cast<double>(UseByZone[Zone].Runs));
+  }
+  PublishedClosedZones[Shard] = std::move(Closed);
+}
+
 auto OwnerGauges::clear(const std::string &Shard) -> void {
   publishAllWaits(Target, Shard, {});
   Target.gauge("jayramp_pool_use", shardLabel(Shard), 0);
@@ -102,6 +127,7 @@
     Target.gauge("jayramp_zone_time_factor", zoneLabels(Shard, Zone), 0);
   Target.gauge("jayramp_worker_speeds_differ", shardLabel(Shard), 0);
   Target.gauge("jayramp_slow_workers", shardLabel(Shard), 0);
+  publishClosedZones(Shard, nullptr);
 }
 
 } // namespace jayramp::shard
--- a/Source/Shard/OwnerGauges.h
+++ b/Source/Shard/OwnerGauges.h
@@ -11,13 +11,17 @@
 
 class Metrics;
 
+namespace scheduling {
+class ShardScheduler;
+} // namespace scheduling
+
 namespace shard {
 
 class ShardOwner;
 
 /// Publishes, as gauges, what the tasks of the shards that this host owns wait
-/// for, how full their pools are, how fast their workers are, and whether their
-/// owners recover.
+/// for, how full their pools are, how fast their workers are, what is left in
+/// closed availability zones, and whether their owners recover.
 class OwnerGauges {
 public:
   using OwnersByShard = std::map<std::string, std::unique_ptr<ShardOwner>>;
@@ -32,11 +36,16 @@
   auto publish(const std::string &Shard, const ShardOwner &Owner, TimePoint Now)
       -> void;
   auto publishSpeeds(const std::string &Shard, const ShardOwner &Owner) -> void;
+  /// \p Scheduler is null if this host no longer owns the shard.
+  auto publishClosedZones(const std::string &Shard,
+                          const scheduling::ShardScheduler *Scheduler) -> void;
   auto clear(const std::string &Shard) -> void;
 
   Metrics &Target;
   TimePoint NextUpdate;
   std::set<std::string> PublishedShards;
+  /// Closed zones that were published last, by shard.
+  std::map<std::string, std::set<std::string>> PublishedClosedZones;
   /// Zones with a gauge of their time factor, by shard.
   std::map<std::string, std::set<std::string>> PublishedZones;
 };
--- a/Source/Shard/ShardOwner.cpp
+++ b/Source/Shard/ShardOwner.cpp
@@ -2,6 +2,7 @@
 
 #include "Base/EventLog.h"
 #include "Base/SuspendAwareClock.h"
+#include "Shard/ClosedZones.h"
 
 #include <algorithm>
 #include <set>
@@ -44,9 +45,14 @@
       RecoveryLog(this->Shard, CurrentOwnership.Owner.FencingToken,
                   Clock::now()),
       LearnedSpeedLog(this->Shard),
-      SharedContext{Deps.Loop, Deps.Transport,
-                    Scheduler, Deps.Settings,
-                    Journal,   CurrentOwnership.Owner.FencingToken},
+      Freshness(this->Shard, Deps.Registry, Deps.Settings),
+      ZoneLog(this->Shard), SharedContext{Deps.Loop,
+                                          Deps.Transport,
+                                          Scheduler,
+                                          Deps.Settings,
+                                          Journal,
+                                          Freshness,
+                                          CurrentOwnership.Owner.FencingToken},
       OwnershipTakenAt(Clock::now()) {
   Cleaner = std::make_shared<RowCleaner>(Deps.Loop, Deps.Store, Deps.Settings);
   Heartbeat = std::make_shared<OwnerHeartbeat>(
@@ -67,7 +73,6 @@
         std::max(Heartbeat->lastConfirmedAt(), Journal.lastConfirmedAt());
     return suspendAwareNow() - Confirmed < this->Deps.Settings.OwnershipTimeout;
   };
-  SharedContext.MayStartRuns = [this] { return isWorkerListFresh(); };
   SharedContext.OnStateChanged = [this] { scheduleDecision(); };
   SharedContext.OnOrdersSent = [this](const WorkerSession &Session) {
     onOrdersSent(Session);
@@ -107,6 +112,14 @@
   Scheduler.setGuarantees(std::move(GpusByAccount));
 }
 
+auto ShardOwner::setClosedZones(const ClosedZones &Known) -> void {
+  Freshness.setClosedZonesAsOf(Known.CompleteAsOf);
+  if (Known.Zones == Scheduler.closedZones())
+    return;
+  Scheduler.setClosedZones(Known.Zones);
+  scheduleDecision();
+}
+
 auto ShardOwner::onJournalOpened(ProgressJournal::RecoveredRows Found) -> void {
   // From now on no earlier owner can write progress.
   OwnershipTakenAt = Clock::now();
@@ -402,25 +415,13 @@
   });
 }
 
-auto ShardOwner::isWorkerListFresh() const -> bool {
-  return suspendAwareNow() - Deps.Registry.completeAsOf() <=
-         Deps.Settings.MaxWorkerListAge;
-}
-
-auto ShardOwner::logWorkerListFreshness() -> void {
-  const bool IsFresh = isWorkerListFresh();
-  if (IsFresh == WorkerListWasFresh)
-    return;
-  WorkerListWasFresh = IsFresh;
-  logEvent(WorkerListWasFresh ? LogLevel::Info : LogLevel::Warning,
-           WorkerListWasFresh ? "worker-list-fresh" : "worker-list-old",
-           {{"shard", Shard}});
-}
-
 auto ShardOwner::tick() -> void {
   if (OwnershipLost)
     return;
-  logWorkerListFreshness();
+  Freshness.logChanges();
+  // The workers of a zone are counted once they are known.
+  if (!Recovering && Freshness.isWorkerListFresh())
+    ZoneLog.update(Scheduler);
   LearnedSpeedLog.report(Scheduler.runTimes(), Clock::now());
   forgetFinalJobs();
   Heartbeat->sendIfDue();
--- a/Source/Shard/ShardOwner.h
+++ b/Source/Shard/ShardOwner.h
@@ -2,6 +2,8 @@
 
 #include "Net/EventLoop.h"
 #include "Scheduling/ShardScheduler.h"
+#include "Shard/ClosedZoneLog.h"
+#include "Shard/FreshnessGuard.h"
 #include "Shard/OwnerHeartbeat.h"
 #include "Shard/Ownership.h"
 #include "Shard/ProgressJournal.h"
@@ -26,6 +28,8 @@
 
 namespace jayramp::shard {
 
+struct ClosedZones;
+
 /// Recovers and schedules the jobs of one shard while this process owns it.
 class ShardOwner {
 public:
@@ -50,6 +54,8 @@
   /// the change feed delivers it.
   auto applyStoredRow(const store::Row &Stored) -> void;
   auto setGuarantees(std::map<std::string, std::int64_t> GpusByAccount) -> void;
+  /// Sets the availability zones whose workers get no new runs.
+  auto setClosedZones(const ClosedZones &Known) -> void;
   auto scheduler() const -> const scheduling::ShardScheduler & {
     return Scheduler;
   }
@@ -80,10 +86,6 @@
   auto onOrdersSent(const WorkerSession &Session) -> void;
   /// Makes sure that sendDueOrders() is called when a session is due.
   auto startOrderTimer() -> void;
-  /// Returns true if the list of workers is recent enough to start runs: an old
-  /// list may lack a worker's drain notice.
-  auto isWorkerListFresh() const -> bool;
-  auto logWorkerListFreshness() -> void;
   auto tick() -> void;
   auto forgetFinalJobs() -> void;
   auto removeObsoleteWaitingRows() -> void;
@@ -117,9 +119,10 @@
   ProgressJournal::RecoveredRows RecoveredProgress;
   std::map<std::string, std::shared_ptr<WorkerSession>> Sessions;
   SessionSchedule Schedule;
+  FreshnessGuard Freshness;
+  ClosedZoneLog ZoneLog;
   WorkerSession::Context SharedContext;
   TimePoint OwnershipTakenAt;
-  bool WorkerListWasFresh = true;
   bool Recovering = true;
   bool DecisionDue = false;
   TimePoint NextDecision; ///< No decision is made before this time.
--- a/Source/Shard/ShardSettings.h
+++ b/Source/Shard/ShardSettings.h
@@ -3,6 +3,9 @@
 #include "Base/Clock.h"
 #include "Scheduling/RunPollRate.h"
 
+#include <algorithm>
+#include <optional>
+
 namespace jayramp::shard {
 
 /// Timeouts and intervals of a shard's owner and of the hosts that may take the
@@ -38,12 +41,27 @@
   /// No run is started while the list of workers is older than this, because a
   /// worker may have begun to drain since, and must get no new runs then.
   Milliseconds MaxWorkerListAge{1600};
+  /// No run is started while the set of closed availability zones is older than
+  /// this, because a zone may have been closed since. Absent if the deployment
+  /// has no limit.
+  std::optional<Milliseconds> MaxClosedZonesAge;
   /// The registry does not let a worker's entry expire earlier than this after
   /// the worker has written it. If an entry is removed earlier, the worker has
   /// left.
   Milliseconds MinEntryLifetime{3000};
-  /// Timeout of a start or stop order.
+  /// Timeout of a stop and of the first start of a run.
   Milliseconds OrderTimeout{400};
+  /// Later starts of a run have longer timeouts, up to this multiple.
+  unsigned MaxStartTimeoutFactor = 3;
+  /// Returns the timeout of a start; \p Attempt counts the starts of the run,
+  /// from 1.
+  auto startTimeout(unsigned Attempt) const -> Milliseconds {
+    return OrderTimeout *
+           static_cast<int>(std::min(Attempt, MaxStartTimeoutFactor));
+  }
+  auto longestStartTimeout() const -> Milliseconds {
+    return startTimeout(MaxStartTimeoutFactor);
+  }
   /// Added to a renewal's wait to get its timeout.
   Milliseconds RenewReplyMargin{600};
   Milliseconds RetryDelay{100};
--- a/Source/Shard/StartConditions.cpp
+++ b/Source/Shard/StartConditions.cpp
@@ -14,6 +14,8 @@
     return StartDelayReason::NotDurable;
   if (!WorkerListFresh)
     return StartDelayReason::WorkerListOld;
+  if (!ClosedZonesFresh)
+    return StartDelayReason::ClosedZonesOld;
   if (!LeasesPermitted)
     return StartDelayReason::LeaseNotGranted;
   if (!ClockKnown)
--- a/Source/Shard/StartConditions.h
+++ b/Source/Shard/StartConditions.h
@@ -15,6 +15,7 @@
   bool RetryDue = true;       ///< No delay after an earlier start is left.
   bool Durable = true;
   bool WorkerListFresh = true;
+  bool ClosedZonesFresh = true;
   bool LeasesPermitted = true; ///< The owner may grant leases.
   bool ClockKnown = true;
 
--- a/Source/Shard/StartDelayReason.cpp
+++ b/Source/Shard/StartDelayReason.cpp
@@ -16,6 +16,8 @@
     return "not-durable";
   case StartDelayReason::WorkerListOld:
     return "worker-list-old";
+  case StartDelayReason::ClosedZonesOld:
+    return "closed-zones-old";
   case StartDelayReason::LeaseNotGranted:
     return "lease-not-granted";
   case StartDelayReason::ClockUnknown:
--- a/Source/Shard/StartDelayReason.h
+++ b/Source/Shard/StartDelayReason.h
@@ -13,6 +13,7 @@
   StartRejected,   ///< The worker rejected a start, which is sent again.
   NotDurable,      ///< The placement is not stored yet.
   WorkerListOld,   ///< The list of workers may lack a drain notice.
+  ClosedZonesOld,  ///< An availability zone may have been closed since.
   LeaseNotGranted, ///< The owner's last confirmed write is too old.
   ClockUnknown,    ///< No reading of the worker's clock is known.
 };
--- a/Source/Shard/WorkerSession.cpp
+++ b/Source/Shard/WorkerSession.cpp
@@ -219,16 +219,16 @@
   const auto Id = ActiveRun.Id;
   if (ActiveRun.Phase == RunPhase::Assigned)
     reportStartDelay(Id, State);
-  if (ActiveRun.Phase == RunPhase::Assigned && isDraining()) {
+  const auto Withdrawal = withdrawalReason();
+  if (ActiveRun.Phase == RunPhase::Assigned && Withdrawal) {
     if (!State.StartInFlight && (RunsKnown || !State.Recovered))
-      withdrawStart(Id, State);
+      withdrawStart(Id, State, *Withdrawal);
     return;
   }
-  if (ActiveRun.Phase == RunPhase::Assigned && !State.Recovered &&
-      State.StartsSent == 0 && isHeldBack(Id)) {
+  const bool NeverSent = !State.Recovered && State.StartsSent == 0;
+  if (ActiveRun.Phase == RunPhase::Assigned && NeverSent && isHeldBack(Id)) {
     // Frees the capacity for jobs whose progress can be written.
-    concludeRunOver(Id, RunOverEvidence::NeverSent);
-    SharedContext.OnStateChanged();
+    dropUnsentRun(Id);
     return;
   }
   if (ActiveRun.Phase == RunPhase::Assigned) {
@@ -236,14 +236,14 @@
     if (Known && Leases.canGrant() && !State.StartInFlight &&
         now() >= State.NextStart &&
         SharedContext.Journal.isDurable(State.Assignment) && mayGrantLeases() &&
-        SharedContext.MayStartRuns())
+        SharedContext.Freshness.maySendStarts())
       sendStart(ActiveRun, State);
     return;
   }
   if (ActiveRun.Phase != RunPhase::Stopping)
     return;
-  if (!State.Recovered && State.StartsSent == 0) {
-    withdrawStart(Id, State);
+  if (NeverSent) {
+    dropUnsentRun(Id);
     return;
   }
   if (!State.StopInFlight && !State.EndedIfUnlistedAfter &&
@@ -268,7 +268,8 @@
   Conditions.AnswerPending = State.StartInFlight;
   Conditions.RetryDue = now() >= State.NextStart;
   Conditions.Durable = SharedContext.Journal.isDurable(State.Assignment);
-  Conditions.WorkerListFresh = SharedContext.MayStartRuns();
+  Conditions.WorkerListFresh = SharedContext.Freshness.isWorkerListFresh();
+  Conditions.ClosedZonesFresh = SharedContext.Freshness.areClosedZonesFresh();
   Conditions.LeasesPermitted = SharedContext.MayGrantLeases();
   Conditions.ClockKnown = Leases.canGrant();
   return Conditions;
@@ -279,19 +280,30 @@
   return Job && Job->OnHold;
 }
 
-auto WorkerSession::isDraining() const -> bool {
+auto WorkerSession::withdrawalReason() const
+    -> std::optional<scheduling::StopReason> {
   const auto *Entry = SharedContext.Scheduler.worker(Worker);
-  return Entry && Entry->Report.Draining;
+  if (Entry && Entry->Report.Draining)
+    return scheduling::StopReason::WorkerLeaves;
+  if (Entry && Entry->InClosedZone)
+    return scheduling::StopReason::ZoneClosed;
+  return std::nullopt;
 }
 
-auto WorkerSession::withdrawStart(const RunId &Id, const RunOrders &State)
-    -> void {
+auto WorkerSession::withdrawStart(const RunId &Id, const RunOrders &State,
+                                  scheduling::StopReason Reason) -> void {
+  if (!State.Recovered && State.StartsSent == 0) {
+    dropUnsentRun(Id);
+    return;
+  }
   // A start that was sent may still arrive. After a stop, the worker rejects
   // the run number.
-  if (!State.Recovered && State.StartsSent == 0)
-    concludeRunOver(Id, RunOverEvidence::NeverSent);
-  else
-    SharedContext.Scheduler.stopRun(Id, scheduling::StopReason::WorkerLeaves);
+  SharedContext.Scheduler.stopRun(Id, Reason);
+  SharedContext.OnStateChanged();
+}
+
+auto WorkerSession::dropUnsentRun(const RunId &Id) -> void {
+  concludeRunOver(Id, RunOverEvidence::NeverSent);
   SharedContext.OnStateChanged();
 }
 
@@ -310,10 +322,8 @@
   State.StartInFlight = true;
   ++State.StartsSent;
   SharedContext.Scheduler.runStartSent(ActiveRun.Id);
-  const auto Timeout = SharedContext.Settings.OrderTimeout *
-                       static_cast<int>(std::min(State.StartsSent, 3U));
   SharedContext.Transport.start(
-      target(), Order, Timeout,
+      target(), Order, SharedContext.Settings.startTimeout(State.StartsSent),
       expectReply<OrderReply>([this, Id = ActiveRun.Id](const auto &Reply) {
         onStartReply(Id, Reply);
       }));
--- a/Source/Shard/WorkerSession.h
+++ b/Source/Shard/WorkerSession.h
@@ -3,6 +3,7 @@
 #include "Net/EventLoop.h"
 #include "Scheduling/ShardScheduler.h"
 #include "Shard/EndAcknowledgement.h"
+#include "Shard/FreshnessGuard.h"
 #include "Shard/ProgressJournal.h"
 #include "Shard/RunOverEvidence.h"
 #include "Shard/ShardSettings.h"
@@ -33,13 +34,12 @@
     scheduling::ShardScheduler &Scheduler;
     const ShardSettings &Settings;
     ProgressJournal &Journal;
+    const FreshnessGuard &Freshness;
     std::uint64_t FencingToken = 0;
     /// Number of the session that was created last.
     std::uint64_t LastSessionNumber = 0;
     /// Returns false once leases must not be granted or renewed any more.
     std::function<bool()> MayGrantLeases;
-    /// Returns false while the list of workers may lack a recent drain notice.
-    std::function<bool()> MayStartRuns;
     /// Called when the session has changed the scheduler's state.
     std::function<void()> OnStateChanged;
     /// Called after the session has sent the orders that were due.
@@ -108,11 +108,14 @@
   auto reportStartDelay(const scheduling::RunId &Id, const RunOrders &State)
       -> void;
   auto startConditions(const RunOrders &State) const -> StartConditions;
-  auto isDraining() const -> bool;
+  /// Returns why no start may be sent to the worker; none if one may.
+  auto withdrawalReason() const -> std::optional<scheduling::StopReason>;
   auto isHeldBack(const scheduling::RunId &Id) const -> bool;
   /// Cancels a run whose start was not confirmed.
-  auto withdrawStart(const scheduling::RunId &Id, const RunOrders &State)
-      -> void;
+  auto withdrawStart(const scheduling::RunId &Id, const RunOrders &State,
+                     scheduling::StopReason Reason) -> void;
+  /// Cancels a run of which no start was sent.
+  auto dropUnsentRun(const scheduling::RunId &Id) -> void;
   auto sendStart(const scheduling::Run &ActiveRun, RunOrders &State) -> void;
   auto onStartReply(const scheduling::RunId &Id, const OrderReply &Reply)
       -> void;
--- a/Tests/Platform/EntryHost.cpp
+++ b/Tests/Platform/EntryHost.cpp
@@ -55,6 +55,7 @@
           "limits.max-fds=4100\nheartbeat-ms=1500\nbounds.contact-ms=3000\n"
           "bounds.drain-ms=2000\nbounds.grace-s=6\n"
           "bounds.config-apply-ms=2000\nbounds.revoke-ms=5000\n"
+          "bounds.evacuate-ms=5000\n"
           "bounds.hold-max-ms=10000\nbounds.stop-timeout-ms=900\n"
           "bounds.gang-timeout-ms=3000\nbounds.finish_s=14\n"
           "bounds.status_s=120\nbounds.far-x=3\norders=invocation\n"
--- a/Tests/Platform/OutageStage.cpp
+++ b/Tests/Platform/OutageStage.cpp
@@ -17,6 +17,8 @@
 /// Clocks of workers may be slow by 2 %.
 constexpr double SlowClockRate = 0.98;
 constexpr std::size_t OwnerLineCount = 40;
+constexpr std::int64_t OrderSettleMs = 200;
+constexpr std::int64_t OwnerDownMs = 2000;
 
 const std::array<std::string, FaultPlan::HostCount> HostZones{
     "zone-a", "zone-a", "zone-b", "zone-b", "zone-c", "zone-d"};
@@ -43,16 +45,26 @@
   Stage->Platform.publishConfiguration();
   for (unsigned Rack = 0; Rack < RackCount; ++Rack)
     Stage->Platform.addWorkers(rackName(Rack), WorkersPerRack,
-                               Rack % 2 == 0 ? 1.0 : SlowClockRate);
-  std::map<std::string, std::string> RackByWorker;
-  for (const auto &Worker : Stage->Platform.workers())
-    RackByWorker[Worker->id()] = Worker->rack();
-  Stage->Check = std::make_unique<IdleRoomCheck>(std::move(RackByWorker));
+                               Rack % 2 == 0 ? 1.0 : SlowClockRate,
+                               zoneOfRack(Rack));
+  Stage->lookAtWorkersOutside("");
   BOOST_OUTCOME_TRYV(Stage->startHosts(Folder));
   BOOST_OUTCOME_TRYV(Stage->waitUntilReady());
   return Stage;
 }
 
+auto OutageStage::zoneOfRack(unsigned Rack) -> const std::string & {
+  return Zones[Rack % Zones.size()];
+}
+
+auto OutageStage::lookAtWorkersOutside(const std::string &ClosedZone) -> void {
+  std::map<std::string, std::string> RackByWorker;
+  for (const auto &Worker : Platform.workers())
+    if (Worker->zone() != ClosedZone)
+      RackByWorker[Worker->id()] = Worker->rack();
+  Check = std::make_unique<IdleRoomCheck>(std::move(RackByWorker));
+}
+
 auto OutageStage::startHosts(const std::string &Folder) -> Result<void> {
   for (std::size_t Index = 0; Index < HostZones.size(); ++Index) {
     const auto Name = "edge-" + HostZones[Index] + "-" + std::to_string(Index);
@@ -143,6 +155,44 @@
                 [=](const Recovery &Each) { return Each.AtMs <= SinceMs; });
 }
 
+auto OutageStage::closeZoneAndKillOwner(const std::string &Zone)
+    -> std::int64_t {
+  const auto Index = owner();
+  auto &Host = Hosts[Index];
+  Host.pause();
+  // Until then, workers carry out the orders that the owner has sent.
+  review::sleepMs(OrderSettleMs);
+  Platform.store().put("op", "evacuate/" + Zone, "{}");
+  const auto ClosedMs = Output.elapsedMs();
+  Output.write(Zone + " is closed, " + Host.name() + " is killed");
+  Host.kill();
+  lookAtWorkersOutside(Zone);
+  Recoveries.push_back({Index, ClosedMs - FaultsBeginMs + OwnerDownMs});
+  return ClosedMs;
+}
+
+auto OutageStage::openZone(const std::string &Zone) -> std::int64_t {
+  Platform.store().remove("op", "evacuate/" + Zone);
+  Output.write(Zone + " is open");
+  lookAtWorkersOutside("");
+  return Output.elapsedMs();
+}
+
+auto OutageStage::startsInZone(const std::string &Zone, std::int64_t FromMs,
+                               std::int64_t UntilMs)
+    -> std::vector<std::string> {
+  std::set<std::string> WorkersOfZone;
+  for (const auto &Worker : Platform.workers())
+    if (Worker->zone() == Zone)
+      WorkersOfZone.insert(Worker->id());
+  std::vector<std::string> Found;
+  for (const auto &Run : Platform.history().entries())
+    if (WorkersOfZone.contains(Run.Worker) && Run.StartMs >= FromMs &&
+        Run.StartMs < UntilMs)
+      Found.push_back(review::RunHistory::describe(Run));
+  return Found;
+}
+
 auto OutageStage::isCalm() const -> bool {
   return !IsStoreDown && std::ranges::all_of(Hosts, [](const EntryHost &Host) {
     return Host.state() == EntryHost::State::Running;
--- a/Tests/Platform/OutageStage.h
+++ b/Tests/Platform/OutageStage.h
@@ -14,7 +14,8 @@
 
 namespace jayramp::platform_test {
 
-/// Six entry hosts, the store and 48 workers in 8 racks. One thread plays the
+/// Six entry hosts, the store and 48 workers in 8 racks, of which each zone has
+/// two. One thread plays the
 /// faults and looks for idle room. Never destroyed, because the threads of the
 /// stand-ins use it until the process ends; close() ends the hosts.
 class OutageStage {
@@ -26,6 +27,7 @@
   /// ready. Errors: those of EntryHost::start(); Timeout if a host does not
   /// become ready.
   static auto start(const std::string &Folder) -> Result<OutageStage *>;
+  static auto zoneOfRack(unsigned Rack) -> const std::string &;
   static auto rackName(unsigned Rack) -> std::string {
     return "r" + std::to_string(Rack);
   }
@@ -34,6 +36,17 @@
   auto beginFaults(FaultPlan Plan) -> void;
   /// Plays the faults and looks for idle room for \p DurationMs.
   auto run(std::int64_t DurationMs) -> void;
+  /// Closes a zone while the owner is stopped, and kills the owner before it
+  /// can act on that; the host starts again as after a fault. Returns when the
+  /// store had the request.
+  auto closeZoneAndKillOwner(const std::string &Zone) -> std::int64_t;
+  /// Returns when the store had the withdrawal of the request.
+  auto openZone(const std::string &Zone) -> std::int64_t;
+  /// Returns the runs that began on workers of \p Zone from \p FromMs to
+  /// \p UntilMs.
+  auto startsInZone(const std::string &Zone, std::int64_t FromMs,
+                    std::int64_t UntilMs) -> std::vector<std::string>;
+  auto elapsedMs() const -> std::int64_t { return Output.elapsedMs(); }
   /// Runs until all accepted jobs are shown as completed, or for \p LimitMs.
   /// Returns the jobs that are not.
   auto runUntilCompleted(std::int64_t LimitMs) -> std::vector<std::string>;
@@ -61,6 +74,8 @@
   auto playHostFaults(std::int64_t SinceMs) -> void;
   auto playRecoveries(std::int64_t SinceMs) -> void;
   auto lookForIdleRoom() -> void;
+  /// Idle room is looked for only on workers outside \p ClosedZone.
+  auto lookAtWorkersOutside(const std::string &ClosedZone) -> void;
   auto findDeadHosts() -> void;
   auto isCalm() const -> bool;
   /// Returns the host that took the shard last.
--- a/Tests/Platform/OutageTest.cpp
+++ b/Tests/Platform/OutageTest.cpp
@@ -19,6 +19,8 @@
 /// From the end of the traffic until all jobs are completed.
 constexpr std::int64_t CompletionLimitMs = 25000;
 constexpr unsigned ClientCount = 3;
+/// Longer than bounds.evacuate-ms.
+constexpr std::int64_t ClosedZoneMs = 9000;
 constexpr unsigned FillersPerRack = 2;
 /// So long that a gang that waits for a rack does so until after the outage.
 constexpr std::int64_t RoundFillerMs = 28000;
@@ -177,6 +179,34 @@
   expectNoFindings();
 }
 
+// Guards against a successor that does not know that a zone was closed before
+// it took over: the owner dies between the store's answer to the request and
+// its first decision after it.
+TEST_F(OutageTest, successorStartsTasksInAClosedZone) {
+  constexpr unsigned Rack = 2;
+  const auto &Zone = OutageStage::zoneOfRack(Rack);
+  ASSERT_NO_FATAL_FAILURE(start());
+  const auto SubmitToZone = [&](std::uint64_t Number) {
+    submit(JobPlan::rackFiller(jobId(0, Number), OutageStage::rackName(Rack),
+                               FillersPerRack, 1000));
+  };
+  ASSERT_NO_FATAL_FAILURE(SubmitToZone(1));
+  runTraffic(0, 3000);
+  EXPECT_FALSE(Stage->startsInZone(Zone, 0, Stage->elapsedMs()).empty());
+  // The owner has placed the tasks of this job, or is about to.
+  ASSERT_NO_FATAL_FAILURE(SubmitToZone(2));
+  const auto ClosedMs = Stage->closeZoneAndKillOwner(Zone);
+  ASSERT_NO_FATAL_FAILURE(SubmitToZone(3));
+  runTraffic(1, ClosedZoneMs);
+  const auto OpenedMs = Stage->openZone(Zone);
+  for (const auto &Each : Stage->startsInZone(Zone, ClosedMs, OpenedMs))
+    ADD_FAILURE() << "started in the closed zone: " << Each;
+  for (const auto &Each : Stage->runUntilCompleted(CompletionLimitMs))
+    ADD_FAILURE() << Each;
+  EXPECT_FALSE(Stage->startsInZone(Zone, OpenedMs, Stage->elapsedMs()).empty());
+  expectNoFindings();
+}
+
 } // namespace
 } // namespace jayramp::platform_test
 
--- a/Tests/Shard/OwnerGaugesTest.cpp
+++ b/Tests/Shard/OwnerGaugesTest.cpp
@@ -79,6 +79,29 @@
   EXPECT_EQ(value("jayramp_pool_use{shard=\"pool\"}"), 0);
 }
 
+// Guards against an operator who can't tell when a closed zone is empty, and
+// against a zone that still looks closed after it was opened or the shard lost.
+TEST_F(OwnerGaugesTest, showsWhatIsLeftInClosedZones) {
+  const std::string Labels = "{shard=\"pool\",zone=\"za\"}";
+  Registry.add("w1", "r1", {64000, 128000, 8}, "za");
+  Workers["w1"].WorkTime = Milliseconds(60000);
+  startOwner();
+  submit(job("a"));
+  ASSERT_TRUE(runUntil([&] { return Workers.startsOf("a") == 1; }));
+  for (const bool IsClosed : {true, false, true}) {
+    Owner->setClosedZones(
+        {IsClosed ? std::set<std::string>{"za"} : std::set<std::string>{},
+         Milliseconds(0)});
+    update();
+    EXPECT_EQ(value("jayramp_zone_closed" + Labels), IsClosed ? 1 : 0);
+    EXPECT_EQ(value("jayramp_closed_zone_runs" + Labels), IsClosed ? 1 : 0);
+  }
+  Owner.reset();
+  update();
+  EXPECT_EQ(value("jayramp_zone_closed" + Labels), 0);
+  EXPECT_EQ(value("jayramp_closed_zone_runs" + Labels), 0);
+}
+
 // Guards against walking all jobs at each check of the host.
 TEST_F(OwnerGaugesTest, updatesAtMostOnceASecond) {
   Gauges.update({}, UpdatedAt);
--- a/Tests/Shard/RelayingStoreTest.cpp
+++ b/Tests/Shard/RelayingStoreTest.cpp
@@ -1,6 +1,6 @@
+#include "FakeRelayTransport.h"
 #include "ShardFixture.h"
 
-#include "Relay/RelayCodec.h"
 #include "Relay/RelayServer.h"
 #include "Relay/RelayingStore.h"
 
@@ -12,37 +12,6 @@
 using relay::RelayServer;
 using shard::CallOutcome;
 
-/// Relay transport that calls the relay servers of peers in the same process.
-class FakeRelayTransport final : public relay::RelayTransport {
-public:
-  explicit FakeRelayTransport(net::EventLoop &Loop) : Loop(Loop) {}
-
-  auto add(const std::string &Address, RelayServer &Server) -> void {
-    Servers.emplace(Address, &Server);
-  }
-  auto call(const std::string &Address, const relay::RelayCall &Call,
-            Callback Done) -> void override {
-    ++Calls;
-    const auto Found = Servers.find(Address);
-    if (Found == Servers.end()) {
-      Loop.post([Done] { Done(std::nullopt); });
-      return;
-    }
-    Found->second->handle({"POST", "/relay", {}, relay::encodeRelayCall(Call)},
-                          [this, Done](const net::HttpResponse &Answer) {
-                            auto Reply =
-                                relay::decodeRelayReply(Answer.Body).value();
-                            Loop.post([Done, Reply] { Done(Reply); });
-                          });
-  }
-
-  int Calls = 0;
-
-private:
-  net::EventLoop &Loop;
-  std::map<std::string, RelayServer *> Servers;
-};
-
 /// A host that may lose the store, next to a peer that has its own connection
 /// to the store.
 class RelayingStoreTest : public ShardFixture {
--- a/Tests/Shard/ShardFixture.h
+++ b/Tests/Shard/ShardFixture.h
@@ -3,6 +3,7 @@
 #include "Base/SuspendAwareClock.h"
 #include "FakeRowStore.h"
 #include "FakeWorkers.h"
+#include "Shard/ClosedZones.h"
 #include "Shard/JobGateway.h"
 #include "Shard/ShardOwner.h"
 
@@ -35,11 +36,13 @@
   auto unfreeze() -> void { FrozenAt.reset(); }
 
   auto add(const std::string &Id, const std::string &Rack = "r1",
-           scheduling::Resources Capacity = {64000, 128000, 8}) -> void {
+           scheduling::Resources Capacity = {64000, 128000, 8},
+           const std::string &Zone = {}) -> void {
     scheduling::WorkerReport Report;
     Report.Id = Id;
     Report.Service = "pool";
     Report.Address = Id;
+    Report.Zone = Zone;
     Report.Rack = Rack;
     Report.Capacity = Capacity;
     Report.Incarnation = 1;
@@ -97,6 +100,7 @@
           Owner.reset();
           LostName = Name;
         });
+    Owner->setClosedZones(KnownZones);
     Owner->start();
   }
 
@@ -159,6 +163,7 @@
   shard::JobGateway Gateway;
   shard::ShardSettings Settings;
   shard::ShardRows Rows{"pool"};
+  shard::ClosedZones KnownZones; ///< Of the owner's host, when it starts.
   std::unique_ptr<shard::ShardOwner> Owner;
   std::string LostName;
   std::optional<shard::CallOutcome> LastSubmit;
--- a/Tests/Shard/StartDelayLogTest.cpp
+++ b/Tests/Shard/StartDelayLogTest.cpp
@@ -94,6 +94,8 @@
   EXPECT_EQ(ReasonOf(&StartConditions::Durable, false), Reason::NotDurable);
   EXPECT_EQ(ReasonOf(&StartConditions::WorkerListFresh, false),
             Reason::WorkerListOld);
+  EXPECT_EQ(ReasonOf(&StartConditions::ClosedZonesFresh, false),
+            Reason::ClosedZonesOld);
   EXPECT_EQ(ReasonOf(&StartConditions::LeasesPermitted, false),
             Reason::LeaseNotGranted);
   EXPECT_EQ(ReasonOf(&StartConditions::ClockKnown, false),
--- a/Tests/Shard/WireCodecTest.cpp
+++ b/Tests/Shard/WireCodecTest.cpp
@@ -145,12 +145,13 @@
       "listen-addrs.frontend=10.0.0.1:1\nlisten-addrs.ready=10.0.0.1:2\n"
       "internal-ports=7000,7015\nplatform.address=10.0.0.2:3\n"
       "bounds.grace-s=6\nbounds.hold-max-ms=10000\n"
-      "heartbeat-ms=900\n",
+      "heartbeat-ms=900\nbounds.evacuate-ms=5000\n",
       "file");
   ASSERT_TRUE(Settings.has_value()) << Settings.error().message();
   EXPECT_EQ(Settings.value().FirstInternalPort, 7000);
   EXPECT_EQ(Settings.value().GracePeriodMs, 6000);
   EXPECT_EQ(Settings.value().WorkerHeartbeatMs, 900);
+  EXPECT_EQ(Settings.value().ZoneClosureNoticeMs, 5000);
 }
 
 } // namespace
--- a/review/standins/Cluster.cpp
+++ b/review/standins/Cluster.cpp
@@ -33,13 +33,14 @@
 }
 
 auto Cluster::addWorkers(const std::string &Rack, unsigned Count,
-                         double ClockRate) -> void {
+                         double ClockRate, const std::string &Zone) -> void {
   if (Workers.empty())
     FirstHeartbeatMs = Output.elapsedMs();
   for (unsigned Number = 0; Number < Count; ++Number) {
     const auto Id = "i-" + Rack + "-" + std::to_string(Number);
     Workers.push_back(std::make_unique<WorkerStandIn>(
-        WorkerStandIn::Settings{Id, Service, Rack, ClockRate}, Store, History));
+        WorkerStandIn::Settings{Id, Service, Rack, ClockRate, Zone}, Store,
+        History));
   }
 }
 
--- a/review/standins/Cluster.h
+++ b/review/standins/Cluster.h
@@ -18,8 +18,8 @@
   explicit Cluster(Record &Output) : Output(Output), History(Output) {}
 
   /// Adds \p Count workers in one rack.
-  auto addWorkers(const std::string &Rack, unsigned Count, double ClockRate)
-      -> void;
+  auto addWorkers(const std::string &Rack, unsigned Count, double ClockRate,
+                  const std::string &Zone = "zone-a") -> void;
   /// Publishes a configuration with one queue of priority 1 and one of
   /// priority 0, both with two attempts.
   auto publishConfiguration() -> void;
--- a/review/standins/StoreStandIn.cpp
+++ b/review/standins/StoreStandIn.cpp
@@ -56,6 +56,15 @@
   set({Table, "", Key}, encodeBase64(Value));
 }
 
+auto StoreStandIn::remove(const std::string &Table, const std::string &Key)
+    -> void {
+  std::lock_guard Lock(Mutex);
+  if (isDown("") || versionOf({Table, "", Key}) == 0)
+    return;
+  ++Version;
+  set({Table, "", Key}, std::nullopt);
+}
+
 auto StoreStandIn::setOutage(Outage Next) -> void {
   std::lock_guard Lock(Mutex);
   Current = Next;
--- a/review/standins/StoreStandIn.h
+++ b/review/standins/StoreStandIn.h
@@ -25,6 +25,8 @@
   /// Has no effect while the store is down.
   auto put(const std::string &Table, const std::string &Key,
            const std::string &Value) -> void;
+  /// Removes such a row. Has no effect while the store is down.
+  auto remove(const std::string &Table, const std::string &Key) -> void;
   /// Which partitions are unavailable. Their calls are answered with 503, which
   /// means that nothing was done.
   enum class Outage { None, SomePartitions, All };
--- a/review/standins/WorkerStandIn.cpp
+++ b/review/standins/WorkerStandIn.cpp
@@ -121,7 +121,7 @@
   std::lock_guard Lock(Mutex);
   json Entry{{"service", Options.Service},
              {"address", Address},
-             {"zone", "zone-a"},
+             {"zone", Options.Zone},
              {"version", "v1"},
              {"slots", 8},
              {"state", LeavesAt ? "draining" : "ready"},
--- a/review/standins/WorkerStandIn.h
+++ b/review/standins/WorkerStandIn.h
@@ -30,12 +30,14 @@
     std::string Rack;
     /// Speed of the worker's clock; 0.98 is the slowest that is allowed.
     double ClockRate = 1.0;
+    std::string Zone = "zone-a";
   };
 
   WorkerStandIn(Settings Options, StoreStandIn &Store, RunHistory &History);
 
   auto id() const -> const std::string & { return Options.Id; }
   auto rack() const -> const std::string & { return Options.Rack; }
+  auto zone() const -> const std::string & { return Options.Zone; }
   /// Cuts the worker off from the system's hosts, or ends that. A worker that
   /// is cut off answers no call and carries none out, but works on and reaches
   /// the store.
