scheduling: learned speeds of single workers; decisions are logged in one file

Change: how much the groups of a level differ is learned too, so that single slow workers show after a few runs; the row for a successor names them by a checksum; runs are measured from their confirmed start. Gangs look at all allowed workers once before alike ones. The outage test closes an availability zone in each round.

--- a/Source/Scheduling/LayoutSearch.cpp
+++ b/Source/Scheduling/LayoutSearch.cpp
@@ -22,23 +22,21 @@
 auto LayoutSearch::cheapestLayout(const TaskGroup &Group,
                                   ResourceSource Source) const
     -> std::optional<Layout> {
+  auto OnAnyWorkers = cheapestLayoutWithin(Group.AllowedSpeeds, Group, Source);
   // Tasks that run far from their data are slowed down by more than the speed
   // of their workers.
   const bool IsPlacedByClass = Group.spec().Gang &&
                                Group.spec().DataRack.empty() &&
                                Source != ResourceSource::WithVictims;
-  if (!IsPlacedByClass || Workers.speedClasses().size() <= 1)
-    return cheapestLayoutWithin(Group.AllowedSpeeds, Group, Source);
-  std::optional<Layout> BestLayout;
+  if (!OnAnyWorkers || !IsPlacedByClass || Workers.speedClasses().size() <= 1)
+    return OnAnyWorkers;
   for (const auto &Speeds : Group.Speeds.rangesForGang(Workers.speedClasses(),
                                                        Group.AllowedSpeeds)) {
     auto Result = cheapestLayoutWithin(Speeds, Group, Source);
     if (Result && Result->Cost < RecentFailureCost)
       return Result;
-    if (Result && (!BestLayout || Result->Cost < BestLayout->Cost))
-      BestLayout = std::move(Result);
   }
-  return BestLayout;
+  return OnAnyWorkers;
 }
 
 auto LayoutSearch::cheapestLayoutWithin(const SpeedRange &Speeds,
--- a/Source/Scheduling/Run.h
+++ b/Source/Scheduling/Run.h
@@ -52,6 +52,7 @@
   /// Where the next measurement of the run's speed begins, if its progress is
   /// known there.
   std::optional<ProgressMark> MeasuredFrom = std::nullopt;
+  bool IsMeasured = false; ///< A part of the run was measured.
 };
 
 } // namespace jayramp::scheduling
--- a/Source/Scheduling/RunTimeModel.cpp
+++ b/Source/Scheduling/RunTimeModel.cpp
@@ -30,9 +30,6 @@
 /// How much the tasks of a step differ is learned only where the time of a run
 /// can be predicted with at most this variance otherwise.
 constexpr double MaxVarianceForDeviation = 0.1;
-/// A part of a run tells nearly as much as the whole run, as the rest of the
-/// run is like it. This is the number of runs that the parts of one count as.
-constexpr double RunsPerPart = 2.0;
 
 auto seconds(Clock::duration Duration) -> double {
   return std::chrono::duration<double>(Duration).count();
@@ -68,12 +65,14 @@
   });
 }
 
-/// Returns where the measurement that ends with the success of a run begins.
+/// Returns where the next measurement of the run begins, which may be its start
+/// if no report has told of it yet.
 auto measuredFrom(const Run &LiveRun) -> std::optional<ProgressMark> {
   if (LiveRun.MeasuredFrom)
     return LiveRun.MeasuredFrom;
+  // The members of a gang wait for each other after their start.
   const bool WasReported = LiveRun.LastReportAt != LiveRun.StartedAt;
-  if (!LiveRun.IsFresh || WasReported)
+  if (!LiveRun.IsFresh || WasReported || stepOf(LiveRun).Gang)
     return std::nullopt;
   return ProgressMark{0, LiveRun.StartedAt};
 }
@@ -116,12 +115,14 @@
   // A member of a gang may have been done long before the others.
   if (Percent >= CompletePercent)
     return;
-  if (LiveRun.MeasuredFrom) {
+  LiveRun.MeasuredFrom = measuredFrom(LiveRun);
+  if (LiveRun.MeasuredFrom && LiveRun.MeasuredFrom->At < Now) {
     const auto Progress = Percent - LiveRun.MeasuredFrom->Percent;
     const auto Elapsed = Now - LiveRun.MeasuredFrom->At;
     if (Progress < MinMeasuredPercent || Elapsed < MinMeasuredTime)
       return;
     recordMeasurement(LiveRun, Worker, Progress, Elapsed, Now);
+    LiveRun.IsMeasured = true;
   }
   LiveRun.MeasuredFrom = ProgressMark{Percent, Now};
 }
@@ -154,7 +155,9 @@
   const auto Path = Speeds.pathOf(Worker);
   const auto Part = static_cast<double>(Percent) / CompletePercent;
   const auto LogTime = std::log(seconds(Elapsed) / Part);
-  const auto Runs = std::min(Part * RunsPerPart, 1.0);
+  // The rest of a run is like its first part, so that tells nearly as much as
+  // the whole run.
+  const auto Runs = LiveRun.IsMeasured ? Part : 1.0;
   const auto Expected = Kinds.expected(Job.Spec, Step);
   const StepWork::Measurement Measured{Speeds.estimate(Path), LogTime, Runs};
   recordDeviation(Job.Spec, Step, Work, Expected, Measured, Now);
--- a/Source/Scheduling/SpeedPreference.cpp
+++ b/Source/Scheduling/SpeedPreference.cpp
@@ -65,7 +65,7 @@
     -> std::vector<SpeedRange> {
   const auto Alike = rangesOfAlike(Classes, Allowed);
   if (Alike.size() <= 1)
-    return {Allowed};
+    return {};
   const auto HasSlack = [this](const SpeedRange &Range) {
     return Range.Slowest <= SlowestWithSlack;
   };
@@ -77,6 +77,7 @@
     Ranges.push_back({Ranges.back().Fastest, Ranges.front().Slowest});
   for (auto Range = FirstWithoutSlack; Range != Alike.end(); ++Range)
     Ranges.push_back({Alike.front().Fastest, Range->Slowest});
+  Ranges.pop_back();
   return Ranges;
 }
 
--- a/Source/Scheduling/SpeedPreference.h
+++ b/Source/Scheduling/SpeedPreference.h
@@ -55,9 +55,9 @@
   /// the slowest.
   auto rankOf(SpeedClass Class) const -> int;
   /// Returns the ranges in which a gang is tried, in order. A gang is as slow
-  /// as its slowest member, so ranges grow from the class that is tried first.
-  /// \p Classes is sorted and without duplicates; classes that \p Allowed
-  /// leaves out are not used.
+  /// as its slowest member, so alike workers come before mixtures. The last
+  /// range, all allowed classes, is left out. \p Classes is sorted and without
+  /// duplicates; classes that \p Allowed leaves out are not used.
   auto rangesForGang(const std::vector<SpeedClass> &Classes,
                      const SpeedRange &Allowed) const
       -> std::vector<SpeedRange>;
--- a/Source/Scheduling/WorkKinds.cpp
+++ b/Source/Scheduling/WorkKinds.cpp
@@ -53,13 +53,13 @@
 constexpr double MinVariance = 0.01;
 /// Variance among the tasks of a step, before it is learned.
 constexpr double PriorTaskVariance = 0.03;
-constexpr double MinTaskVariance = 0.02;
+constexpr double MinTaskVariance = 0.01;
 /// Runs that the prior weighs as much as.
 constexpr double PriorRuns = 20.0;
 /// What is expected is learned from this many to twice this many latest steps.
 constexpr std::size_t MinStepsKept = 200;
 /// The same for the runs that tell how much tasks of a step differ.
-constexpr std::size_t MinRunsKept = 400;
+constexpr std::size_t MinRunsKept = 100;
 
 auto logEstimate(const StepSpec &Step) -> double {
   const auto Declared =
--- a/Source/Scheduling/WorkKinds.h
+++ b/Source/Scheduling/WorkKinds.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <tuple>
 
 namespace jayramp::scheduling {
 
@@ -23,7 +24,13 @@
 
   static auto of(const JobSpec &Job, const StepSpec &Step) -> WorkKind;
 
-  auto operator<=>(const WorkKind &) const = default;
+  friend auto operator==(const WorkKind &, const WorkKind &) -> bool = default;
+  friend auto operator<(const WorkKind &Left, const WorkKind &Right) -> bool {
+    return std::tie(Left.Queue, Left.CpuOctave, Left.MemoryOctave, Left.Gpus,
+                    Left.Gang) < std::tie(Right.Queue, Right.CpuOctave,
+                                          Right.MemoryOctave, Right.Gpus,
+                                          Right.Gang);
+  }
 };
 
 /// Learns, for each kind of work, how much work its tasks are and how far the
--- a/Source/Scheduling/WorkerSpeeds.cpp
+++ b/Source/Scheduling/WorkerSpeeds.cpp
@@ -16,22 +16,24 @@
 /// forgotten.
 struct LevelTraits {
   /// Variance of the logarithm among the groups within one group of the level
-  /// above.
-  double Variance;
+  /// above, before it is learned.
+  double PriorVariance;
   /// Weights are inverse variances.
   DecayingMean::Memory Memory;
-  /// A single run changes the estimate by at most this, so that one task with
-  /// far more work than the others of its step has little effect.
+  double MaxRecentWeight; ///< Of the measurements that show a change.
+  /// A single run changes the estimate by at most this, or by what is usual at
+  /// the level, so that one task with far more work than the others of its step
+  /// has little effect.
   double MaxDeviation;
 };
 
 // Zones may consist of different hardware generations. Racks and workers of one
 // kind differ little unless one of them has a fault, which few runs must show.
 constexpr std::array<LevelTraits, SpeedLevelCount> Traits = {{
-    {0.25, {120, 3000}, 1.0},
-    {0.04, {120, 2000}, 1.0},
-    {0.02, {30, 1000}, 1.0},
-    {0.04, {15, 80}, 0.6},
+    {0.25, {120, 800}, 150, 1.0},
+    {0.04, {120, 600}, 100, 1.0},
+    {0.02, {30, 400}, 80, 1.0},
+    {0.05, {15, 100}, 40, 0.6},
 }};
 
 /// Speeds are used once two zones differ by this factor, which can decide
@@ -53,12 +55,24 @@
 /// The same while speeds are used.
 constexpr double ReleaseMargin = 1.0;
 
+/// Bounds of the variances that are learned.
+constexpr double MinLevelVariance = 0.005;
+constexpr double MaxLevelVariance = 0.5;
+/// Groups that the prior variance weighs as much as.
+constexpr double PriorGroups = 8.0;
+/// Usual deviations are up to this many standard deviations.
+constexpr double UsualDeviation = 2.5;
+
+/// A group has changed if its recent measurements differ from all of them by
+/// this many standard deviations, and by this in the logarithm.
+constexpr double ChangeMargin = 3.0;
+constexpr double MinChange = 0.15;
 /// Weight of what another owner has learned.
 constexpr double RestoredWeight = 100.0;
 /// Smallest deviations, in hundredths of the logarithm, with which a summary
 /// contains a kind or a rack, and a worker.
-constexpr std::int32_t MinGroupDeviation = 10;
-constexpr std::int32_t MinWorkerDeviation = 25;
+constexpr std::int32_t MinStoredGroupDeviation = 10;
+constexpr std::int32_t MinStoredWorkerDeviation = 25;
 constexpr double CentsPerUnit = 100.0;
 
 constexpr double Unbounded = std::numeric_limits<double>::infinity();
@@ -74,12 +88,22 @@
   return Name;
 }
 
+auto recentMemory(const LevelTraits &Limits) -> DecayingMean::Memory {
+  return {Limits.Memory.TimeConstantSeconds, Limits.MaxRecentWeight};
+}
+
 auto toCents(double Value) -> std::int32_t {
   return static_cast<std::int32_t>(std::lround(Value * CentsPerUnit));
 }
 
 } // namespace
 
+WorkerSpeeds::WorkerSpeeds() {
+  for (const auto Which : AllSpeedLevels)
+    level(Which).Variance =
+        Traits[static_cast<std::size_t>(Which)].PriorVariance;
+}
+
 auto WorkerSpeeds::pathOf(const WorkerEntry &Worker) -> const SpeedPath & {
   const auto &Report = Worker.Report;
   auto &Workers = level(SpeedLevel::Worker);
@@ -118,11 +142,11 @@
   Group Added;
   Added.Path = Path;
   Added.LogFactor = parentLogFactor(Which, Added);
-  Added.Variance = Traits[Position].Variance;
-  if (const auto Known = Restored[Position].extract(Name))
-    Added.Measured.add(Known.mapped(), RestoredWeight, RestoredAt,
+  Added.Variance = Target.Variance;
+  if (const auto Known = takeRestored(Which, Name))
+    Added.Measured.add(*Known, RestoredWeight, RestoredAt,
                        Traits[Position].Memory);
-  Target.Groups[Entry->second] = std::move(Added);
+  Target.Groups[Entry->second] = Added;
 }
 
 auto WorkerSpeeds::record(SpeedLevel Which, const SpeedPath &Path,
@@ -132,14 +156,17 @@
   auto &Target = level(Which).Groups[Path[Position]];
   const auto Expected = Target.LogFactor;
   const auto &Limits = Traits[Position];
-  Target.Measured.add(std::clamp(LogFactor, Expected - Limits.MaxDeviation,
-                                 Expected + Limits.MaxDeviation),
-                      Weight, Now, Limits.Memory);
+  const auto MaxDeviation = std::max(
+      Limits.MaxDeviation, UsualDeviation * std::sqrt(level(Which).Variance));
+  const auto Bounded =
+      std::clamp(LogFactor, Expected - MaxDeviation, Expected + MaxDeviation);
+  Target.Measured.add(Bounded, Weight, Now, Limits.Memory);
+  Target.Recent.add(Bounded, Weight, Now, recentMemory(Limits));
 }
 
 auto WorkerSpeeds::forgetWorker(const std::string &Id) -> void {
   auto &Workers = level(SpeedLevel::Worker);
-  Restored.back().erase(Id);
+  takeRestored(SpeedLevel::Worker, Id);
   const auto Found = Workers.Indices.find(Id);
   if (Found == Workers.Indices.end())
     return;
@@ -153,6 +180,7 @@
   for (const auto &[Id, Entry] : Workers)
     if (Entry.Registered)
       pathOf(Entry);
+  detectChanges(Now);
   estimateGroups(Now);
   centre(Workers);
   const bool AnySlow = updateSlowWorkers();
@@ -160,20 +188,57 @@
            doGroupsDeviate(SpeedLevel::Rack);
 }
 
+auto WorkerSpeeds::detectChanges(TimePoint Now) -> void {
+  for (const auto Which : AllSpeedLevels) {
+    const auto &Limits = Traits[static_cast<std::size_t>(Which)];
+    const auto RecentLimits = recentMemory(Limits);
+    for (const auto &[Name, Index] : level(Which).Indices) {
+      auto &Each = level(Which).Groups[Index];
+      const auto Weight = Each.Measured.weight(Now, Limits.Memory);
+      const auto RecentWeight = Each.Recent.weight(Now, RecentLimits);
+      if (RecentWeight <= 0 || Weight <= RecentWeight)
+        continue;
+      const auto Change = std::abs(Each.Recent.mean() - Each.Measured.mean());
+      if (Change >= MinChange &&
+          Change >= ChangeMargin * std::sqrt(1 / Weight + 1 / RecentWeight))
+        Each.Measured = Each.Recent;
+    }
+  }
+}
+
 auto WorkerSpeeds::estimateGroups(TimePoint Now) -> void {
   for (const auto Which : AllSpeedLevels) {
+    updateVariance(Which, Now);
     const auto &Limits = Traits[static_cast<std::size_t>(Which)];
     for (const auto &[Name, Index] : level(Which).Indices) {
       auto &Each = level(Which).Groups[Index];
       const auto Parent = parentLogFactor(Which, Each);
       const auto Weight = Each.Measured.weight(Now, Limits.Memory);
-      Each.Variance = 1 / (1 / Limits.Variance + Weight);
+      Each.Variance = 1 / (1 / level(Which).Variance + Weight);
       Each.LogFactor =
           Parent + Weight * Each.Variance * (Each.Measured.mean() - Parent);
     }
   }
 }
 
+auto WorkerSpeeds::updateVariance(SpeedLevel Which, TimePoint Now) -> void {
+  const auto &Limits = Traits[static_cast<std::size_t>(Which)];
+  auto &Target = level(Which);
+  double Sum = PriorGroups * Limits.PriorVariance;
+  double Count = PriorGroups;
+  for (const auto &[Name, Index] : Target.Indices) {
+    const auto &Each = Target.Groups[Index];
+    const auto Weight = Each.Measured.weight(Now, Limits.Memory);
+    // Groups that are hardly measured tell nothing.
+    if (Weight * Limits.PriorVariance < 1)
+      continue;
+    const auto Deviation = Each.Measured.mean() - parentLogFactor(Which, Each);
+    Sum += Deviation * Deviation - 1 / Weight;
+    ++Count;
+  }
+  Target.Variance = std::clamp(Sum / Count, MinLevelVariance, MaxLevelVariance);
+}
+
 auto WorkerSpeeds::parentLogFactor(SpeedLevel Which, const Group &Member) const
     -> double {
   if (Which == SpeedLevel::Zone)
@@ -253,10 +318,19 @@
 }
 
 auto WorkerSpeeds::zoneFactors() const -> std::map<std::string, double> {
-  std::map<std::string, double> Factors;
   const auto &Zones = level(SpeedLevel::Zone);
+  const auto &Workers = level(SpeedLevel::Worker);
+  std::vector<double> Sums(Zones.Groups.size());
+  std::vector<double> Counts(Zones.Groups.size());
+  for (const auto &[Id, Index] : Workers.Indices) {
+    const auto Zone = Workers.Groups[Index].Path.front();
+    Sums[Zone] += Workers.Groups[Index].LogFactor;
+    ++Counts[Zone];
+  }
+  std::map<std::string, double> Factors;
   for (const auto &[Name, Index] : Zones.Indices)
-    Factors[Name] = std::exp(Zones.Groups[Index].LogFactor);
+    if (Counts[Index] > 0)
+      Factors[Name] = std::exp(Sums[Index] / Counts[Index]);
   return Factors;
 }
 
@@ -282,22 +356,20 @@
   SpeedSummary Known;
   if (!Differ)
     return Known;
-  for (const auto Which : AllSpeedLevels) {
-    const auto Entries = entriesOf(Which);
-    Known.Entries.insert(Known.Entries.end(), Entries.begin(), Entries.end());
+  for (const auto Which :
+       {SpeedLevel::Zone, SpeedLevel::Kind, SpeedLevel::Rack}) {
+    const auto Groups = groupsOf(Which);
+    Known.Groups.insert(Known.Groups.end(), Groups.begin(), Groups.end());
   }
+  Known.SlowWorkers = slowestWorkers();
   return Known;
 }
 
-auto WorkerSpeeds::entriesOf(SpeedLevel Which) const
-    -> std::vector<SpeedSummary::Entry> {
-  const auto MinDeviation = Which == SpeedLevel::Zone     ? 0
-                            : Which == SpeedLevel::Worker ? MinWorkerDeviation
-                                                          : MinGroupDeviation;
-  struct Candidate {
-    std::int32_t Deviation;
-    SpeedSummary::Entry Entry;
-  };
+auto WorkerSpeeds::groupsOf(SpeedLevel Which) const
+    -> std::vector<SpeedSummary::Group> {
+  const auto MinDeviation =
+      Which == SpeedLevel::Zone ? 0 : MinStoredGroupDeviation;
+  using Candidate = std::pair<std::int32_t, SpeedSummary::Group>;
   std::vector<Candidate> Candidates;
   for (const auto &[Name, Index] : level(Which).Indices) {
     const auto &Each = level(Which).Groups[Index];
@@ -305,37 +377,66 @@
     if (Deviation >= MinDeviation)
       Candidates.push_back({Deviation, {Which, Name, toCents(Each.LogFactor)}});
   }
-  if (Candidates.size() > SpeedSummary::MaxEntriesPerLevel) {
-    std::sort(Candidates.begin(), Candidates.end(),
-              [](const Candidate &Left, const Candidate &Right) {
-                return Left.Deviation > Right.Deviation;
-              });
-    Candidates.resize(SpeedSummary::MaxEntriesPerLevel);
-  }
-  std::vector<SpeedSummary::Entry> Entries;
-  for (auto &Each : Candidates)
-    Entries.push_back(std::move(Each.Entry));
-  std::sort(Entries.begin(), Entries.end(),
+  std::sort(Candidates.begin(), Candidates.end(),
+            [](const auto &Left, const auto &Right) {
+              return Left.first > Right.first;
+            });
+  Candidates.resize(
+      std::min(Candidates.size(), SpeedSummary::MaxGroupsPerLevel));
+  std::sort(Candidates.begin(), Candidates.end(),
             [](const auto &Left, const auto &Right) {
-              return Left.Group < Right.Group;
+              return Left.second.Name < Right.second.Name;
             });
-  return Entries;
+  std::vector<SpeedSummary::Group> Groups;
+  for (auto &Each : Candidates)
+    Groups.push_back(std::move(Each.second));
+  return Groups;
+}
+
+auto WorkerSpeeds::slowestWorkers() const
+    -> std::map<std::uint32_t, std::int32_t> {
+  std::vector<std::pair<std::int32_t, std::uint32_t>> Slowest;
+  for (const auto &[Id, Index] : level(SpeedLevel::Worker).Indices) {
+    const auto &Each = level(SpeedLevel::Worker).Groups[Index];
+    if (toCents(deviation(SpeedLevel::Worker, Each)) >=
+        MinStoredWorkerDeviation)
+      Slowest.emplace_back(toCents(Each.LogFactor),
+                           SpeedSummary::workerHash(Id));
+  }
+  std::sort(Slowest.rbegin(), Slowest.rend());
+  Slowest.resize(std::min(Slowest.size(), SpeedSummary::MaxSlowWorkers));
+  std::map<std::uint32_t, std::int32_t> Factors;
+  for (const auto &[LogCents, Hash] : Slowest)
+    Factors.emplace(Hash, LogCents);
+  return Factors;
 }
 
 auto WorkerSpeeds::restore(const SpeedSummary &Known, TimePoint Now) -> void {
   RestoredAt = Now;
   Differ = Differ || !Known.isEmpty();
-  for (const auto &Each : Known.Entries) {
-    const auto Position = static_cast<std::size_t>(Each.Level);
-    const auto LogFactor = Each.LogCents / CentsPerUnit;
-    auto &Target = Levels[Position];
-    if (const auto Found = Target.Indices.find(Each.Group);
-        Found != Target.Indices.end())
-      Target.Groups[Found->second].Measured.add(LogFactor, RestoredWeight, Now,
-                                                Traits[Position].Memory);
-    else
-      Restored[Position][Each.Group] = LogFactor;
+  for (const auto &Each : Known.Groups)
+    Restored[static_cast<std::size_t>(Each.Level)][Each.Name] =
+        Each.LogCents / CentsPerUnit;
+  for (const auto &[Hash, LogCents] : Known.SlowWorkers)
+    RestoredWorkers[Hash] = LogCents / CentsPerUnit;
+  for (const auto Which : AllSpeedLevels)
+    for (const auto &[Name, Index] : level(Which).Indices)
+      if (const auto LogFactor = takeRestored(Which, Name))
+        level(Which).Groups[Index].Measured.add(
+            *LogFactor, RestoredWeight, Now,
+            Traits[static_cast<std::size_t>(Which)].Memory);
+}
+
+auto WorkerSpeeds::takeRestored(SpeedLevel Which, const std::string &Name)
+    -> std::optional<double> {
+  if (Which != SpeedLevel::Worker) {
+    const auto Known = Restored[static_cast<std::size_t>(Which)].extract(Name);
+    return Known ? std::optional(Known.mapped()) : std::nullopt;
   }
+  if (RestoredWorkers.empty())
+    return std::nullopt;
+  const auto Known = RestoredWorkers.extract(SpeedSummary::workerHash(Name));
+  return Known ? std::optional(Known.mapped()) : std::nullopt;
 }
 
 auto WorkerSpeeds::logFactor(const WorkerEntry &Worker) const -> double {
--- a/Source/Scheduling/WorkerSpeeds.h
+++ b/Source/Scheduling/WorkerSpeeds.h
@@ -25,6 +25,8 @@
 /// and reads no clock.
 class WorkerSpeeds {
 public:
+  WorkerSpeeds();
+
   // Commands.
 
   /// Returns the groups of \p Worker and adds those that are new.
@@ -47,7 +49,8 @@
   auto summary() const -> SpeedSummary;
   /// Returns whether groups or workers differ by more than noise.
   auto differ() const -> bool { return Differ; }
-  /// Returns the time factors of all zones by name.
+  /// Returns the geometric means of the time factors of the workers in each
+  /// zone, by name.
   auto zoneFactors() const -> std::map<std::string, double>;
   /// Returns the time factors of the workers that are slower than their rack
   /// beyond noise, by id.
@@ -69,6 +72,7 @@
     std::size_t RackNumber = 0; ///< Worker only.
     SpeedPath Path{};           ///< Of its groups up to its own level.
     DecayingMean Measured;
+    DecayingMean Recent;  ///< Of the latest of these measurements.
     double LogFactor = 0; ///< Of the time, relative to a typical worker.
     double Variance = 0;  ///< Of LogFactor, relative to the group above.
     bool Slow = false;    ///< Worker only: slower than its rack beyond noise.
@@ -78,6 +82,9 @@
     std::vector<Group> Groups;
     std::unordered_map<std::string, std::uint32_t> Indices; ///< By name.
     std::vector<std::uint32_t> FreeIndices;
+    /// Of the logarithm of the time factor, among the groups within one group
+    /// of the level above.
+    double Variance = 0;
   };
 
   /// Enters the index of the group called \p Name into \p Path.
@@ -88,6 +95,10 @@
   auto level(SpeedLevel Which) const -> const Level & {
     return Levels[static_cast<std::size_t>(Which)];
   }
+  /// Forgets the earlier measurements of groups whose speed has changed.
+  auto detectChanges(TimePoint Now) -> void;
+  /// Learns from the measurements how much the groups at a level differ.
+  auto updateVariance(SpeedLevel Which, TimePoint Now) -> void;
   auto estimateGroups(TimePoint Now) -> void;
   /// Makes the mean of all workers the typical worker.
   auto centre(const std::map<std::string, WorkerEntry> &Workers) -> void;
@@ -104,12 +115,19 @@
   /// Returns how far the logarithm of the time factor of a group is from that
   /// of the group above it.
   auto deviation(SpeedLevel Which, const Group &Member) const -> double;
-  /// Returns the entries of a level for summary().
-  auto entriesOf(SpeedLevel Which) const -> std::vector<SpeedSummary::Entry>;
+  /// Returns the groups of a level for summary().
+  auto groupsOf(SpeedLevel Which) const -> std::vector<SpeedSummary::Group>;
+  /// Returns the workers for summary().
+  auto slowestWorkers() const -> std::map<std::uint32_t, std::int32_t>;
+  /// Returns what restore() was told of a new group.
+  auto takeRestored(SpeedLevel Which, const std::string &Name)
+      -> std::optional<double>;
 
   std::array<Level, SpeedLevelCount> Levels;
   /// What restore() was told of groups that are not known yet, by name.
   std::array<std::unordered_map<std::string, double>, SpeedLevelCount> Restored;
+  /// The same of workers, by SpeedSummary::workerHash().
+  std::unordered_map<std::uint32_t, double> RestoredWorkers;
   TimePoint RestoredAt;
   bool Differ = false;
 };
--- a/Source/Shard/ShardOwner.cpp
+++ b/Source/Shard/ShardOwner.cpp
@@ -3,6 +3,7 @@
 #include "Base/EventLog.h"
 #include "Base/SuspendAwareClock.h"
 #include "Shard/ClosedZones.h"
+#include "Shard/DecisionLog.h"
 
 #include <algorithm>
 #include <set>
@@ -20,9 +21,6 @@
 /// Orders of several sessions that are due within this time are sent together.
 constexpr Milliseconds OrderBatchInterval{10};
 constexpr Milliseconds TickInterval{100};
-/// Seconds after which a task that waits beside room for it is logged as a
-/// warning.
-constexpr double MaxWaitBesideRoom = 3.0;
 /// If the last successful heartbeat is older than this, writes to the journal
 /// check whether this process still owns the shard.
 constexpr Milliseconds MaxHeartbeatAge{1000};
@@ -297,8 +295,7 @@
     return;
   const auto Begin = Clock::now();
   Scheduler.schedule(Begin);
-  logDecisions();
-  logWaits();
+  logDecisions(Scheduler);
   const auto End = Clock::now();
   NextDecision = End + (End - Begin) * DecisionPauseFactor;
   // Orders may change the scheduler's state again, which needs another pass.
@@ -309,46 +306,6 @@
   scheduleDecision();
 }
 
-auto ShardOwner::logDecisions() -> void {
-  for (const auto &Placed : Scheduler.takePlacementDecisions()) {
-    logEvent(LogLevel::Info, "tasks-placed",
-             {{"job", Placed.Job},
-              {"step", std::to_string(Placed.Step)},
-              {"run", std::to_string(Placed.Run)},
-              {"tasks", std::to_string(Placed.Tasks)},
-              {"racks", std::to_string(Placed.Racks)},
-              {"waited-s", std::to_string(Placed.WaitedSeconds)}});
-    if (Placed.Speed)
-      logEvent(LogLevel::Info, "placed-by-speed",
-               {{"job", Placed.Job},
-                {"step", std::to_string(Placed.Step)},
-                {"reason", std::string(toString(*Placed.Speed))},
-                {"time-factor", std::to_string(Placed.TimeFactor)}});
-  }
-  for (const auto &Stop : Scheduler.takeStopDecisions())
-    logEvent(LogLevel::Info, "task-stopped",
-             {{"run", toString(Stop.Run)},
-              {"worker", Stop.Worker},
-              {"reason", std::string(toString(Stop.Reason))},
-              {"for", Stop.PreemptingJob},
-              {"percent", std::to_string(Stop.ProgressPercent)}});
-}
-
-auto ShardOwner::logWaits() -> void {
-  for (const auto &Wait : Scheduler.takeWaitReports()) {
-    const bool IsUnexpected =
-        isBesideRoom(Wait.Reason) && Wait.WaitedSeconds >= MaxWaitBesideRoom;
-    logEvent(IsUnexpected ? LogLevel::Warning : LogLevel::Info, "tasks-waiting",
-             {{"job", Wait.Job},
-              {"step", std::to_string(Wait.Step)},
-              {"tasks", std::to_string(Wait.Tasks)},
-              {"reason", std::string(toString(Wait.Reason))},
-              {"room-for", std::to_string(Wait.RoomFor)},
-              {"pool-use", std::to_string(Wait.PoolUse)},
-              {"waited-s", std::to_string(Wait.WaitedSeconds)}});
-  }
-}
-
 auto ShardOwner::onCommitted(const std::vector<std::string> &Jobs) -> void {
   sendOrders(Schedule.takeAwaiting(Jobs));
 }
--- a/Source/Shard/ShardOwner.h
+++ b/Source/Shard/ShardOwner.h
@@ -77,8 +77,6 @@
   /// Makes a decision soon if the scheduler needs one.
   auto scheduleDecision() -> void;
   auto decide() -> void;
-  auto logDecisions() -> void;
-  auto logWaits() -> void;
   /// Lets the sessions of \p Workers send their orders.
   auto sendOrders(const std::set<std::string> &Workers) -> void;
   auto removeSession(const std::string &Worker) -> void;
--- a/Source/Shard/ShardRows.cpp
+++ b/Source/Shard/ShardRows.cpp
@@ -3,7 +3,6 @@
 #include "jayramp/shard/v1/shard.pb.h"
 
 #include <algorithm>
-#include <cstdlib>
 
 namespace jayramp::shard {
 
@@ -68,6 +67,13 @@
   return Spec;
 }
 
+/// Returns whether a stored logarithm of a time factor can be right: workers
+/// that differ by more than a factor of e^5 do not work.
+auto isPlausibleLogCents(std::int32_t LogCents) -> bool {
+  constexpr std::int32_t MaxLogCents = 500;
+  return LogCents >= -MaxLogCents && LogCents <= MaxLogCents;
+}
+
 } // namespace
 
 auto ShardRows::jobKey(const std::string &Intake, const std::string &Id)
@@ -269,33 +275,43 @@
 
 auto encodeSpeeds(const scheduling::SpeedSummary &Speeds) -> std::string {
   rows::SpeedRow Row;
-  for (const auto &Each : Speeds.Entries) {
+  for (const auto &Each : Speeds.Groups) {
     auto &Group = *Row.add_groups();
     Group.set_level(static_cast<rows::SpeedLevel>(Each.Level));
-    Group.set_group(Each.Group);
+    Group.set_name(Each.Name);
     Group.set_log_cents(Each.LogCents);
   }
+  for (const auto &[Hash, LogCents] : Speeds.SlowWorkers) {
+    Row.add_slow_workers(Hash);
+    Row.add_slow_worker_log_cents(LogCents);
+  }
   return Row.SerializeAsString();
 }
 
 auto decodeSpeeds(const std::string &Value)
     -> Result<scheduling::SpeedSummary> {
-  // Workers that differ by more than a factor of e^5 do not work.
-  constexpr std::int32_t MaxLogCents = 500;
+  using scheduling::SpeedSummary;
+  constexpr auto MaxGroups = static_cast<int>(
+      (scheduling::SpeedLevelCount - 1) * SpeedSummary::MaxGroupsPerLevel);
+  constexpr auto MaxWorkers = static_cast<int>(SpeedSummary::MaxSlowWorkers);
   rows::SpeedRow Row;
-  constexpr auto MaxGroups =
-      static_cast<int>(scheduling::SpeedLevelCount *
-                       scheduling::SpeedSummary::MaxEntriesPerLevel);
-  if (!Row.ParseFromString(Value) || Row.groups_size() > MaxGroups)
+  if (!Row.ParseFromString(Value) || Row.groups_size() > MaxGroups ||
+      Row.slow_workers_size() > MaxWorkers ||
+      Row.slow_workers_size() != Row.slow_worker_log_cents_size())
     return malformedRowError("speeds");
-  scheduling::SpeedSummary Speeds;
+  SpeedSummary Speeds;
   for (const auto &Group : Row.groups()) {
     if (!rows::SpeedLevel_IsValid(Group.level()) ||
-        std::abs(static_cast<std::int64_t>(Group.log_cents())) > MaxLogCents)
+        !isPlausibleLogCents(Group.log_cents()))
+      return malformedRowError("speeds");
+    Speeds.Groups.push_back({static_cast<scheduling::SpeedLevel>(Group.level()),
+                             Group.name(), Group.log_cents()});
+  }
+  for (int Index = 0; Index < Row.slow_workers_size(); ++Index) {
+    if (!isPlausibleLogCents(Row.slow_worker_log_cents(Index)))
       return malformedRowError("speeds");
-    Speeds.Entries.push_back(
-        {static_cast<scheduling::SpeedLevel>(Group.level()), Group.group(),
-         Group.log_cents()});
+    Speeds.SlowWorkers[Row.slow_workers(Index)] =
+        Row.slow_worker_log_cents(Index);
   }
   return Speeds;
 }
--- a/Tests/Benchmark/DecisionBenchmark.cpp
+++ b/Tests/Benchmark/DecisionBenchmark.cpp
@@ -23,7 +23,8 @@
   int Racks;
   /// Less urgent tasks that wait from the start, in jobs of TasksPerBatchJob.
   std::uint32_t WaitingTasks;
-  Microseconds P99Target; ///< For the 99th percentile of one decision.
+  Microseconds P99Target;      ///< For the 99th percentile of one decision.
+  bool HasSlowWorkers = false; ///< Every third worker is known to be slow.
 };
 
 constexpr int DecisionCount = 1000;
@@ -106,6 +107,8 @@
       Report.Capacity = {64000, 128000, GpusPerWorker};
       Scheduler.updateWorker(Report, Now);
     }
+    if (Size.HasSlowWorkers)
+      Scheduler.setTimeFactors(slowThird(Size.Workers));
     AcceleratorCount = static_cast<double>(Size.Workers * GpusPerWorker);
     for (std::uint32_t Tasks = 0; Tasks < Size.WaitingTasks;
          Tasks += TasksPerBatchJob)
@@ -141,6 +144,14 @@
   auto countRuns() const -> std::size_t { return Scheduler.runs().size(); }
 
 private:
+  static auto slowThird(int Workers) -> std::map<std::string, double> {
+    constexpr double SlowFactor = 2.4;
+    std::map<std::string, double> Factors;
+    for (int Number = 0; Number < Workers; Number += 3)
+      Factors["w" + std::to_string(Number)] = SlowFactor;
+    return Factors;
+  }
+
   // Stops and starts take effect at once, so that only decisions are measured.
   auto executeDecisions() -> void {
     for (const auto &Stop : Scheduler.takeStopDecisions())
@@ -192,9 +203,11 @@
     DecisionTimes.push_back(Site.simulateInterval());
   std::sort(DecisionTimes.begin(), DecisionTimes.end());
   auto P99 = DecisionTimes[DecisionTimes.size() * 99 / 100];
-  std::printf("workers=%d runs=%zu waiting_tasks=%zu p50_us=%.0f p99_us=%.0f "
+  std::printf("workers=%d slow_workers=%d runs=%zu waiting_tasks=%zu "
+              "p50_us=%.0f p99_us=%.0f "
               "max_us=%.0f target_us=%.0f\n",
-              Size.Workers, Site.countRuns(), Site.countWaitingTasks(),
+              Size.Workers, Size.HasSlowWorkers ? 1 : 0, Site.countRuns(),
+              Site.countWaitingTasks(),
               DecisionTimes[DecisionTimes.size() / 2].count(), P99.count(),
               DecisionTimes.back().count(), Size.P99Target.count());
   return P99 <= Size.P99Target;
@@ -206,10 +219,12 @@
 auto main() -> int {
   using namespace jayramp::scheduling;
   bool AllPassed = true;
-  for (const SiteSize &Size : {SiteSize{48, 6, 1500, Microseconds(1000)},
-                               SiteSize{350, 20, 10000, Microseconds(5000)},
-                               SiteSize{1100, 138, 30000, Microseconds(1000)},
-                               SiteSize{4400, 550, 120000, Microseconds(4000)}})
+  for (const SiteSize &Size :
+       {SiteSize{48, 6, 1500, Microseconds(1000)},
+        SiteSize{350, 20, 10000, Microseconds(5000)},
+        SiteSize{1100, 138, 30000, Microseconds(1000)},
+        SiteSize{1100, 138, 30000, Microseconds(1000), true},
+        SiteSize{4400, 550, 120000, Microseconds(4000)}})
     AllPassed = measureDecisions(Size) && AllPassed;
   return AllPassed ? 0 : 1;
 }
--- a/Tests/Platform/FaultPlan.cpp
+++ b/Tests/Platform/FaultPlan.cpp
@@ -38,6 +38,11 @@
          std::to_string(AtMs) + " ms for " + std::to_string(DurationMs) + " ms";
 }
 
+auto ZoneClosure::describe() const -> std::string {
+  return "zone " + std::to_string(Zone) + " is closed at " +
+         std::to_string(AtMs) + " ms for " + std::to_string(DurationMs) + " ms";
+}
+
 auto FaultPlan::random(std::mt19937_64 &Random, std::int64_t TrafficMs)
     -> FaultPlan {
   FaultPlan Plan;
@@ -48,6 +53,11 @@
     for (auto Count = between(Random, 0, 3); Count > 0; --Count)
       Plan.HostFaults.push_back(randomFault(Random, StartMs));
   }
+  for (std::int64_t StartMs = 0; StartMs + RoundMs <= TrafficMs;
+       StartMs += RoundMs)
+    Plan.Closures.push_back(
+        {StartMs + between(Random, 2500, 12000), between(Random, 1500, 10000),
+         static_cast<unsigned>(between(Random, 0, ZoneCount - 1))});
   std::ranges::sort(Plan.HostFaults, {}, &HostFault::AtMs);
   return Plan;
 }
--- a/Tests/Platform/FaultPlan.h
+++ b/Tests/Platform/FaultPlan.h
@@ -22,10 +22,22 @@
   auto describe() const -> std::string;
 };
 
-/// What goes wrong in a run: outages of the whole store, and signals around
-/// them, in series and overlapping.
+/// A zone in which no run may begin for a time. The operator writes the request
+/// and its withdrawal as soon as the store is not down.
+struct ZoneClosure {
+  std::int64_t AtMs = 0; ///< Since the begin of the traffic.
+  std::int64_t DurationMs = 0;
+  unsigned Zone = 0; ///< Number of the zone, from 0.
+
+  auto operator==(const ZoneClosure &) const -> bool = default;
+  auto describe() const -> std::string;
+};
+
+/// What goes wrong in a run: outages of the whole store, and signals and closed
+/// zones around them, in series and overlapping.
 struct FaultPlan {
   static constexpr std::size_t HostCount = 6;
+  static constexpr unsigned ZoneCount = 4;
   static constexpr std::int64_t OutageMs = 5100;
   /// Each round has one outage, signals around it, and a calm end in which idle
   /// room is looked for.
@@ -33,6 +45,7 @@
 
   std::vector<std::int64_t> OutagesAtMs;
   std::vector<HostFault> HostFaults; ///< In the order of their begin.
+  std::vector<ZoneClosure> Closures; ///< One after the other.
   /// If true, the store drops the entries of all workers during its outage.
   bool EntriesLapse = false;
 
--- a/Tests/Platform/OutageStage.cpp
+++ b/Tests/Platform/OutageStage.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdlib>
 #include <set>
+#include <utility>
 
 namespace jayramp::platform_test {
 
@@ -13,6 +14,8 @@
 constexpr std::int64_t ReadyTimeoutMs = 20000;
 /// After a fault, the system has this long to recover.
 constexpr std::int64_t GraceMs = 4000;
+/// bounds.evacuate-ms.
+constexpr std::int64_t EvacuateMs = 5000;
 constexpr std::int64_t PollIntervalMs = 500;
 /// Clocks of workers may be slow by 2 %.
 constexpr double SlowClockRate = 0.98;
@@ -107,6 +110,7 @@
 auto OutageStage::beginFaults(FaultPlan Next) -> void {
   Plan = std::move(Next);
   NextHostFault = 0;
+  NextClosure = 0;
   FaultsBeginMs = Output.elapsedMs();
 }
 
@@ -155,6 +159,14 @@
                 [=](const Recovery &Each) { return Each.AtMs <= SinceMs; });
 }
 
+auto OutageStage::closeZone(const std::string &Zone) -> std::int64_t {
+  Platform.store().put("op", "evacuate/" + Zone, "{}");
+  Closed = {Zone, Output.elapsedMs()};
+  Output.write(Zone + " is closed");
+  lookAtWorkersOutside(Zone);
+  return Closed->SinceMs;
+}
+
 auto OutageStage::closeZoneAndKillOwner(const std::string &Zone)
     -> std::int64_t {
   const auto Index = owner();
@@ -162,20 +174,34 @@
   Host.pause();
   // Until then, workers carry out the orders that the owner has sent.
   review::sleepMs(OrderSettleMs);
-  Platform.store().put("op", "evacuate/" + Zone, "{}");
-  const auto ClosedMs = Output.elapsedMs();
-  Output.write(Zone + " is closed, " + Host.name() + " is killed");
+  const auto ClosedMs = closeZone(Zone);
+  Output.write(Host.name() + " is killed");
   Host.kill();
-  lookAtWorkersOutside(Zone);
   Recoveries.push_back({Index, ClosedMs - FaultsBeginMs + OwnerDownMs});
   return ClosedMs;
 }
 
-auto OutageStage::openZone(const std::string &Zone) -> std::int64_t {
+auto OutageStage::openZone() -> std::int64_t {
+  const auto [Zone, ClosedMs] = *std::exchange(Closed, std::nullopt);
+  const auto OpenedMs = Output.elapsedMs();
   Platform.store().remove("op", "evacuate/" + Zone);
   Output.write(Zone + " is open");
   lookAtWorkersOutside("");
-  return Output.elapsedMs();
+  for (const auto &Run : startsInZone(Zone, ClosedMs + EvacuateMs, OpenedMs))
+    addFinding("started in a closed zone: " + Run);
+  return OpenedMs;
+}
+
+auto OutageStage::playClosures(std::int64_t SinceMs) -> void {
+  if (IsStoreDown || NextClosure >= Plan.Closures.size())
+    return;
+  const auto &Next = Plan.Closures[NextClosure];
+  if (!Closed && Next.AtMs <= SinceMs)
+    closeZone(Zones[Next.Zone]);
+  if (Closed && Next.AtMs + Next.DurationMs <= SinceMs) {
+    openZone();
+    ++NextClosure;
+  }
 }
 
 auto OutageStage::startsInZone(const std::string &Zone, std::int64_t FromMs,
@@ -240,6 +266,7 @@
   playStoreOutage(SinceMs);
   playRecoveries(SinceMs);
   playHostFaults(SinceMs);
+  playClosures(SinceMs);
   lookForIdleRoom();
   findDeadHosts();
   review::sleepMs(TickMs);
--- a/Tests/Platform/OutageStage.h
+++ b/Tests/Platform/OutageStage.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,8 +41,9 @@
   /// can act on that; the host starts again as after a fault. Returns when the
   /// store had the request.
   auto closeZoneAndKillOwner(const std::string &Zone) -> std::int64_t;
-  /// Returns when the store had the withdrawal of the request.
-  auto openZone(const std::string &Zone) -> std::int64_t;
+  /// Takes the request back, and looks for runs that began in the zone too late
+  /// after it. Returns when the store had the withdrawal.
+  auto openZone() -> std::int64_t;
   /// Returns the runs that began on workers of \p Zone from \p FromMs to
   /// \p UntilMs.
   auto startsInZone(const std::string &Zone, std::int64_t FromMs,
@@ -65,6 +67,10 @@
     std::size_t Host = 0;
     std::int64_t AtMs = 0;
   };
+  struct ClosedZone {
+    std::string Name;
+    std::int64_t SinceMs = 0; ///< When the store had the request.
+  };
 
   explicit OutageStage(const std::string &Folder);
 
@@ -73,6 +79,8 @@
   auto playStoreOutage(std::int64_t SinceMs) -> void;
   auto playHostFaults(std::int64_t SinceMs) -> void;
   auto playRecoveries(std::int64_t SinceMs) -> void;
+  auto playClosures(std::int64_t SinceMs) -> void;
+  auto closeZone(const std::string &Zone) -> std::int64_t;
   auto lookForIdleRoom() -> void;
   /// Idle room is looked for only on workers outside \p ClosedZone.
   auto lookAtWorkersOutside(const std::string &ClosedZone) -> void;
@@ -92,6 +100,8 @@
   FaultPlan Plan;
   std::size_t NextHostFault = 0;
   std::vector<Recovery> Recoveries;
+  std::size_t NextClosure = 0;
+  std::optional<ClosedZone> Closed;
   std::int64_t FaultsBeginMs = 0;
   std::int64_t LastFaultMs = 0;
   std::int64_t CheckedMs = 0; ///< For how long idle room was looked for.
--- a/Tests/Platform/OutageTest.cpp
+++ b/Tests/Platform/OutageTest.cpp
@@ -165,6 +165,8 @@
   const auto Plan = FaultPlan::random(Random, TrafficMs);
   for (const auto &Fault : Plan.HostFaults)
     std::cout << Fault.describe() << "\n";
+  for (const auto &Closure : Plan.Closures)
+    std::cout << Closure.describe() << "\n";
   for (const auto AtMs : Plan.OutagesAtMs)
     std::cout << "outage at " << AtMs << " ms\n";
   ASSERT_NO_FATAL_FAILURE(start());
@@ -198,7 +200,7 @@
   const auto ClosedMs = Stage->closeZoneAndKillOwner(Zone);
   ASSERT_NO_FATAL_FAILURE(SubmitToZone(3));
   runTraffic(1, ClosedZoneMs);
-  const auto OpenedMs = Stage->openZone(Zone);
+  const auto OpenedMs = Stage->openZone();
   for (const auto &Each : Stage->startsInZone(Zone, ClosedMs, OpenedMs))
     ADD_FAILURE() << "started in the closed zone: " << Each;
   for (const auto &Each : Stage->runUntilCompleted(CompletionLimitMs))
--- a/Tests/Shard/SpeedRowTest.cpp
+++ b/Tests/Shard/SpeedRowTest.cpp
@@ -9,7 +9,7 @@
 using scheduling::SpeedSummary;
 
 auto slowRack(const std::string &Rack, std::int32_t LogCents) -> SpeedSummary {
-  return {{{SpeedLevel::Zone, "", 0}, {SpeedLevel::Rack, Rack, LogCents}}};
+  return {{{SpeedLevel::Zone, "", 0}, {SpeedLevel::Rack, Rack, LogCents}}, {}};
 }
 
 /// A takeover with a row that the previous owner has written.
@@ -44,8 +44,8 @@
 TEST_F(SpeedRowTest, survivesEncoding) {
   const SpeedSummary Known{{{SpeedLevel::Zone, "a", -29},
                             {SpeedLevel::Kind, "a/k", 12},
-                            {SpeedLevel::Rack, "a/k/r", 40},
-                            {SpeedLevel::Worker, "w", 110}}};
+                            {SpeedLevel::Rack, "a/k/r", 40}},
+                           {{7, 110}, {SpeedSummary::workerHash("w"), 60}}};
   const auto Decoded = shard::decodeSpeeds(shard::encodeSpeeds(Known));
   ASSERT_TRUE(Decoded);
   EXPECT_EQ(Decoded.value(), Known);
@@ -59,6 +59,13 @@
   EXPECT_GT(factor("w2") / factor("w1"), 1.7);
 }
 
+TEST_F(SpeedRowTest, aNewOwnerKnowsSingleSlowWorkers) {
+  putRow({{{SpeedLevel::Zone, "", 0}}, {{SpeedSummary::workerHash("w1"), 90}}});
+  ASSERT_TRUE(startOwnerAndRunJob());
+  EXPECT_TRUE(Owner->scheduler().runTimes().knowsSpeeds());
+  EXPECT_GT(factor("w1") / factor("w2"), 1.7);
+}
+
 // Guards against a recovery that waits for a row which is only useful.
 TEST_F(SpeedRowTest, aTakeoverDoesNotWaitForTheRow) {
   putRow(slowRack("/r2", 90));
@@ -77,15 +84,30 @@
 // Guards against a row that keeps groups which are gone.
 TEST_F(SpeedRowTest, theRowFollowsWhatIsKnown) {
   auto Outdated = slowRack("/r2", 90);
-  Outdated.Entries.push_back({SpeedLevel::Rack, "/gone", 90});
+  Outdated.Groups.push_back({SpeedLevel::Rack, "/gone", 90});
   putRow(Outdated);
   ASSERT_TRUE(startOwnerAndRunJob());
   EXPECT_TRUE(runUntil([&] {
-    return storedRow().Entries.size() == 2 &&
-           storedRow().Entries.back().Group == "/r2";
+    return storedRow().Groups.size() == 2 &&
+           storedRow().Groups.back().Name == "/r2";
   }));
 }
 
+// Guards against a write whenever one of many workers changes a little.
+TEST(SpeedRowScheduleTest, fewChangesOfManyWorkersAreNotNoticeable) {
+  SpeedSummary Known;
+  for (std::uint32_t Hash = 0; Hash < 100; ++Hash)
+    Known.SlowWorkers[Hash] = 80;
+  auto Changed = Known;
+  Changed.SlowWorkers.erase(5);
+  Changed.SlowWorkers[7] = 20;
+  EXPECT_FALSE(Changed.differsNoticeably(Known));
+  for (std::uint32_t Hash = 40; Hash < 60; ++Hash)
+    Changed.SlowWorkers.erase(Hash);
+  EXPECT_TRUE(Changed.differsNoticeably(Known));
+  EXPECT_TRUE(Known.differsNoticeably(Changed));
+}
+
 // Guards against a write with each heartbeat.
 TEST(SpeedRowScheduleTest, writesOnlyNoticeableChanges) {
   shard::SpeedRowSchedule Schedule;
