Net: every byte that a connection makes a process hold has a limit

Cause: trailers behind a chunked body had no limit; 20 connections with 20 MB each took an entry host from 7 MB to 410 MB. Chunk extensions, header lines in great number, half bodies and idle connections beyond the descriptors did likewise, and jayrampd's listener gives no hold on a connection at all.

--- a/Source/Api/HttpServer.cpp
+++ b/Source/Api/HttpServer.cpp
@@ -1,165 +1,193 @@
 #include "Api/HttpServer.h"
 
+#include "Base/EventLog.h"
 #include "Base/Metrics.h"
+#include "Net/EventLoop.h"
+#include "Net/HttpServer.h"
 
-#include <cpprest/http_listener.h>
 #include <cpprest/uri.h>
+#include <pplx/threadpool.h>
 
+#include <sys/resource.h>
+#include <sys/socket.h>
+
+#include <algorithm>
 #include <atomic>
+#include <optional>
+#include <thread>
 #include <utility>
 
 namespace jayramp {
 
-namespace http = web::http;
-using http::experimental::listener::http_listener;
-
 namespace {
 
-auto bodyTooLargeResponse(std::size_t Limit) -> ApiResponse {
-  auto Response = ApiResponse::failure(
-      Error::make(ErrorKind::InvalidArgument, "body",
-                  "the body is larger than " + std::to_string(Limit) + " bytes",
-                  "send a smaller body or raise api.maximum_body_kib"));
-  Response.Status = 413;
-  return Response;
+constexpr std::uint32_t MaximumHeaderBytes = 16384;
+/// Time to receive a whole request; a body of some MiB may come from far.
+constexpr Milliseconds RequestTime{30000};
+/// Time for a whole response, and until an idle connection is closed.
+constexpr Milliseconds IdleTime{120000};
+/// Headers and read buffers, in addition to the bodies.
+constexpr std::size_t HeaderReserveBytes = std::size_t{4} << 20U;
+/// Descriptors for calls to peers, workers and the store, and for files: one
+/// of this many parts.
+constexpr std::size_t DescriptorParts = 4;
+constexpr std::size_t MinimumLingerBytes = std::size_t{16} << 20U;
+constexpr std::size_t MaximumConnections = 32768;
+
+auto connectionLimit() -> std::size_t {
+  rlimit Descriptors{};
+  if (::getrlimit(RLIMIT_NOFILE, &Descriptors) != 0)
+    return net::ConnectionLimits{}.MaxConnections;
+  const auto Usable =
+      std::min<rlim_t>(Descriptors.rlim_cur, 2 * MaximumConnections);
+  return std::min(MaximumConnections, static_cast<std::size_t>(Usable) *
+                                          (DescriptorParts - 1) /
+                                          DescriptorParts);
 }
 
-auto truncatedBodyResponse() -> ApiResponse {
-  return ApiResponse::failure(
-      Error::make(ErrorKind::InvalidArgument, "body",
-                  "the connection ended before the declared length of the body",
-                  "send the whole body or correct Content-Length"));
+auto refusalPlace(unsigned Status) -> std::string {
+  return Status == 413 ? "body" : Status == 431 ? "header" : "connection";
 }
 
-auto overloadedResponse() -> ApiResponse {
-  return ApiResponse::failure(
-      Error::make(ErrorKind::Unavailable, "body",
-                  "the host is receiving too many request bodies at once",
-                  "repeat the request after 1,000 ms; it did not run"));
+/// Returns the error reply for a request that the server refuses.
+auto renderRefusal(unsigned Status, const std::string &Detail)
+    -> net::HttpResponse {
+  const auto Kind =
+      Status == 503 ? ErrorKind::Unavailable : ErrorKind::InvalidArgument;
+  const auto *Remedy =
+      Status == 503   ? "repeat the request after 1,000 ms; it did not run"
+      : Status == 413 ? "send a smaller body or raise api.maximum_body_kib"
+                      : "correct the request; it did not run";
+  const auto Reply = ApiResponse::failure(
+      Error::make(Kind, refusalPlace(Status), Detail, Remedy));
+  return {Status, {{"Content-Type", Reply.ContentType}}, Reply.Body};
 }
 
-auto toApiRequest(const http::http_request &Source) -> ApiRequest {
+auto toApiRequest(net::HttpRequest Source) -> ApiRequest {
   ApiRequest Target;
-  Target.Method = Source.method();
-  for (const auto &Segment : web::uri::split_path(Source.relative_uri().path()))
+  const web::uri Address(Source.Target);
+  Target.Method = std::move(Source.Method);
+  for (const auto &Segment : web::uri::split_path(Address.path()))
     Target.Path.push_back(web::uri::decode(Segment));
-  for (const auto &[Name, Value] :
-       web::uri::split_query(Source.relative_uri().query()))
+  for (const auto &[Name, Value] : web::uri::split_query(Address.query()))
     Target.Query[web::uri::decode(Name)] = web::uri::decode(Value);
+  Target.Body = std::move(Source.Body);
   return Target;
 }
 
 } // namespace
 
-class HttpServer::Implementation
-    : public std::enable_shared_from_this<Implementation> {
+class HttpServer::Implementation {
 public:
   Implementation(Options Settings, Handler Handle, Metrics &Registry)
-      : Settings(std::move(Settings)), Handle(std::move(Handle)),
-        Registry(Registry) {}
+      : Settings(std::move(Settings)),
+        Handle(std::make_shared<Handler>(std::move(Handle))),
+        Registry(Registry), Loop(std::make_shared<net::EventLoop>()) {}
+  ~Implementation() { close(); }
+  Implementation(const Implementation &) = delete;
+  auto operator=(const Implementation &) -> Implementation & = delete;
 
   auto open() -> Result<void> {
-    try {
-      Listener = std::make_unique<http_listener>(
-          web::uri("http://" + Settings.Address));
-      std::weak_ptr<Implementation> Weak = weak_from_this();
-      Listener->support([Weak](const http::http_request &Request) {
-        if (auto Self = Weak.lock())
-          Self->receive(Request);
-      });
-      Listener->open().wait();
-    } catch (const std::exception &Failure) {
-      return Error::make(ErrorKind::Unavailable, Settings.Address,
-                         std::string("cannot listen: ") + Failure.what(),
-                         "choose an address of this host that is not in use");
-    }
+    net::HttpServer::Options Limits;
+    Limits.Name = "api";
+    Limits.Sums.MaxConnections = connectionLimit();
+    Limits.Sums.ListenBacklog = SOMAXCONN;
+    Limits.Sums.MaxHeldBytes = Settings.MaximumUnreadBytes + HeaderReserveBytes;
+    // A client that sends a body that is too large reads the answer only after
+    // it has sent all of it.
+    Limits.Sums.MaxLingerBytes =
+        std::max(MinimumLingerBytes, 4 * Settings.MaximumBodyBytes);
+    Limits.OnLimit = [this](std::string_view Reason) {
+      Registry.count("jayramp_http_refused_total",
+                     "reason=\"" + std::string(Reason) + "\"");
+    };
+    Limits.RenderRefusal = renderRefusal;
+    BOOST_OUTCOME_TRY(Listening,
+                      net::HttpServer::listen(
+                          *Loop, Settings.Address,
+                          [this](net::HttpRequest Request,
+                                 net::HttpServer::Responder Respond) {
+                            receive(std::move(Request), std::move(Respond));
+                          },
+                          std::move(Limits)));
+    Server.emplace(std::move(Listening));
+    net::HttpLimits Messages;
+    Messages.MaxHeaderBytes = MaximumHeaderBytes;
+    Messages.MaxBodyBytes = Settings.MaximumBodyBytes;
+    Messages.MaxFramingBytes =
+        net::HttpLimits::framingOf(Settings.MaximumBodyBytes);
+    Messages.HeaderTimeout = RequestTime;
+    Messages.IdleTimeout = IdleTime;
+    Server->setLimits(Messages);
+    Thread = std::thread([Loop = Loop] { Loop->run(); });
     return success();
   }
 
   auto close() -> void {
-    if (Closed.exchange(true))
+    if (Closed.exchange(true) || !Thread.joinable())
       return;
-    try {
-      Listener->close().wait();
-    } catch (const std::exception &) {
-      // The listener is destroyed next, so a failed close needs no handling.
-    }
+    Loop->stop();
+    Thread.join();
+    Server.reset();
   }
 
-  auto requestsInProgress() const -> std::size_t { return InProgress.load(); }
+  auto requestsInProgress() const -> std::size_t {
+    return Closed || !Server
+               ? 0
+               : Server->requestsInProgress() + Server->requestsBeingReceived();
+  }
 
 private:
-  auto receive(const http::http_request &Request) -> void {
-    ++InProgress;
-    std::size_t DeclaredBytes = Request.headers().content_length();
-    if (DeclaredBytes > Settings.MaximumBodyBytes) {
-      Registry.count("jayramp_http_refused_total", "reason=\"BODY_TOO_LARGE\"");
-      return send(Request, bodyTooLargeResponse(Settings.MaximumBodyBytes));
-    }
-    if (UnreadBytes.fetch_add(DeclaredBytes) + DeclaredBytes >
-        Settings.MaximumUnreadBytes) {
-      UnreadBytes -= DeclaredBytes;
-      Registry.count("jayramp_http_refused_total", "reason=\"UNREAD_BODIES\"");
-      return send(Request, overloadedResponse());
-    }
-    auto Self = shared_from_this();
-    Request.extract_vector().then(
-        [Self, Request,
-         DeclaredBytes](const pplx::task<std::vector<unsigned char>> &Read) {
-          Self->UnreadBytes -= DeclaredBytes;
-          Self->handleBody(Request, Read);
-        });
+  /// Passes the request on to the pool of the HTTP library, so that the loop
+  /// only reads and writes.
+  auto receive(net::HttpRequest Request, net::HttpServer::Responder Answer)
+      -> void {
+    auto Responded = std::make_shared<std::atomic<bool>>(false);
+    Respond Reply = [Loop = Loop, Responded,
+                     Answer = std::move(Answer)](ApiResponse Response) {
+      if (Responded->exchange(true))
+        return;
+      net::HttpResponse Message{static_cast<unsigned>(Response.Status),
+                                {{"Content-Type", Response.ContentType}},
+                                std::move(Response.Body)};
+      Loop->post([Answer, Message = std::move(Message)]() mutable {
+        Answer(std::move(Message));
+      });
+    };
+    auto Work = [Handle = Handle, Reply = std::move(Reply),
+                 Request =
+                     std::make_shared<net::HttpRequest>(std::move(Request))] {
+      pass(*Handle, std::move(*Request), Reply);
+    };
+    crossplat::threadpool::shared_instance().service().post(std::move(Work));
   }
 
-  auto handleBody(const http::http_request &Request,
-                  const pplx::task<std::vector<unsigned char>> &Read) -> void {
-    std::vector<unsigned char> Bytes;
-    try {
-      Bytes = Read.get();
-    } catch (const std::exception &) {
-      return send(Request, truncatedBodyResponse());
-    }
-    // A chunked body declares no length, so its size is unknown until now.
-    if (Bytes.size() > Settings.MaximumBodyBytes)
-      return send(Request, bodyTooLargeResponse(Settings.MaximumBodyBytes));
+  static auto pass(const Handler &Handle, net::HttpRequest Request,
+                   const Respond &Reply) -> void {
     ApiRequest Parsed;
     try {
-      Parsed = toApiRequest(Request);
+      Parsed = toApiRequest(std::move(Request));
     } catch (const std::exception &Failure) {
-      return send(Request,
-                  ApiResponse::failure(Error::make(
-                      ErrorKind::InvalidArgument, "path", Failure.what(),
+      return Reply(ApiResponse::failure(
+          Error::make(ErrorKind::InvalidArgument, "path", Failure.what(),
                       "percent-encode the path and the query")));
     }
-    Parsed.Body.assign(Bytes.begin(), Bytes.end());
-    auto Self = shared_from_this();
-    auto Responded = std::make_shared<std::atomic<bool>>(false);
-    Handle(std::move(Parsed), [Self, Request, Responded](ApiResponse Response) {
-      if (!Responded->exchange(true))
-        Self->send(Request, std::move(Response));
-    });
-  }
-
-  auto send(const http::http_request &Request, ApiResponse Response) -> void {
-    http::http_response Reply(static_cast<http::status_code>(Response.Status));
-    Reply.set_body(std::move(Response.Body), Response.ContentType);
-    auto Self = shared_from_this();
-    Request.reply(Reply).then([Self](const pplx::task<void> &Written) {
-      try {
-        Written.get();
-      } catch (const std::exception &) {
-        Self->Registry.count("jayramp_http_reply_failed_total");
-      }
-      --Self->InProgress;
-    });
+    try {
+      Handle(std::move(Parsed), Reply);
+    } catch (const std::exception &Failure) {
+      logEvent(LogLevel::Error, "request_failed", {{"error", Failure.what()}});
+      Reply(ApiResponse::failure(Error::make(ErrorKind::Internal, "request",
+                                             Failure.what(),
+                                             "report it with the log")));
+    }
   }
 
   Options Settings;
-  Handler Handle;
+  std::shared_ptr<Handler> Handle;
   Metrics &Registry;
-  std::unique_ptr<http_listener> Listener;
-  std::atomic<std::size_t> InProgress{0};
-  std::atomic<std::size_t> UnreadBytes{0};
+  std::shared_ptr<net::EventLoop> Loop;
+  std::optional<net::HttpServer> Server;
+  std::thread Thread;
   std::atomic<bool> Closed{false};
 };
 
--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -1,10 +1,11 @@
 #include "Net/HttpClient.h"
 
+#include "Net/ByteBudget.h"
 #include "Net/EventLoop.h"
+#include "Net/MessageReader.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
@@ -21,8 +22,10 @@
 
 /// Maximum number of idle connections in the pool for each address.
 constexpr std::size_t MaxIdleConnectionsPerAddress = 4;
-/// Maximum size of a response body.
-constexpr std::uint64_t MaxResponseBodyBytes = 16U << 20U;
+/// Chunk lines and trailers of a response.
+constexpr std::uint64_t MaxResponseFramingBytes = 4U << 20U;
+constexpr std::size_t FirstReadBytes = 2048;
+constexpr std::size_t ReadBytes = 16384;
 /// The time limit of a call is extended by the lag of the event loop, but in
 /// total at most by this multiple of the limit.
 constexpr int MaxLagExtensionFactor = 3;
@@ -44,7 +47,12 @@
 
 class HttpClient::Core : public std::enable_shared_from_this<Core> {
 public:
-  explicit Core(EventLoop &Loop) : Loop(Loop) {}
+  Core(EventLoop &Loop, const HttpClient::Limits &Given)
+      : Loop(Loop), Sums(Given), Budget(std::make_shared<ByteBudget>(
+                                     Given.MaxHeldBytes, ByteBudget::Post())) {
+    ResponseLimits.MaxBodyBytes = Given.MaxBodyBytes;
+    ResponseLimits.MaxFramingBytes = MaxResponseFramingBytes;
+  }
 
   /// Removes an idle connection to \p Address from the pool and returns it;
   /// none if the pool has none.
@@ -55,6 +63,7 @@
       return std::nullopt;
     auto Socket = std::move(Found->second.back());
     Found->second.pop_back();
+    --IdleCount;
     return Socket;
   }
 
@@ -62,11 +71,27 @@
   auto returnIdleSocket(const std::string &Address, tcp::socket Socket)
       -> void {
     auto &Sockets = IdleSockets[Address];
-    if (Sockets.size() < MaxIdleConnectionsPerAddress)
-      Sockets.push_back(std::move(Socket));
+    if (Sockets.size() >= MaxIdleConnectionsPerAddress ||
+        IdleCount >= Sums.MaxConnections / 2)
+      return;
+    Sockets.push_back(std::move(Socket));
+    ++IdleCount;
+  }
+
+  auto closeIdle(const std::string &Address) -> void {
+    const auto Found = IdleSockets.find(Address);
+    if (Found == IdleSockets.end())
+      return;
+    IdleCount -= Found->second.size();
+    IdleSockets.erase(Found);
   }
 
   EventLoop &Loop;
+  HttpClient::Limits Sums;
+  HttpLimits ResponseLimits;
+  std::shared_ptr<ByteBudget> Budget;
+  std::size_t IdleCount = 0;
+  std::unordered_map<std::string, std::size_t> CallsByAddress;
   std::unordered_map<std::string, std::vector<tcp::socket>> IdleSockets;
 };
 
@@ -104,7 +129,16 @@
       : Owner(std::move(Owner)), Address(std::move(Address)),
         Message(serialize(this->Address, std::move(Request))),
         Done(std::move(Done)), Socket(this->Owner->Loop.context()),
-        Deadline(this->Owner->Loop.context()) {}
+        Deadline(this->Owner->Loop.context()), Held(this->Owner->Budget) {
+    ++this->Owner->CallsByAddress[this->Address];
+  }
+  ~Exchange() {
+    const auto Calls = Owner->CallsByAddress.find(Address);
+    if (--Calls->second == 0)
+      Owner->CallsByAddress.erase(Calls);
+  }
+  Exchange(const Exchange &) = delete;
+  auto operator=(const Exchange &) -> Exchange & = delete;
 
   auto start(Milliseconds Timeout) -> void {
     ExtensionLeft = Timeout * MaxLagExtensionFactor;
@@ -115,6 +149,10 @@
       send();
       return;
     }
+    if (Owner->CallsByAddress[Address] > Owner->Sums.MaxConnections / 2) {
+      fail(ErrorKind::Unavailable, "too many calls");
+      return;
+    }
     const auto Endpoint = parseAddress(Address);
     if (!Endpoint) {
       // The text becomes the value of a metric label.
@@ -173,15 +211,50 @@
   }
 
   auto receive() -> void {
-    Parser.body_limit(MaxResponseBodyBytes);
-    http::async_read(
-        Socket, Buffer, Parser,
-        [Self = this->shared_from_this()](ErrorCode Failure, std::size_t) {
-          if (Failure)
-            Self->fail(ErrorKind::Timeout, Failure.message());
-          else
-            Self->succeed();
-        });
+    Reader.begin(Owner->ResponseLimits);
+    read();
+  }
+
+  auto read() -> void {
+    if (!Done)
+      return;
+    const bool IsFirst =
+        Reader.messageBytes() == 0 && !Reader.hasUnparsedBytes();
+    const auto Size = IsFirst ? FirstReadBytes : ReadBytes;
+    // Small answers are read in any case.
+    if (IsFirst)
+      Held.set(Reader.heldBytesWith(Size));
+    else if (!Held.trySet(Reader.heldBytesWith(Size))) {
+      abandon("responses too large");
+      return;
+    }
+    Socket.async_read_some(Reader.prepare(Size),
+                           [Self = this->shared_from_this()](
+                               ErrorCode Failure, std::size_t Count) {
+                             Self->onRead(Failure, Count);
+                           });
+  }
+
+  auto onRead(ErrorCode Failure, std::size_t Size) -> void {
+    using Progress = MessageReader<false>::Progress;
+    if (!Done)
+      return;
+    if (Failure && Failure != boost::asio::error::eof) {
+      fail(ErrorKind::Timeout, Failure.message());
+      return;
+    }
+    Reader.commit(Size);
+    const auto Reached = Failure ? Reader.finish() : Reader.parse();
+    Held.set(Reader.heldBytes());
+    if (Reached == Progress::Complete)
+      succeed();
+    else if (Reached == Progress::NeedsMore)
+      read();
+    else
+      abandon(Reader.fault() == MessageFault::Incomplete ? "end of stream"
+              : Reader.fault() == MessageFault::Malformed
+                  ? "malformed response"
+                  : "response too large");
   }
 
   auto succeed() -> void {
@@ -189,17 +262,25 @@
       return;
     Deadline.cancel();
     HttpResponse Response;
-    auto &Received = Parser.get();
+    const bool IsReusable = !Reader.hasUnparsedBytes();
+    auto Received = Reader.take();
     Response.Status = Received.result_int();
     for (const auto &Field : Received)
       Response.Headers.emplace_back(Field.name_string().to_string(),
                                     Field.value().to_string());
     Response.Body = std::move(Received.body());
-    if (Received.keep_alive() && Buffer.size() == 0)
+    if (Received.keep_alive() && IsReusable)
       Owner->returnIdleSocket(Address, std::move(Socket));
     finish(std::move(Response));
   }
 
+  /// Ends the call and closes the connection, whose answer is not wanted.
+  auto abandon(const char *Detail) -> void {
+    fail(ErrorKind::Timeout, Detail);
+    ErrorCode Ignored; // The connection is abandoned in any case.
+    Socket.close(Ignored);
+  }
+
   auto expire() -> void {
     // The text becomes the value of a metric label.
     fail(Sent ? ErrorKind::Timeout : ErrorKind::Unavailable,
@@ -227,8 +308,8 @@
   HttpClient::Callback Done;
   tcp::socket Socket;
   boost::asio::steady_timer Deadline;
-  boost::beast::flat_buffer Buffer;
-  http::response_parser<http::string_body> Parser;
+  MessageReader<false> Reader;
+  ByteBudget::Share Held;
   bool Sent = false;
   Clock::duration LagCounted{0}; ///< Part of the loop's lag that was allowed.
   Clock::duration ExtensionLeft{0};
@@ -236,7 +317,10 @@
 
 } // namespace
 
-HttpClient::HttpClient(EventLoop &Loop) : State(std::make_shared<Core>(Loop)) {}
+HttpClient::HttpClient(EventLoop &Loop) : HttpClient(Loop, Limits()) {}
+
+HttpClient::HttpClient(EventLoop &Loop, const Limits &Given)
+    : State(std::make_shared<Core>(Loop, Given)) {}
 
 HttpClient::~HttpClient() = default;
 
@@ -248,7 +332,7 @@
 }
 
 auto HttpClient::closeIdleConnections(const std::string &Address) -> void {
-  State->IdleSockets.erase(Address);
+  State->closeIdle(Address);
 }
 
 } // namespace jayramp::net
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -4,6 +4,8 @@
 #include "Base/Result.h"
 #include "Net/HttpMessage.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -24,7 +26,18 @@
   /// least in part and the server may have processed it.
   using Callback = std::function<void(Result<HttpResponse>)>;
 
+  /// Limits on what the answers make the process hold.
+  struct Limits {
+    std::uint64_t MaxBodyBytes = 16U << 20U; ///< Of one response.
+    /// Of all responses that are being received.
+    std::size_t MaxHeldBytes = std::size_t{64} << 20U;
+    /// Half of them may serve calls to one address, and half may be idle. A
+    /// call beyond fails as Unavailable.
+    std::size_t MaxConnections = 1024;
+  };
+
   explicit HttpClient(EventLoop &Loop);
+  HttpClient(EventLoop &Loop, const Limits &Given);
   ~HttpClient();
   HttpClient(const HttpClient &) = delete;
   auto operator=(const HttpClient &) -> HttpClient & = delete;
--- a/Source/Net/HttpMessage.h
+++ b/Source/Net/HttpMessage.h
@@ -35,14 +35,29 @@
   auto operator==(const HttpResponse &) const -> bool = default;
 };
 
-/// Limits on the size and duration of the requests that a server reads.
+/// Limits on the size and duration of one message.
 struct HttpLimits {
+  /// Of the header, and of trailers or the line before a chunk.
   std::uint32_t MaxHeaderBytes = 16384;
   std::uint64_t MaxBodyBytes = 262144;
   /// Time to read a whole request, counted from its first byte.
   std::chrono::milliseconds HeaderTimeout{3000};
   /// Time to wait for the next request, and time to write a response.
   std::chrono::milliseconds IdleTimeout{15000};
+  /// Lines of the header and the trailers; each takes far more than its size.
+  std::uint32_t MaxHeaderLines = 256;
+  /// Bytes of a chunked message that are neither header nor body.
+  std::uint64_t MaxFramingBytes = 2U << 20U;
+
+  /// Returns the limit on a whole message.
+  auto maxMessageBytes() const -> std::uint64_t {
+    return MaxHeaderBytes + MaxBodyBytes + MaxFramingBytes;
+  }
+  /// Returns the framing of a body of \p BodyBytes in chunks of one byte.
+  static auto framingOf(std::uint64_t BodyBytes) -> std::uint64_t {
+    constexpr std::uint64_t BytesPerChunk = 5;
+    return BodyBytes * BytesPerChunk;
+  }
 
   auto operator==(const HttpLimits &) const -> bool = default;
 };
--- a/Tests/Platform/EntryHost.cpp
+++ b/Tests/Platform/EntryHost.cpp
@@ -30,6 +30,10 @@
   return Host;
 }
 
+auto EntryHost::peerAddress() const -> std::string {
+  return loopback(PeerPort);
+}
+
 auto EntryHost::settingsPath() const -> std::string {
   return Settings.Folder + "/" + Settings.Name + ".conf";
 }
@@ -51,8 +55,9 @@
        << "\ninternal-ports=" << PeerPort
        << ",65535\nbootstrap=" << (IsFirstStart ? "true" : "false")
        << "\nlimits.cpu-share=" << Settings.CpuShare
-       << "\nlimits.cores=1\nlimits.memory-mb=260\n"
-          "limits.max-fds=4100\nheartbeat-ms=1500\nbounds.contact-ms=3000\n"
+       << "\nlimits.cores=1\nlimits.memory-mb=" << Settings.MemoryMb
+       << "\nlimits.max-fds=" << Settings.MaxFds
+       << "\nheartbeat-ms=1500\nbounds.contact-ms=3000\n"
           "bounds.drain-ms=2000\nbounds.grace-s=6\n"
           "bounds.config-apply-ms=2000\nbounds.revoke-ms=5000\n"
           "bounds.evacuate-ms=5000\n"
--- a/Tests/Platform/EntryHost.h
+++ b/Tests/Platform/EntryHost.h
@@ -19,6 +19,8 @@
     std::string Zone;
     std::vector<std::string> Zones; ///< All zones of the deployment.
     std::string StoreAddress;
+    unsigned MemoryMb = 260;       ///< Setting limits.memory-mb.
+    unsigned MaxFds = 4100;        ///< Setting limits.max-fds.
     std::string CpuShare = "0.25"; ///< In processor cores.
   };
   enum class State { Running, Paused, Down };
@@ -28,6 +30,11 @@
 
   auto name() const -> const std::string & { return Settings.Name; }
   auto callerAddress() const -> const std::string & { return CallerAddress; }
+  auto readinessAddress() const -> const std::string & {
+    return ReadinessAddress;
+  }
+  auto peerAddress() const -> std::string;
+  auto processId() const -> pid_t { return Process->processId(); }
   auto state() const -> State { return Current; }
   auto isReady() const -> bool;
   /// Returns false if the process has ended although nobody killed it.
--- a/Tests/Platform/HandoverTest.cpp
+++ b/Tests/Platform/HandoverTest.cpp
@@ -39,9 +39,10 @@
   auto &Platform = *new review::Cluster(Output);
   Platform.publishConfiguration();
   Platform.addWorkers("r0", 2, 1.0);
-  EntryHost::Options Options{
-      JAYRAMP_ENTRY_DAEMON,       Folder, "edge-weak", "zone-a", {"zone-a"},
-      Platform.store().address(), "0.1"};
+  EntryHost::Options Options{JAYRAMP_ENTRY_DAEMON, Folder,
+                             "edge-weak",          "zone-a",
+                             {"zone-a"},           Platform.store().address()};
+  Options.CpuShare = "0.1";
   auto Weak = EntryHost::start(Options);
   ASSERT_TRUE(Weak) << Weak.error().message();
   ASSERT_TRUE(hasLine(Weak.value(), "event=shard-recovered"));
--- a/Tests/Shard/HttpClientTest.cpp
+++ b/Tests/Shard/HttpClientTest.cpp
@@ -57,13 +57,55 @@
   std::thread Thread;
 };
 
+/// A server on a thread of its own that answers one request with \p Opening and
+/// then \p Filler without end, until the client closes the connection or has
+/// taken MaxBytes.
+class EndlessAnswerServer {
+public:
+  static constexpr std::size_t MaxBytes = 64U << 20U;
+
+  EndlessAnswerServer(std::string Opening, std::string Filler)
+      : Acceptor(Context, {boost::asio::ip::address_v4::loopback(), 0}),
+        Thread([this, Opening = std::move(Opening),
+                Filler = std::move(Filler)] { serve(Opening, Filler); }) {}
+
+  auto address() const -> std::string {
+    return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+  }
+  /// Waits for the end and returns the bytes that the client has taken.
+  auto takenBytes() -> std::size_t {
+    Thread.join();
+    return Sent;
+  }
+
+private:
+  auto serve(const std::string &Opening, const std::string &Filler) -> void {
+    auto Socket = Acceptor.accept();
+    boost::asio::streambuf Request;
+    boost::asio::read_until(Socket, Request, "\r\n\r\n");
+    std::string Block;
+    while (Block.size() < 65536)
+      Block += Filler;
+    boost::system::error_code Failure;
+    Sent = boost::asio::write(Socket, boost::asio::buffer(Opening), Failure);
+    while (!Failure && Sent < MaxBytes)
+      Sent += boost::asio::write(Socket, boost::asio::buffer(Block), Failure);
+  }
+
+  boost::asio::io_context Context;
+  boost::asio::ip::tcp::acceptor Acceptor;
+  std::size_t Sent = 0;
+  std::thread Thread;
+};
+
 class HttpClientTest : public testing::Test {
 protected:
   HttpClientTest() : Client(Loop) {}
 
   /// Calls the server; the loop stops with the outcome of the call.
-  auto call(const SingleAnswerServer &Server, Milliseconds Timeout) -> void {
-    Client.call(Server.address(), {"GET", "/", {}, {}}, Timeout,
+  template <typename Server>
+  auto call(const Server &Called, Milliseconds Timeout) -> void {
+    Client.call(Called.address(), {"GET", "/", {}, {}}, Timeout,
                 [this](Result<HttpResponse> Outcome) {
                   Answered = bool(Outcome);
                   Loop.stop();
@@ -115,5 +157,30 @@
   EXPECT_LT(Clock::now() - Begin, Milliseconds(150));
 }
 
+// Guards against a peer, worker or store whose answer has no end and grows the
+// process. The bound leaves room for the buffers of both sockets.
+TEST_F(HttpClientTest, stopsReadingAnAnswerWithoutEnd) {
+  const std::string Start = "HTTP/1.1 200 OK\r\n";
+  const std::string Chunked = Start + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::vector<std::pair<std::string, std::string>> Answers{
+      {Start, "X-Line: value\r\n"},
+      {Chunked + "1\r\nx\r\n0\r\n", "X-Trailer: value\r\n"},
+      {Chunked + "1;x=", "e"},
+      {Chunked, "1\r\nx\r\n"},
+      {Chunked, "400\r\n" + std::string(0x400, 'x') + "\r\n"},
+      {Start + "\r\n", "body to the end of the connection"}};
+  for (const auto &[Opening, Filler] : Answers) {
+    EndlessAnswerServer Server(Opening, Filler);
+    call(Server, Milliseconds(60000));
+    Loop.run();
+    Loop.context().restart();
+    Loop.context().poll(); // Ends what the call left.
+    Loop.context().restart();
+    EXPECT_EQ(Answered, false);
+    EXPECT_LT(Server.takenBytes(), EndlessAnswerServer::MaxBytes / 2)
+        << Opening << Filler.substr(0, 20);
+  }
+}
+
 } // namespace
 } // namespace jayramp::net
--- a/Tests/Shard/MalformedInputTest.cpp
+++ b/Tests/Shard/MalformedInputTest.cpp
@@ -2,6 +2,7 @@
 // for a longer run and JAYRAMP_SEED to repeat one.
 
 #include "HostSettings.h"
+#include "MessageMutator.h"
 #include "Net/EventLoop.h"
 #include "Relay/RelayCodec.h"
 #include "Scheduling/ShardScheduler.h"
@@ -11,7 +12,6 @@
 
 #include <gtest/gtest.h>
 
-#include <cstdlib>
 #include <functional>
 #include <random>
 #include <stdexcept>
@@ -155,65 +155,13 @@
   };
 }
 
-/// Damages messages in random places.
-class Mutator {
-public:
-  explicit Mutator(std::uint32_t Seed) : Random(Seed) {}
-
-  auto mutate(std::string Text) -> std::string {
-    for (auto Left = 1 + below(4); Left > 0; --Left)
-      mutateOnce(Text);
-    return Text;
-  }
-
-  auto below(std::size_t Limit) -> std::size_t { return Random() % Limit; }
-
-private:
-  auto mutateOnce(std::string &Text) -> void {
-    static const std::vector<std::string> Tokens{
-        "null",       "-1",
-        "1e308",      "[]",
-        "{}",         "\"\"",
-        "true",       "9007199254740993",
-        "4294967296", std::string(1, '\0'),
-        "\xff"};
-    const auto At = Text.empty() ? 0 : below(Text.size());
-    switch (below(5)) {
-    case 0:
-      if (!Text.empty())
-        Text[At] = static_cast<char>(below(256));
-      break;
-    case 1:
-      Text.erase(At, 1 + below(8));
-      break;
-    case 2:
-      Text.insert(At, Tokens[below(Tokens.size())]);
-      break;
-    case 3:
-      Text.insert(At, Text.substr(below(Text.size() + 1), 1 + below(16)));
-      break;
-    default:
-      Text.resize(At);
-    }
-  }
-
-  std::mt19937 Random;
-};
-
-auto environmentNumber(const char *Name, std::uint32_t Default)
-    -> std::uint32_t {
-  const auto *Text = std::getenv(Name);
-  return Text ? static_cast<std::uint32_t>(std::strtoul(Text, nullptr, 10))
-              : Default;
-}
-
 // Guards against one malformed message that takes a whole process down.
 TEST(MalformedInputTest, damagedMessagesAreRejectedWithoutACrash) {
   const auto Seed = environmentNumber("JAYRAMP_SEED", std::random_device{}());
   const auto Duration =
       std::chrono::seconds(environmentNumber("JAYRAMP_FUZZ_SECONDS", 3));
   const auto Kinds = messageKinds();
-  Mutator Mutations(Seed);
+  MessageMutator Mutations(Seed);
   std::size_t Messages = 0;
   for (const auto End = Clock::now() + Duration; Clock::now() < End;
        ++Messages) {
