placement: only workers that are expected to be late are worth a wait

Change: the margin for prediction errors ranks workers, but only classes in which the expected time itself misses the objective are worth a wait, and the reserve covers all others.

--- a/Source/Scheduling/PlacementPass.cpp
+++ b/Source/Scheduling/PlacementPass.cpp
@@ -253,7 +253,7 @@
   if (Group.Job->Spec.Priority != 0 || Classes.size() <= 1 ||
       Group.JobLateness != Lateness::OnTime || Search.reclaimsGuarantee(Group))
     return false;
-  const auto Slowest = Group.Speeds.slowestInTime();
+  const auto Slowest = Group.Speeds.slowestPossible();
   return Slowest >= Classes.front() && Slowest < Classes.back() &&
          Now - Group.Job->waitingSince(Group.Step).value_or(Now) <
              Scheduler.Policy.MaxSpeedWait;
@@ -264,7 +264,7 @@
     return false;
   const auto TaskCount = Group.TaskCount;
   Group.StaysInRack = prefersSingleRack(Group);
-  Group.AllowedSpeeds.Slowest = Group.Speeds.slowestInTime();
+  Group.AllowedSpeeds.Slowest = Group.Speeds.slowestPossible();
   if (!Search.fitsWhenEmpty(Group)) {
     Group.AllowedSpeeds = {};
     return false;
@@ -275,7 +275,7 @@
   Group.AllowedSpeeds.Slowest =
       SpeedPreference::forTasks(
           Group.TaskTime, Group.TimeLeft - Scheduler.Policy.ExpectedStopTime)
-          .slowestInTime();
+          .slowestPossible();
   if (Group.spec().Gang)
     placeAfterStops(Group, shapeOf(Group));
   else
--- a/Source/Scheduling/ShardScheduler.cpp
+++ b/Source/Scheduling/ShardScheduler.cpp
@@ -565,7 +565,7 @@
   return SpeedPreference::forTasks(
              JobTimeEstimate(Job, RunTimes).total(),
              std::chrono::duration_cast<Milliseconds>(Objective))
-      .slowestInTime();
+      .slowestPossible();
 }
 
 auto ShardScheduler::timeFactor(const WorkerEntry &Entry) const -> double {
--- a/Source/Scheduling/SpeedPreference.cpp
+++ b/Source/Scheduling/SpeedPreference.cpp
@@ -49,9 +49,11 @@
                                double SlackFactor) -> SpeedPreference {
   const auto RunTime =
       static_cast<double>((TimeLeft - StartAndEndTime).count());
-  const auto Longest = static_cast<double>(Expected.count()) * PredictionMargin;
+  const auto Likely = static_cast<double>(Expected.count());
+  const auto Longest = Likely * PredictionMargin;
   return {slowestClassWithin(RunTime, Longest * SlackFactor),
-          slowestClassWithin(RunTime, Longest)};
+          slowestClassWithin(RunTime, Longest),
+          slowestClassWithin(RunTime, Likely)};
 }
 
 auto SpeedPreference::rankOf(SpeedClass Class) const -> int {
--- a/Source/Scheduling/SpeedPreference.h
+++ b/Source/Scheduling/SpeedPreference.h
@@ -50,6 +50,9 @@
   /// Returns the slowest class in which the tasks are expected to end in time;
   /// the maximum if every class will do.
   auto slowestInTime() const -> SpeedClass { return SlowestInTime; }
+  /// Returns the slowest class in which the tasks end in time if they take no
+  /// longer than expected. Only slower workers are worth a wait for others.
+  auto slowestPossible() const -> SpeedClass { return SlowestPossible; }
   /// Returns a number by which classes are tried, smallest first: those with
   /// slack from the slowest to the fastest, then the others from the fastest to
   /// the slowest.
@@ -69,11 +72,14 @@
                      const SpeedRange &Allowed) const
       -> std::vector<SpeedRange>;
 
-  SpeedPreference(SpeedClass SlowestWithSlack, SpeedClass SlowestInTime)
-      : SlowestWithSlack(SlowestWithSlack), SlowestInTime(SlowestInTime) {}
+  SpeedPreference(SpeedClass SlowestWithSlack, SpeedClass SlowestInTime,
+                  SpeedClass SlowestPossible)
+      : SlowestWithSlack(SlowestWithSlack), SlowestInTime(SlowestInTime),
+        SlowestPossible(SlowestPossible) {}
 
   SpeedClass SlowestWithSlack = std::numeric_limits<SpeedClass>::max();
   SpeedClass SlowestInTime = std::numeric_limits<SpeedClass>::max();
+  SpeedClass SlowestPossible = std::numeric_limits<SpeedClass>::max();
 };
 
 } // namespace jayramp::scheduling
--- a/Tests/Shard/SpeedPreferenceTest.cpp
+++ b/Tests/Shard/SpeedPreferenceTest.cpp
@@ -26,6 +26,15 @@
   EXPECT_LT(Speeds.rankOf(3), Speeds.rankOf(4));
 }
 
+// Guards against urgent work that waits for a faster worker although it is
+// expected to end in time on a free one.
+TEST(SpeedPreferenceTest, theMarginAloneIsNotWorthAWait) {
+  const auto Speeds =
+      SpeedPreference::forTasks(Milliseconds(1000), Milliseconds(1500));
+  EXPECT_EQ(Speeds.slowestInTime(), 0);
+  EXPECT_EQ(Speeds.slowestPossible(), 1);
+}
+
 // Guards against urgent work that takes the slowest worker that will just do.
 TEST(SpeedPreferenceTest, withoutSlackTheFastestComesFirst) {
   const auto Speeds =
