placement: findings of a review

A step with more tasks than fast slots restarted the bound of its wait for speed with each start; the reserve became zero if the fastest workers were in a closed zone; a search for victims without any class in time delayed the next one; runs that resumed from a checkpoint were taken for nearly done; classes that differ little from their neighbors chained into one (the new test failed before).

--- a/Source/Scheduling/JobEntry.cpp
+++ b/Source/Scheduling/JobEntry.cpp
@@ -151,6 +151,8 @@
 auto JobEntry::removeFromWaiting(std::uint32_t Step) -> void {
   --Steps[Step].Waiting;
   --WaitingTasks;
+  if (Steps[Step].Waiting == 0)
+    Steps[Step].SpeedWaitSince.reset();
 }
 
 } // namespace jayramp::scheduling
--- a/Source/Scheduling/JobEntry.h
+++ b/Source/Scheduling/JobEntry.h
@@ -39,6 +39,11 @@
   auto releaseMeasuredWork() -> void {
     MeasuredWork = std::vector<StepWork>(Spec.Steps.size());
   }
+  /// Records that tasks of \p Step are held back at \p Now for faster workers.
+  /// Has no effect if some have been since all of them were placed last.
+  auto recordSpeedWait(std::uint32_t Step, TimePoint Now) -> void {
+    Steps[Step].SpeedWaitSince = Steps[Step].SpeedWaitSince.value_or(Now);
+  }
   auto recordWaitReason(std::uint32_t Step, WaitReason Reason) -> void {
     Steps[Step].LastWaitReason = Reason;
   }
@@ -70,6 +75,11 @@
   auto waitingSince(std::uint32_t Step) const -> std::optional<TimePoint> {
     return Steps[Step].WaitingSince;
   }
+  /// Returns since when tasks of \p Step have been held back for faster
+  /// workers. Unlike waitingSince(), a start of one of them does not end it.
+  auto speedWaitSince(std::uint32_t Step) const -> std::optional<TimePoint> {
+    return Steps[Step].SpeedWaitSince;
+  }
   /// Returns what the tasks of \p Step wait for; none if they have not waited
   /// long enough to be diagnosed.
   auto waitReason(std::uint32_t Step) const -> std::optional<WaitReason> {
@@ -105,6 +115,7 @@
     /// not come.
     std::optional<TimePoint> WaitingSince;
     std::optional<WaitReason> LastWaitReason; ///< Since WaitingSince.
+    std::optional<TimePoint> SpeedWaitSince;
     /// By task: the highest number of a run whose start may have been sent.
     std::vector<std::uint32_t> SentRuns;
   };
--- a/Source/Scheduling/PlacementPass.cpp
+++ b/Source/Scheduling/PlacementPass.cpp
@@ -79,9 +79,11 @@
 auto PlacementPass::updateReserveSpeeds() -> void {
   if (!SpeedsKnown)
     return;
+  Scheduler.Reserve.forgetOldArrivals(Now);
   auto Fastest = std::numeric_limits<SpeedClass>::max();
   for (const auto &[Id, Entry] : Scheduler.Workers)
-    Fastest = std::min(Fastest, speedClassOf(Entry));
+    if (Entry.isOpen())
+      Fastest = std::min(Fastest, speedClassOf(Entry));
   ReserveSpeeds.Slowest =
       std::max(Fastest, Scheduler.Reserve.slowestUsefulClass());
 }
@@ -255,7 +257,7 @@
     return false;
   const auto Slowest = Group.Speeds.slowestPossible();
   return Slowest >= Classes.front() && Slowest < Classes.back() &&
-         Now - Group.Job->waitingSince(Group.Step).value_or(Now) <
+         Now - Group.Job->speedWaitSince(Group.Step).value_or(Now) <
              Scheduler.Policy.MaxSpeedWait;
 }
 
@@ -272,15 +274,19 @@
   const auto Placed = placeNow(Group, shapeOf(Group));
   if (Placed == TaskCount)
     return true;
+  Group.Job->recordSpeedWait(Group.Step, Now);
+  Group.NotTried = WaitReason::Speed;
   Group.AllowedSpeeds.Slowest =
       SpeedPreference::forTasks(
           Group.TaskTime, Group.TimeLeft - Scheduler.Policy.ExpectedStopTime)
           .slowestPossible();
+  // Nothing that has to be stopped first is in time.
+  if (Group.AllowedSpeeds.Slowest < Candidates.speedClasses().front())
+    return true;
   if (Group.spec().Gang)
     placeAfterStops(Group, shapeOf(Group));
   else
     placeTasksAfterStops(Group, TaskCount - Placed);
-  Group.NotTried = WaitReason::Speed;
   return true;
 }
 
--- a/Source/Scheduling/PreemptionCandidates.cpp
+++ b/Source/Scheduling/PreemptionCandidates.cpp
@@ -55,7 +55,8 @@
   constexpr std::uint32_t MinPercent = 50;
   constexpr std::uint32_t CompletePercent = 100;
   const auto Percent = LiveRun.ProgressPercent;
-  if (!Scheduler.knowsSpeeds() || Percent < MinPercent ||
+  // A run that resumed from a checkpoint did not work for all of its percents.
+  if (!Scheduler.knowsSpeeds() || !LiveRun.IsFresh || Percent < MinPercent ||
       Percent >= CompletePercent ||
       LiveRun.Job->Spec.Steps[LiveRun.Id.Step].Gang)
     return false;
--- a/Source/Scheduling/SpeedPreference.cpp
+++ b/Source/Scheduling/SpeedPreference.cpp
@@ -95,7 +95,7 @@
   for (const auto Class : Classes) {
     if (!Allowed.contains(Class))
       continue;
-    if (!Ranges.empty() && AreAlike(Ranges.back().Slowest, Class))
+    if (!Ranges.empty() && AreAlike(Ranges.back().Fastest, Class))
       Ranges.back().Slowest = Class;
     else
       Ranges.push_back({Class, Class});
--- a/Source/Scheduling/UrgentReserve.cpp
+++ b/Source/Scheduling/UrgentReserve.cpp
@@ -6,11 +6,15 @@
 
 namespace jayramp::scheduling {
 
-auto UrgentReserve::size(std::int64_t TotalGpus, TimePoint Now)
-    -> std::int64_t {
+auto UrgentReserve::forgetOldArrivals(TimePoint Now) -> void {
   while (!Arrivals.empty() &&
          Arrivals.front().ArrivedAt < Now - Policy.ArrivalWindow)
     Arrivals.pop_front();
+}
+
+auto UrgentReserve::size(std::int64_t TotalGpus, TimePoint Now)
+    -> std::int64_t {
+  forgetOldArrivals(Now);
   std::int64_t RecentArrivals = 0;
   for (const auto &Each : Arrivals)
     RecentArrivals += Each.Gpus;
--- a/Source/Scheduling/UrgentReserve.h
+++ b/Source/Scheduling/UrgentReserve.h
@@ -21,6 +21,8 @@
       -> void {
     Arrivals.push_back({ArrivedAt, Gpus, Slowest});
   }
+  /// Forgets the arrivals that do not count any more at \p Now.
+  auto forgetOldArrivals(TimePoint Now) -> void;
   /// Returns the slowest class of workers on which the reserve is of use: at
   /// least half of the accelerators that recently arrived jobs requested may be
   /// that slow. The maximum if there were none.
--- a/Tests/Shard/SpeedPreferenceTest.cpp
+++ b/Tests/Shard/SpeedPreferenceTest.cpp
@@ -62,6 +62,14 @@
   EXPECT_EQ(Ranges[2], (SpeedRange{-2, 1}));
 }
 
+// Guards against a gang on workers of very different speed where the speeds are
+// spread evenly.
+TEST(SpeedPreferenceTest, alikeClassesDoNotChain) {
+  const auto Ranges = SpeedPreference().rangesForGang({0, 1, 2, 3, 4}, {});
+  ASSERT_FALSE(Ranges.empty());
+  EXPECT_EQ(Ranges[0], (SpeedRange{4, 4}));
+}
+
 // Guards against searches that are repeated although the workers are alike.
 TEST(SpeedPreferenceTest, alikeWorkersAreSearchedOnce) {
   EXPECT_TRUE(SpeedPreference().rangesForGang({0}, {}).empty());
