scheduling: account shares, room for large gangs, admission by a forecast

Cause: while room is short, the account that submits most crowds out the others, gangs below the most urgent priority wait without a bound while smaller jobs take each worker that becomes free, and jobs are accepted that can't end before their result loses its value.

Change: AccountShares orders jobs of equal urgency by what their account has had; GangRoom gathers room for at most two gangs at a time, for at most 3 s and 0.3 of the pool, never beside a pool that is half idle; the owner's heartbeat carries a forecast by which hosts refuse such a job at once (429), with a time to return that spreads the callers, and never a job that is stored or guaranteed.

--- a/Source/Scheduling/CandidateWorkers.cpp
+++ b/Source/Scheduling/CandidateWorkers.cpp
@@ -8,13 +8,13 @@
   Candidates.clear();
   PositionByWorker.clear();
   RackFreeGpus.assign(RackCount, 0);
-  FreeGpus = 0;
+  TotalFree = {};
   SpeedClasses.clear();
   FreeGpusByClass.clear();
 }
 
 auto CandidateWorkers::add(WorkerEntry &Worker, SpeedClass Speed) -> void {
-  CandidateWorker Added{&Worker, Speed, Worker.Report.Capacity, {}};
+  CandidateWorker Added{&Worker, Speed, Worker.Report.Capacity, {}, {}};
   Added.Free -= Worker.Used;
   Added.FreeAfterStops = Added.Free;
   Added.FreeAfterStops += Worker.Stopping;
@@ -25,7 +25,7 @@
         FreeGpusByClass.begin() + (Class - SpeedClasses.begin()), 0);
     SpeedClasses.insert(Class, Speed);
   }
-  addFreeGpus(Added, Added.Free.Gpus);
+  addFree(Added, Added.Free);
   Candidates.push_back(Added);
 }
 
@@ -34,17 +34,19 @@
   auto &Target = Candidates[Position];
   Target.Free -= Need;
   Target.FreeAfterStops -= Need;
-  addFreeGpus(Target, -Need.Gpus);
+  Resources Freed;
+  Freed -= Need;
+  addFree(Target, Freed);
 }
 
-auto CandidateWorkers::addFreeGpus(const CandidateWorker &Candidate,
-                                   std::int64_t Gpus) -> void {
-  RackFreeGpus[Candidate.Worker->Rack] += Gpus;
-  FreeGpus += Gpus;
+auto CandidateWorkers::addFree(const CandidateWorker &Candidate,
+                               const Resources &Amount) -> void {
+  RackFreeGpus[Candidate.Worker->Rack] += Amount.Gpus;
+  TotalFree += Amount;
   const auto Class = std::lower_bound(SpeedClasses.begin(), SpeedClasses.end(),
                                       Candidate.Speed);
   FreeGpusByClass[static_cast<std::size_t>(Class - SpeedClasses.begin())] +=
-      Gpus;
+      Amount.Gpus;
 }
 
 auto CandidateWorkers::freeGpusWithin(const SpeedRange &Speeds) const
@@ -56,6 +58,13 @@
   return Sum;
 }
 
+auto CandidateWorkers::releaseHeld() -> void {
+  for (auto &Each : Candidates) {
+    Each.FreeAfterStops += Each.Held;
+    Each.Held = {};
+  }
+}
+
 auto CandidateWorkers::indexById() -> void {
   for (std::size_t Position = 0; Position < Candidates.size(); ++Position)
     PositionByWorker.emplace(Candidates[Position].Worker->Report.Id, Position);
--- a/Source/Scheduling/CandidateWorkers.h
+++ b/Source/Scheduling/CandidateWorkers.h
@@ -21,6 +21,7 @@
   /// Available once the stopping runs have ended, minus the resources that are
   /// reserved for waiting task groups.
   Resources FreeAfterStops;
+  Resources Held; ///< Held for gangs; not part of FreeAfterStops.
 
   /// Returns what a task can use now without taking reserved resources.
   auto usable() const -> Resources {
@@ -45,6 +46,13 @@
   auto reserve(std::size_t Position, const Resources &Need) -> void {
     Candidates[Position].FreeAfterStops -= Need;
   }
+  /// Reserves resources for a gang for which room is gathered.
+  auto hold(std::size_t Position, const Resources &Need) -> void {
+    Candidates[Position].FreeAfterStops -= Need;
+    Candidates[Position].Held += Need;
+  }
+  /// Makes the resources available again that are held for gangs.
+  auto releaseHeld() -> void;
   /// Adds the resources of a run that has just been told to stop.
   auto addStopping(std::size_t Position, const Resources &Need) -> void {
     Candidates[Position].FreeAfterStops += Need;
@@ -67,22 +75,25 @@
     return RackFreeGpus[Rack];
   }
   /// Returns the number of free accelerators of all workers.
-  auto freeGpus() const -> std::int64_t { return FreeGpus; }
+  auto freeGpus() const -> std::int64_t { return TotalFree.Gpus; }
   /// Returns the number of free accelerators of the workers in \p Speeds.
   auto freeGpusWithin(const SpeedRange &Speeds) const -> std::int64_t;
   /// Returns the speed classes of the workers, the fastest first.
   auto speedClasses() const -> const std::vector<SpeedClass> & {
     return SpeedClasses;
   }
+  /// Returns the free resources of all workers together.
+  auto totalFree() const -> const Resources & { return TotalFree; }
 
 private:
   /// Adds to the number of free accelerators.
-  auto addFreeGpus(const CandidateWorker &Candidate, std::int64_t Gpus) -> void;
+  auto addFree(const CandidateWorker &Candidate, const Resources &Amount)
+      -> void;
 
   std::vector<CandidateWorker> Candidates;
   std::unordered_map<std::string_view, std::size_t> PositionByWorker;
   std::vector<std::int64_t> RackFreeGpus;
-  std::int64_t FreeGpus = 0;
+  Resources TotalFree;
   std::vector<SpeedClass> SpeedClasses;
   /// By position in SpeedClasses.
   std::vector<std::int64_t> FreeGpusByClass;
--- a/Source/Scheduling/JobEntry.cpp
+++ b/Source/Scheduling/JobEntry.cpp
@@ -13,27 +13,13 @@
   return std::chrono::duration<double>(Duration).count();
 }
 
-/// Returns the estimated duration of the critical path through the steps.
-auto criticalPathEstimate(const JobSpec &Spec) -> Milliseconds {
-  std::vector<Milliseconds> Ends(Spec.Steps.size(), Milliseconds{0});
-  Milliseconds Longest{0};
-  for (std::size_t Step = 0; Step < Spec.Steps.size(); ++Step) {
-    Milliseconds Start{0};
-    for (const auto Predecessor : Spec.Steps[Step].After)
-      Start = std::max(Start, Ends[Predecessor]);
-    Ends[Step] = Start + Spec.Steps[Step].Estimate;
-    Longest = std::max(Longest, Ends[Step]);
-  }
-  return Longest;
-}
-
 } // namespace
 
 JobEntry::JobEntry(JobSpec JobSpecification, JobProgress StoredProgress,
                    TimePoint SubmittedAt, std::uint64_t Sequence)
     : Spec(std::move(JobSpecification)), Progress(std::move(StoredProgress)),
       SubmittedAt(SubmittedAt), Sequence(Sequence), FinishedAt(SubmittedAt),
-      CriticalPathSeconds(seconds(criticalPathEstimate(Spec))),
+      CriticalPathSeconds(seconds(Spec.criticalPath())),
       ObjectiveSeconds(CriticalPathSeconds * Spec.Stretch +
                        seconds(Spec.TargetLatency)),
       MeasuredWork(Spec.Steps.size()), Steps(Spec.Steps.size()) {
--- a/Source/Scheduling/JobEntry.h
+++ b/Source/Scheduling/JobEntry.h
@@ -99,6 +99,8 @@
   TimePoint FinishedAt;
   /// No runs are searched that the job could preempt before this time.
   TimePoint NextPreemptionSearch;
+  /// No workers are searched that could be held for the job before this time.
+  TimePoint NextGangRoomSearch;
   TimePoint NextWaitDiagnosis;    ///< Not diagnosed before this time.
   double CriticalPathSeconds = 0; ///< Estimated duration without waiting.
   double ObjectiveSeconds = 0;    ///< Latency objective.
--- a/Source/Scheduling/JobSpec.h
+++ b/Source/Scheduling/JobSpec.h
@@ -46,6 +46,17 @@
   /// into one row of the store.
   static constexpr std::uint32_t MaxTasks = 1000;
 
+  /// A result that is later than this multiple of the latency objective has no
+  /// value for the client.
+  static constexpr double MaxLatenessFactor = 3.0;
+
+  /// Returns the estimated duration of the critical path through the steps.
+  auto criticalPath() const -> Milliseconds;
+  /// Returns the latency objective.
+  auto objective() const -> Milliseconds;
+  /// Returns the time from the submission after which the result has no value
+  /// for the client.
+  auto longestUsefulTime() const -> Milliseconds;
   /// Returns whether the number of tasks is within MaxTasks and every step
   /// depends only on earlier ones.
   auto isWellFormed() const -> bool;
--- a/Source/Scheduling/LayoutSearch.h
+++ b/Source/Scheduling/LayoutSearch.h
@@ -49,6 +49,12 @@
   /// Returns the layout of least cost, or none if the group does not fit.
   auto cheapestLayout(const TaskGroup &Group, ResourceSource Source) const
       -> std::optional<Layout>;
+  /// Returns the sets of workers in \p Speeds that may each hold the group, by
+  /// position: one set for each rack if the group must stay in one rack, else a
+  /// single set.
+  auto eligibleWorkerSets(const SpeedRange &Speeds,
+                          const TaskGroup &Group) const
+      -> std::vector<std::vector<std::size_t>>;
   /// Returns how many tasks like those of the group fit into the resources that
   /// are available now, regardless of racks.
   auto roomFor(const TaskGroup &Group) const -> std::uint32_t;
@@ -71,12 +77,6 @@
   auto cheapestLayoutWithin(const SpeedRange &Speeds, const TaskGroup &Group,
                             ResourceSource Source) const
       -> std::optional<Layout>;
-  /// Returns the sets of workers in \p Speeds that may each hold the group, by
-  /// position: one set for each rack if the group must stay in one rack, else a
-  /// single set.
-  auto eligibleWorkerSets(const SpeedRange &Speeds,
-                          const TaskGroup &Group) const
-      -> std::vector<std::vector<std::size_t>>;
   auto racksThatMayHold(const SpeedRange &Speeds, const TaskGroup &Gang) const
       -> std::vector<std::vector<std::size_t>>;
   /// Returns a layout on the workers of \p WorkerSet that stops no runs.
--- a/Source/Scheduling/PlacementPass.cpp
+++ b/Source/Scheduling/PlacementPass.cpp
@@ -2,13 +2,16 @@
 
 #include "Scheduling/JobTimeEstimate.h"
 #include "Scheduling/PoolUse.h"
+#include "Scheduling/RoomForecast.h"
 #include "Scheduling/ShardScheduler.h"
 #include "Scheduling/WaitDiagnosis.h"
 
 #include <algorithm>
 #include <iterator>
 #include <limits>
+#include <map>
 #include <set>
+#include <string_view>
 #include <tuple>
 #include <utility>
 
@@ -16,10 +19,6 @@
 
 namespace {
 
-/// A result that is later than this multiple of the latency objective has no
-/// value for the client.
-constexpr double MaxLatenessFactor = 3.0;
-
 auto seconds(TimePoint::duration Duration) -> double {
   return std::chrono::duration<double>(Duration).count();
 }
@@ -32,6 +31,10 @@
 /// Limits the time of one pass: a search compares the runs of all workers.
 constexpr unsigned MaxPreemptionSearches = 8;
 
+/// What a task counts for at most where needs are summed up, so that sums over
+/// tasks with absurd requirements do not overflow.
+constexpr Resources MaxCountedNeed{1'000'000'000, 1'000'000'000, 1'000'000};
+
 /// Shortest interval between two passes that diagnose waits.
 constexpr Milliseconds WaitDiagnosisInterval{250};
 
@@ -45,23 +48,72 @@
 auto PlacementPass::run() -> void {
   collectCandidates();
   auto Groups = collectTaskGroups();
+  PendingGatherings = Scheduler.RoomForGangs.gatherings();
   for (auto &Group : Groups) {
-    if (Group.NotTried)
+    holdGangRoom(Group, Groups);
+    // A gang for which room was gathered may have been placed ahead of its
+    // turn.
+    if (Group.NotTried || Group.Job->waitingTasks(Group.Step) == 0)
       continue;
     if (Group.spec().Gang)
       placeGang(Group);
     else
       placeTasks(Group);
   }
+  updateGangRoom(Groups);
   diagnoseWaits(Groups);
 }
 
+auto PlacementPass::holdGangRoom(const TaskGroup &Next,
+                                 std::vector<TaskGroup> &Groups) -> void {
+  std::erase_if(PendingGatherings, [&](const GangRoom::Gathering &Target) {
+    if (!Target.isHeldAgainst(Next))
+      return false;
+    placeOrHold(Target, Groups);
+    return true;
+  });
+}
+
+auto PlacementPass::placeOrHold(const GangRoom::Gathering &Target,
+                                std::vector<TaskGroup> &Groups) -> void {
+  const auto Gang =
+      std::find_if(Groups.begin(), Groups.end(), [&](const TaskGroup &Group) {
+        return Group.Step == Target.Step && Group.Job->Spec.Id == Target.Job;
+      });
+  if (Gang == Groups.end() || Gang->NotTried)
+    return;
+  placeGang(*Gang);
+  if (Gang->Job->waitingTasks(Gang->Step) == 0) {
+    Scheduler.RoomForGangs.recordPlaced(*Gang->Job, Gang->Step, Now);
+    return;
+  }
+  // No task may stand still beside a pool that is mostly idle.
+  if (poolUseOf(*Gang) < Scheduler.Policy.IdlePoolUse)
+    return;
+  Candidates.indexById();
+  for (const auto &[Worker, Tasks] : Target.Workers)
+    if (const auto Position = Candidates.positionOf(Worker))
+      Candidates.hold(*Position, Target.Need * Tasks);
+}
+
+auto PlacementPass::updateGangRoom(const std::vector<TaskGroup> &Groups)
+    -> void {
+  if (!Scheduler.RoomForGangs.needsUpdate(Now))
+    return;
+  const RoomForecast Forecast(Scheduler.RunTimes, Now);
+  Scheduler.RoomForGangs.update({Groups, Candidates, Search, Forecast,
+                                 Groups.empty() ? 0 : poolUseOf(Groups.front()),
+                                 PoolCoreEquivalents, Now});
+}
+
 auto PlacementPass::collectCandidates() -> void {
   Candidates.reset(Scheduler.RackNumbers.size());
   updateReserveSpeeds();
   std::int64_t TotalGpus = 0;
   for (auto &[Id, Entry] : Scheduler.Workers) {
     const auto Speed = speedClassOf(Entry);
+    if (Entry.isOpen())
+      PoolCoreEquivalents += Entry.Report.Capacity.coreEquivalents();
     if (Entry.isOpen() && ReserveSpeeds.contains(Speed))
       TotalGpus += Entry.Report.Capacity.Gpus;
     if (Entry.isOpen() && Entry.Reachable && !Entry.Report.Draining &&
@@ -89,24 +141,69 @@
 }
 
 auto PlacementPass::collectTaskGroups() -> std::vector<TaskGroup> {
-  // The submission order is unique, so the order of the jobs is total.
-  using SortKey = std::tuple<std::uint32_t, bool, Lateness, std::uint64_t>;
-  std::vector<std::pair<SortKey, JobEntry *>> SortedJobs;
+  std::vector<WaitingJob> Jobs;
   for (const auto &[Sequence, Job] : Scheduler.ActiveJobs)
     if (Job->waitingTasks() > 0)
-      SortedJobs.push_back(
-          {{Job->Spec.Priority, !Job->Guaranteed, latenessOf(*Job), Sequence},
-           Job});
-  std::sort(SortedJobs.begin(), SortedJobs.end(),
-            [](const auto &Left, const auto &Right) {
-              return Left.first < Right.first;
-            });
+      Jobs.push_back(
+          {Job->Spec.Priority, !Job->Guaranteed, latenessOf(*Job), 0, Job});
+  std::sort(Jobs.begin(), Jobs.end(), goesFirst);
+  Scheduler.AccountsCompete = !isRoomForAll(Jobs);
+  if (Scheduler.AccountsCompete)
+    orderByAccountUse(Jobs);
   std::vector<TaskGroup> Groups;
-  for (const auto &[Key, Job] : SortedJobs)
-    addTaskGroups(*Job, std::get<2>(Key), Groups);
+  for (const auto &Each : Jobs)
+    addTaskGroups(*Each.Job, Each.JobLateness, Groups);
   return Groups;
 }
 
+auto PlacementPass::goesFirst(const WaitingJob &Left, const WaitingJob &Right)
+    -> bool {
+  const auto Key = [](const WaitingJob &Each) {
+    // The submission order is unique, so the order of the jobs is total.
+    return std::tie(Each.Priority, Each.HasNoGuarantee, Each.JobLateness,
+                    Each.AccountUse, Each.Job->Sequence);
+  };
+  return Key(Left) < Key(Right);
+}
+
+auto PlacementPass::waitingNeed(const JobEntry &Job) -> Resources {
+  Resources Total;
+  for (std::uint32_t Step = 0; Step < Job.Spec.Steps.size(); ++Step) {
+    const auto Waiting = Job.waitingTasks(Step);
+    // A step that no set of workers could hold does not compete for room.
+    if (Waiting == 0 || !Job.isReady(Step) ||
+        Job.waitReason(Step) == WaitReason::NoWorker)
+      continue;
+    Total +=
+        componentwiseMin(Job.Spec.Steps[Step].Need, MaxCountedNeed) * Waiting;
+  }
+  return Total;
+}
+
+auto PlacementPass::isRoomForAll(const std::vector<WaitingJob> &Jobs) const
+    -> bool {
+  Resources Total;
+  for (const auto &Each : Jobs)
+    Total += waitingNeed(*Each.Job);
+  return Candidates.totalFree().covers(Total);
+}
+
+auto PlacementPass::orderByAccountUse(std::vector<WaitingJob> &Jobs) const
+    -> void {
+  // What waits ahead of a job counts as used by its account, so that the
+  // accounts take turns within a pass too.
+  std::map<std::string_view, double> UseByAccount;
+  for (auto &Each : Jobs) {
+    const auto &Account = Each.Job->Spec.Tenant;
+    const auto Position =
+        UseByAccount.try_emplace(Account, Scheduler.Shares.useOf(Account))
+            .first;
+    Each.AccountUse = Position->second;
+    Position->second += waitingNeed(*Each.Job).coreEquivalents();
+  }
+  std::sort(Jobs.begin(), Jobs.end(), goesFirst);
+}
+
 auto PlacementPass::addTaskGroups(JobEntry &Job, Lateness JobLateness,
                                   std::vector<TaskGroup> &Groups) -> void {
   std::optional<JobTimeEstimate> Estimate;
@@ -135,7 +232,7 @@
   // A job that misses its objective should end while its result is of value.
   const auto Limit = Group.JobLateness == Lateness::OnTime
                          ? Job.ObjectiveSeconds
-                         : Job.ObjectiveSeconds * MaxLatenessFactor;
+                         : Job.ObjectiveSeconds * JobSpec::MaxLatenessFactor;
   const auto TimeLeft = milliseconds(Limit - seconds(Now - Job.SubmittedAt));
   Group.TaskTime = Estimate.taskTime(Group.Step);
   Group.TimeLeft = TimeLeft - Estimate.timeAfter(Group.Step);
@@ -152,7 +249,7 @@
                 timeFactorOf(Candidates.speedClasses().front());
   if (Elapsed + Remaining <= Job.ObjectiveSeconds)
     return Lateness::OnTime;
-  return Elapsed <= Job.ObjectiveSeconds * MaxLatenessFactor
+  return Elapsed <= Job.ObjectiveSeconds * JobSpec::MaxLatenessFactor
              ? Lateness::Late
              : Lateness::TooLate;
 }
@@ -170,7 +267,7 @@
 auto PlacementPass::sharesOutsideReserve(const TaskGroup &Group) const
     -> std::vector<PoolShare> {
   const auto Gpus = Group.spec().Need.Gpus;
-  if (Gpus == 0 || mayUseReserve(Group))
+  if (Gpus == 0 || ReservedGpus == 0 || mayUseReserve(Group))
     return {{{}, Group.TaskCount}};
   const auto Unreserved = std::max<std::int64_t>(
       0, Candidates.freeGpusWithin(ReserveSpeeds) - ReservedGpus);
@@ -471,12 +568,16 @@
   return Waited < Policy.MaxSameRackWaitOnBusyPool && !isPoolIdleFor(Group);
 }
 
-auto PlacementPass::isPoolIdleFor(const TaskGroup &Group) -> bool {
+auto PlacementPass::poolUseOf(const TaskGroup &Group) -> double {
   // All workers of a shard belong to one pool.
   if (!PoolUse)
     PoolUse = poolUse(Scheduler.Workers, Group.Job->Spec.Service);
+  return *PoolUse;
+}
+
+auto PlacementPass::isPoolIdleFor(const TaskGroup &Group) -> bool {
   constexpr std::uint32_t SpareFactor = 2;
-  return PoolUse < Scheduler.Policy.IdlePoolUse &&
+  return poolUseOf(Group) < Scheduler.Policy.IdlePoolUse &&
          Search.roomFor(Group) >= Group.TaskCount * SpareFactor;
 }
 
--- a/Source/Scheduling/PlacementPass.h
+++ b/Source/Scheduling/PlacementPass.h
@@ -2,6 +2,7 @@
 
 #include "Base/Clock.h"
 #include "Scheduling/CandidateWorkers.h"
+#include "Scheduling/GangRoom.h"
 #include "Scheduling/LayoutSearch.h"
 #include "Scheduling/PlacementFailureCache.h"
 #include "Scheduling/PreemptionCandidates.h"
@@ -29,13 +30,41 @@
   auto run() -> void;
 
 private:
+  /// A job with tasks that wait, and what decides its turn.
+  struct WaitingJob {
+    std::uint32_t Priority = 0;
+    bool HasNoGuarantee = true;
+    Lateness JobLateness = Lateness::OnTime;
+    /// What its account uses and waits for ahead of it, in core equivalents;
+    /// 0 if there is room for all jobs.
+    double AccountUse = 0;
+    JobEntry *Job = nullptr;
+  };
+
   auto collectCandidates() -> void;
   auto collectTaskGroups() -> std::vector<TaskGroup>;
+  static auto goesFirst(const WaitingJob &Left, const WaitingJob &Right)
+      -> bool;
+  /// Returns what the waiting tasks whose turn has come need together.
+  static auto waitingNeed(const JobEntry &Job) -> Resources;
+  auto isRoomForAll(const std::vector<WaitingJob> &Jobs) const -> bool;
+  /// Puts the jobs of the account that has had least first where nothing else
+  /// decides between them. \p Jobs are in the order without account use.
+  auto orderByAccountUse(std::vector<WaitingJob> &Jobs) const -> void;
   auto addTaskGroups(JobEntry &Job, Lateness JobLateness,
                      std::vector<TaskGroup> &Groups) -> void;
   auto setSpeedPreference(const JobTimeEstimate &Estimate,
                           TaskGroup &Group) const -> void;
   auto latenessOf(const JobEntry &Job) const -> Lateness;
+  /// Holds the room that is gathered for gangs against \p Next and the groups
+  /// after it. Places the gangs that fit.
+  auto holdGangRoom(const TaskGroup &Next, std::vector<TaskGroup> &Groups)
+      -> void;
+  /// Tries to place the gang, or else holds its room.
+  auto placeOrHold(const GangRoom::Gathering &Target,
+                   std::vector<TaskGroup> &Groups) -> void;
+  /// Decides for which gangs room is held until the next pass.
+  auto updateGangRoom(const std::vector<TaskGroup> &Groups) -> void;
   auto placeGang(TaskGroup &Gang) -> void;
   /// Places as many tasks of the group as fit.
   auto placeTasks(TaskGroup &Group) -> void;
@@ -78,6 +107,8 @@
   auto mustStayInRack(const TaskGroup &Group) -> bool;
   /// Returns whether the group can be spread over racks without taking room
   /// that others need: it holds its resources for longer then.
+  /// Returns the share of the pool that was in use at the first call.
+  auto poolUseOf(const TaskGroup &Group) -> double;
   auto isPoolIdleFor(const TaskGroup &Group) -> bool;
   /// Returns the layout of least cost if it is within \p Budget. Does not
   /// search if \p KnownFailures shows that there is none; adds a new failure to
@@ -121,6 +152,9 @@
   PlacementFailureCache PreemptionFailures;
   /// Failures to preempt equally urgent runs as well, for a guarantee.
   PlacementFailureCache ReclaimFailures;
+  /// Gatherings whose room is not held yet in this pass.
+  std::vector<GangRoom::Gathering> PendingGatherings;
+  double PoolCoreEquivalents = 0; ///< Capacity of the registered workers.
   /// Share of the pool in use; computed at the first need.
   std::optional<double> PoolUse;
   bool SpeedsKnown = false; ///< Workers are known to differ in speed.
--- a/Source/Scheduling/Resources.h
+++ b/Source/Scheduling/Resources.h
@@ -27,6 +27,10 @@
     return *this;
   }
 
+  auto operator*(std::int64_t Factor) const -> Resources {
+    return {CpuMillis * Factor, MemoryMb * Factor, Gpus * Factor};
+  }
+
   /// Returns whether these amounts suffice for \p Need.
   auto covers(const Resources &Need) const -> bool {
     return CpuMillis >= Need.CpuMillis && MemoryMb >= Need.MemoryMb &&
--- a/Source/Scheduling/SchedulingPolicy.h
+++ b/Source/Scheduling/SchedulingPolicy.h
@@ -54,6 +54,19 @@
   /// The same at the latest after waiting this long: the objective depends on
   /// the caller's estimate, which may be far too long.
   Milliseconds MaxReserveWait{15000};
+  /// Time constant with which the past use of a client account loses weight
+  /// where accounts compete for room.
+  Milliseconds AccountUseHorizon{30000};
+  /// Room is gathered for a less urgent gang after it has waited this fraction
+  /// of its latency objective.
+  double GangRoomWaitFraction = 0.5;
+  /// Room is held for a gang at most for this fraction of its latency
+  /// objective.
+  double GangRoomHoldFraction = 0.25;
+  /// The same in any case: other jobs wait for that room.
+  Milliseconds MaxGangRoomHold{3000};
+  /// Largest fraction of a pool that is held for gangs.
+  double MaxGangRoomFraction = 0.3;
   /// A task on a draining worker is moved unless it is expected to end at least
   /// this long before the worker leaves.
   Milliseconds DrainSafetyMargin{300};
--- a/Source/Scheduling/ShardScheduler.cpp
+++ b/Source/Scheduling/ShardScheduler.cpp
@@ -344,6 +344,7 @@
   Supervision.stopRunsOnLeavingWorkers();
   updateGuaranteedJobs();
   updateTimeFactors(Now);
+  Shares.update(Now);
   PlacementPass(*this, Now).run();
 }
 
@@ -393,6 +394,7 @@
   const auto &Need = NewRun.Job->Spec.Steps[NewRun.Id.Step].Need;
   const auto Id = NewRun.Id;
   Target.Used += Need;
+  Shares.occupy(NewRun.Job->Spec.Tenant, Need);
   if (NewRun.Phase == RunPhase::Stopping)
     Target.Stopping += Need;
   const auto Position = Runs.emplace(Id, std::move(NewRun)).first;
@@ -408,6 +410,10 @@
       Job.Progress
           .Steps[Step][sharedProgressIndex(Job.Spec.Steps[Step], Index)];
   Job.placeTask(Step, Index, RunNumber, Report.Id, Report.Incarnation);
+  PlacedWork +=
+      Job.Spec.Steps[Step].Need.coreEquivalents() *
+      std::chrono::duration<double>(RunTimes.expectedTime(Job.Spec, Step))
+          .count();
   addRun({{Job.Spec.Id, Step, Index, RunNumber},
           &Job,
           Report.Id,
@@ -437,6 +443,7 @@
     return;
   auto &Job = *Found->second.Job;
   const auto &Need = Job.Spec.Steps[Id.Step].Need;
+  Shares.release(Job.Spec.Tenant, Need);
   auto WorkerIt = Workers.find(Found->second.Worker);
   if (WorkerIt != Workers.end()) {
     auto &Entry = WorkerIt->second;
--- a/Source/Scheduling/ShardScheduler.h
+++ b/Source/Scheduling/ShardScheduler.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Scheduling/AccountShares.h"
+#include "Scheduling/GangRoom.h"
 #include "Scheduling/JobEntry.h"
 #include "Scheduling/Run.h"
 #include "Scheduling/RunPollRate.h"
@@ -28,7 +30,8 @@
 class ShardScheduler {
 public:
   explicit ShardScheduler(SchedulingPolicy Policy = {})
-      : Policy(Policy), Reserve(Policy) {}
+      : Policy(Policy), Reserve(Policy), Shares(Policy.AccountUseHorizon),
+        RoomForGangs(Policy) {}
 
   // Commands.
 
@@ -119,6 +122,11 @@
     return std::exchange(ChangedWorkers, {});
   }
 
+  /// Returns the decisions about room for gangs since the last call.
+  auto takeGangRoomDecisions() -> std::vector<GangRoomDecision> {
+    return RoomForGangs.takeDecisions();
+  }
+
   // Queries. Those that look up one object return null if it is unknown.
 
   /// Returns whether something changed since the last pass that can change its
@@ -146,6 +154,16 @@
     return KnownTimeFactors ? !KnownTimeFactors->empty()
                             : RunTimes.knowsSpeeds();
   }
+  /// Returns for which gangs room is held.
+  auto roomForGangs() const -> const GangRoom & { return RoomForGangs; }
+  /// Returns the core-seconds of all tasks that were placed so far, by their
+  /// expected times.
+  auto placedWork() const -> double { return PlacedWork; }
+  /// Returns what the runs of each client account use.
+  auto accountShares() const -> const AccountShares & { return Shares; }
+  /// Returns whether there was not room for all tasks that waited in the last
+  /// pass, so that the use of the accounts decided which went first.
+  auto accountsCompete() const -> bool { return AccountsCompete; }
   auto hasChangedJobs() const -> bool { return !ChangedJobs.empty(); }
 
 private:
@@ -211,6 +229,10 @@
   std::deque<std::string> ChangedJobs;
   std::set<std::string> ChangedJobSet;
   UrgentReserve Reserve;
+  AccountShares Shares;
+  GangRoom RoomForGangs;
+  double PlacedWork = 0;
+  bool AccountsCompete = false; ///< The last pass ordered jobs by account use.
   RunTimeModel RunTimes;
   /// By worker; absent if the learned ones apply.
   std::optional<std::map<std::string, double>> KnownTimeFactors;
--- a/Source/Scheduling/WaitDiagnosis.cpp
+++ b/Source/Scheduling/WaitDiagnosis.cpp
@@ -99,6 +99,8 @@
       return *Group.NotTried;
     return Group.StaysInRack ? WaitReason::Rack : WaitReason::Room;
   }
+  if (RoomFor + roomOnHeld(Group) >= Needed)
+    return WaitReason::GangRoom;
   const auto WithQuarantined = RoomFor + roomOnQuarantined(Group);
   if (WithQuarantined >= Needed)
     return WaitReason::Quarantine;
@@ -113,6 +115,19 @@
                                                : WaitReason::NoWorker;
 }
 
+auto WaitDiagnosis::roomOnHeld(const TaskGroup &Group) const -> std::uint32_t {
+  std::uint32_t Count = 0;
+  for (const auto &Each : Scheduler.roomForGangs().gatherings()) {
+    if (Each.Job == Group.Job->Spec.Id)
+      return 0;
+    for (const auto &[Worker, Tasks] : Each.Workers)
+      if (const auto *Entry = Scheduler.worker(Worker);
+          Entry && isEligible(Group, *Entry))
+        Count += roomOn(Group, *Entry);
+  }
+  return Count;
+}
+
 auto WaitDiagnosis::roomOnQuarantined(const TaskGroup &Group) const
     -> std::uint32_t {
   std::uint32_t Count = 0;
--- a/Source/Scheduling/WaitDiagnosis.h
+++ b/Source/Scheduling/WaitDiagnosis.h
@@ -30,6 +30,9 @@
   auto isDue(const TaskGroup &Group) const -> bool;
   auto reasonFor(const TaskGroup &Group, std::uint32_t RoomFor) const
       -> WaitReason;
+  /// Returns how many tasks of the group fit on workers that are held for
+  /// another gang.
+  auto roomOnHeld(const TaskGroup &Group) const -> std::uint32_t;
   /// Returns how many tasks of the group fit on quarantined workers, on
   /// unreachable ones, on those in closed zones, or on all workers if they were
   /// empty. Workers that drain are left out. Those in closed zones count only
--- a/Source/Scheduling/WaitReason.cpp
+++ b/Source/Scheduling/WaitReason.cpp
@@ -12,6 +12,8 @@
     return "reserve";
   case WaitReason::Speed:
     return "speed";
+  case WaitReason::GangRoom:
+    return "gang-room";
   case WaitReason::Quarantine:
     return "quarantine";
   case WaitReason::Unreachable:
@@ -33,6 +35,7 @@
   case WaitReason::Rack:
   case WaitReason::Reserve:
   case WaitReason::Speed:
+  case WaitReason::GangRoom:
   case WaitReason::Quarantine:
   case WaitReason::Unreachable:
     return true;
--- a/Source/Scheduling/WaitReason.h
+++ b/Source/Scheduling/WaitReason.h
@@ -12,6 +12,7 @@
   Room,        ///< The workers that may run them are too full.
   Rack,        ///< There is room, but not in a single rack.
   Reserve,     ///< The free accelerators are kept for more urgent arrivals.
+  GangRoom,    ///< There is room only on workers that are held for a gang.
   Speed,       ///< There is room only on workers too slow for the deadline.
   Quarantine,  ///< There is room only on workers that get no tasks at present.
   Unreachable, ///< There is room only on workers that do not answer.
@@ -22,10 +23,10 @@
 };
 
 inline constexpr std::array AllWaitReasons = {
-    WaitReason::Room,       WaitReason::Rack,       WaitReason::Reserve,
-    WaitReason::Speed,      WaitReason::Quarantine, WaitReason::Unreachable,
-    WaitReason::ClosedZone, WaitReason::NoWorker,   WaitReason::EarlierRuns,
-    WaitReason::OnHold};
+    WaitReason::Room,        WaitReason::Rack,       WaitReason::Reserve,
+    WaitReason::GangRoom,    WaitReason::Speed,      WaitReason::Quarantine,
+    WaitReason::Unreachable, WaitReason::ClosedZone, WaitReason::NoWorker,
+    WaitReason::EarlierRuns, WaitReason::OnHold};
 
 /// Returns the name of \p Reason in logs and metrics.
 auto toString(WaitReason Reason) -> std::string_view;
--- a/Source/Shard/FreshnessGuard.cpp
+++ b/Source/Shard/FreshnessGuard.cpp
@@ -5,6 +5,8 @@
 #include "Shard/ShardSettings.h"
 #include "Shard/WorkerRegistry.h"
 
+#include <utility>
+
 namespace jayramp::shard {
 
 auto FreshnessGuard::isWorkerListFresh() const -> bool {
@@ -18,20 +20,22 @@
 }
 
 auto FreshnessGuard::logChanges() -> void {
-  logChange(isWorkerListFresh(), WorkerListWasFresh, "worker-list-fresh",
-            "worker-list-old");
-  logChange(areClosedZonesFresh(), ClosedZonesWereFresh, "closed-zones-fresh",
-            "closed-zones-old");
+  const bool IsListFresh = isWorkerListFresh();
+  if (std::exchange(WorkerListWasFresh, IsListFresh) != IsListFresh) {
+    const auto *Event = IsListFresh ? "worker-list-fresh" : "worker-list-old";
+    logChange(IsListFresh, Event);
+  }
+  const bool AreZonesFresh = areClosedZonesFresh();
+  if (std::exchange(ClosedZonesWereFresh, AreZonesFresh) != AreZonesFresh) {
+    const auto *Event =
+        AreZonesFresh ? "closed-zones-fresh" : "closed-zones-old";
+    logChange(AreZonesFresh, Event);
+  }
 }
 
-auto FreshnessGuard::logChange(bool IsFresh, bool &WasFresh,
-                               const char *FreshEvent,
-                               const char *OldEvent) const -> void {
-  if (IsFresh == WasFresh)
-    return;
-  WasFresh = IsFresh;
-  logEvent(IsFresh ? LogLevel::Info : LogLevel::Warning,
-           IsFresh ? FreshEvent : OldEvent, {{"shard", Shard}});
+auto FreshnessGuard::logChange(bool IsFresh, const char *Event) const -> void {
+  logEvent(IsFresh ? LogLevel::Info : LogLevel::Warning, Event,
+           {{"shard", Shard}});
 }
 
 } // namespace jayramp::shard
--- a/Source/Shard/FreshnessGuard.h
+++ b/Source/Shard/FreshnessGuard.h
@@ -32,8 +32,7 @@
   }
 
 private:
-  auto logChange(bool IsFresh, bool &WasFresh, const char *FreshEvent,
-                 const char *OldEvent) const -> void;
+  auto logChange(bool IsFresh, const char *Event) const -> void;
 
   std::string Shard;
   const WorkerRegistry &Registry;
--- a/Source/Shard/OwnerElection.cpp
+++ b/Source/Shard/OwnerElection.cpp
@@ -24,6 +24,8 @@
 /// Maximum age of the owner's counts of waiting jobs; older counts are not
 /// used.
 constexpr Milliseconds MaxWaitingCountAge{1000};
+/// Maximum age of the owner's forecast: the backlog changes.
+constexpr Milliseconds MaxForecastAge{2000};
 /// Number of hosts that follow the owner's heartbeats closely. The others read
 /// them less often, so that the calls to the store hardly grow with the number
 /// of hosts, and take over only if these do not.
@@ -133,6 +135,13 @@
   return Found == WaitingCounts->end() ? 0 : Found->second;
 }
 
+auto OwnerElection::recentForecast() const -> std::optional<AdmissionForecast> {
+  if (FeedInterrupted ||
+      Clock::now() - WaitingCountsReceivedAt > MaxForecastAge)
+    return std::nullopt;
+  return Forecast;
+}
+
 auto OwnerElection::onHeartbeat(const store::Row &Row, bool IsUpdate) -> void {
   if (Row.Version <= HeartbeatVersion)
     return;
@@ -146,7 +155,9 @@
     return;
   }
   // A heartbeat row from a snapshot may be old, so its counts are not used.
-  WaitingCounts = IsUpdate ? DecodedHeartbeat.value().Waiting : std::nullopt;
+  const auto &Beat = DecodedHeartbeat.value();
+  WaitingCounts = IsUpdate ? Beat.Waiting : std::nullopt;
+  Forecast = IsUpdate ? Beat.Forecast : std::nullopt;
   WaitingCountsReceivedAt = Clock::now();
 }
 
--- a/Source/Shard/OwnerElection.h
+++ b/Source/Shard/OwnerElection.h
@@ -58,6 +58,9 @@
   /// heartbeat, or nothing if that is not recent enough.
   auto recentWaitingCount(const std::string &Queue) const
       -> std::optional<std::size_t>;
+  /// Returns the forecast in the owner's latest heartbeat, or nothing if that
+  /// is not recent enough or has none.
+  auto recentForecast() const -> std::optional<AdmissionForecast>;
 
 private:
   auto onHeartbeat(const store::Row &Row, bool IsUpdate) -> void;
@@ -113,6 +116,7 @@
   std::optional<std::map<std::string, std::uint64_t>>
       WaitingCounts; ///< By queue.
   TimePoint WaitingCountsReceivedAt;
+  std::optional<AdmissionForecast> Forecast; ///< Received with the counts.
   /// When the owner's rows last changed, or a later time from which the
   /// takeover timeout counts.
   TimePoint LastOwnerActivity;
--- a/Source/Shard/OwnerGauges.cpp
+++ b/Source/Shard/OwnerGauges.cpp
@@ -43,6 +43,14 @@
   Target.gauge("jayramp_longest_wait_seconds", Labels, Total.LongestSeconds);
 }
 
+auto publishCompetition(Metrics &Target, const std::string &Shard,
+                        bool AccountsCompete, double LargestShare) -> void {
+  Target.gauge("jayramp_accounts_compete", shardLabel(Shard),
+               AccountsCompete ? 1 : 0);
+  Target.gauge("jayramp_largest_account_share", shardLabel(Shard),
+               LargestShare);
+}
+
 auto publishAllWaits(Metrics &Target, const std::string &Shard,
                      const WaitStatistics &Totals) -> void {
   publishWaits(Target, Shard, std::nullopt, Totals);
@@ -75,6 +83,11 @@
                Owner.isRecovering()
                    ? 0
                    : scheduling::poolUse(Scheduler.workers(), Shard));
+  publishCompetition(Target, Shard, Scheduler.accountsCompete(),
+                     Scheduler.accountShares().largestShare());
+  Target.gauge(
+      "jayramp_gangs_with_held_room", shardLabel(Shard),
+      static_cast<double>(Scheduler.roomForGangs().gatherings().size()));
   Target.gauge("jayramp_owner_recovering", shardLabel(Shard),
                Owner.isRecovering() ? 1 : 0);
   publishSpeeds(Shard, Owner);
@@ -122,6 +135,8 @@
 auto OwnerGauges::clear(const std::string &Shard) -> void {
   publishAllWaits(Target, Shard, {});
   Target.gauge("jayramp_pool_use", shardLabel(Shard), 0);
+  publishCompetition(Target, Shard, false, 0);
+  Target.gauge("jayramp_gangs_with_held_room", shardLabel(Shard), 0);
   Target.gauge("jayramp_owner_recovering", shardLabel(Shard), 0);
   for (const auto &Zone : PublishedZones[Shard])
     Target.gauge("jayramp_zone_time_factor", zoneLabels(Shard, Zone), 0);
--- a/Source/Shard/OwnerHeartbeat.cpp
+++ b/Source/Shard/OwnerHeartbeat.cpp
@@ -21,12 +21,13 @@
                                Ownership CurrentOwnership,
                                WaitingCounts ReadWaitingCounts,
                                SpeedQuery ReadSpeeds,
+                               ForecastSource ReadForecast,
                                std::function<void(const char *)> OnLost)
     : Loop(Loop), Store(Store), Rows(std::move(Rows)), Settings(Settings),
       CurrentOwnership(std::move(CurrentOwnership)),
       ReadWaitingCounts(std::move(ReadWaitingCounts)),
-      ReadSpeeds(std::move(ReadSpeeds)), OnLost(std::move(OnLost)),
-      LastConfirmedAt(suspendAwareNow()) {}
+      ReadSpeeds(std::move(ReadSpeeds)), ReadForecast(std::move(ReadForecast)),
+      OnLost(std::move(OnLost)), LastConfirmedAt(suspendAwareNow()) {}
 
 auto OwnerHeartbeat::close() -> void {
   Closed = true;
@@ -51,9 +52,10 @@
 auto OwnerHeartbeat::send() -> void {
   store::RowTransaction Change;
   Change.Conditions.push_back({Rows.ownerKey(), CurrentOwnership.OwnerVersion});
-  Change.Writes.push_back({Rows.heartbeatKey(),
-                           encodeHeartbeat({CurrentOwnership.Owner.FencingToken,
-                                            Sequence, ReadWaitingCounts()})});
+  Change.Writes.push_back(
+      {Rows.heartbeatKey(),
+       encodeHeartbeat({CurrentOwnership.Owner.FencingToken, Sequence,
+                        ReadWaitingCounts(), ReadForecast()})});
   if (const auto Speeds = SpeedRow.takeDue(ReadSpeeds(), Clock::now()))
     Change.Writes.push_back({Rows.speedKey(), encodeSpeeds(*Speeds)});
   SentAt = suspendAwareNow();
--- a/Source/Shard/OwnerHeartbeat.h
+++ b/Source/Shard/OwnerHeartbeat.h
@@ -29,11 +29,14 @@
 
   /// Returns what is known of the speeds of workers.
   using SpeedQuery = std::function<scheduling::SpeedSummary()>;
+  /// Returns the current forecast, or nothing if there is none.
+  using ForecastSource = std::function<std::optional<AdmissionForecast>()>;
 
   /// \p OnLost is called if another host owns the shard.
   OwnerHeartbeat(net::EventLoop &Loop, store::RowStore &Store, ShardRows Rows,
                  const ShardSettings &Settings, Ownership CurrentOwnership,
                  WaitingCounts ReadWaitingCounts, SpeedQuery ReadSpeeds,
+                 ForecastSource ReadForecast,
                  std::function<void(const char *Reason)> OnLost);
 
   /// Sends a heartbeat if one is due and none is in flight.
@@ -64,6 +67,7 @@
   WaitingCounts ReadWaitingCounts;
   SpeedQuery ReadSpeeds;
   SpeedRowSchedule SpeedRow;
+  ForecastSource ReadForecast;
   std::function<void(const char *)> OnLost;
   bool WriteInProgress = false;
   bool Closed = false;
--- a/Source/Shard/ShardOwner.cpp
+++ b/Source/Shard/ShardOwner.cpp
@@ -42,7 +42,7 @@
                   [this](const char *Reason) { loseOwnership(Reason); }}),
       RecoveryLog(this->Shard, CurrentOwnership.Owner.FencingToken,
                   Clock::now()),
-      LearnedSpeedLog(this->Shard),
+      LearnedSpeedLog(this->Shard), LoadLog(this->Shard),
       Freshness(this->Shard, Deps.Registry, Deps.Settings),
       ZoneLog(this->Shard), SharedContext{Deps.Loop,
                                           Deps.Transport,
@@ -57,6 +57,7 @@
       Deps.Loop, Deps.Store, Rows, Deps.Settings, CurrentOwnership,
       [this] { return waitingCounts(); },
       [this] { return Scheduler.runTimes().summary(); },
+      [this] { return admissionForecast(); },
       [this](const char *Reason) { loseOwnership(Reason); });
   SpeedReader = std::make_shared<SpeedRowReader>(
       Deps.Loop, Deps.Store, Rows, Deps.Settings,
@@ -296,6 +297,7 @@
   const auto Begin = Clock::now();
   Scheduler.schedule(Begin);
   logDecisions(Scheduler);
+  LoadLog.report(Scheduler, Begin);
   const auto End = Clock::now();
   NextDecision = End + (End - Begin) * DecisionPauseFactor;
   // Orders may change the scheduler's state again, which needs another pass.
@@ -417,6 +419,11 @@
   return Counts;
 }
 
+auto ShardOwner::admissionForecast() -> std::optional<AdmissionForecast> {
+  return Recovering ? std::nullopt
+                    : Forecaster.forecast(Scheduler, Clock::now());
+}
+
 auto ShardOwner::removeJobRows(const std::string &Job) -> void {
   const auto Found = IntakesOfJob.extract(Job);
   if (Found.empty())
--- a/Source/Shard/ShardOwner.h
+++ b/Source/Shard/ShardOwner.h
@@ -2,8 +2,10 @@
 
 #include "Net/EventLoop.h"
 #include "Scheduling/ShardScheduler.h"
+#include "Shard/AdmissionForecast.h"
 #include "Shard/ClosedZoneLog.h"
 #include "Shard/FreshnessGuard.h"
+#include "Shard/LoadDecisionLog.h"
 #include "Shard/OwnerHeartbeat.h"
 #include "Shard/Ownership.h"
 #include "Shard/ProgressJournal.h"
@@ -91,6 +93,8 @@
   /// jobs are known.
   auto waitingCounts() const
       -> std::optional<std::map<std::string, std::uint64_t>>;
+  /// Returns what jobs that are submitted now are to expect.
+  auto admissionForecast() -> std::optional<AdmissionForecast>;
   auto removeJobRows(const std::string &Job) -> void;
   /// Tells the scheduler which jobs it must hold back because their progress
   /// can't be written at present.
@@ -106,6 +110,8 @@
   ProgressJournal Journal;
   RecoveryDelayLog RecoveryLog;
   SpeedLog LearnedSpeedLog;
+  LoadDecisionLog LoadLog;
+  AdmissionForecaster Forecaster;
   std::shared_ptr<OwnerHeartbeat> Heartbeat;
   std::shared_ptr<SpeedRowReader> SpeedReader;
   std::shared_ptr<RowCleaner> Cleaner;
--- a/Source/Shard/ShardRows.cpp
+++ b/Source/Shard/ShardRows.cpp
@@ -260,6 +260,17 @@
   Row.set_counted(Beat.Waiting.has_value());
   if (Beat.Waiting)
     Row.mutable_waiting()->insert(Beat.Waiting->begin(), Beat.Waiting->end());
+  if (Beat.Forecast) {
+    auto &Forecast = *Row.mutable_forecast();
+    for (const auto &[Priority, Wait] : Beat.Forecast->RoomWaits) {
+      auto &Waits = (*Forecast.mutable_room_waits())[Priority];
+      Waits.set_on_time_ms(Wait.OnTime.count());
+      Waits.set_useful_ms(Wait.Useful.count());
+    }
+    Forecast.mutable_backlog_shares()->insert(
+        Beat.Forecast->BacklogShares.begin(),
+        Beat.Forecast->BacklogShares.end());
+  }
   return Row.SerializeAsString();
 }
 
@@ -267,9 +278,19 @@
   rows::HeartbeatRow Row;
   if (!Row.ParseFromString(Value))
     return malformedRowError("heartbeat");
-  Heartbeat Beat{Row.fencing_token(), Row.sequence(), std::nullopt};
+  Heartbeat Beat{Row.fencing_token(), Row.sequence(), std::nullopt,
+                 std::nullopt};
   if (Row.counted())
     Beat.Waiting.emplace(Row.waiting().begin(), Row.waiting().end());
+  if (Row.has_forecast()) {
+    const auto &Forecast = Row.forecast();
+    Beat.Forecast.emplace();
+    for (const auto &[Priority, Waits] : Forecast.room_waits())
+      Beat.Forecast->RoomWaits[Priority] = {Milliseconds(Waits.on_time_ms()),
+                                            Milliseconds(Waits.useful_ms())};
+    Beat.Forecast->BacklogShares.insert(Forecast.backlog_shares().begin(),
+                                        Forecast.backlog_shares().end());
+  }
   return Beat;
 }
 
--- a/Source/Shard/ShardRows.h
+++ b/Source/Shard/ShardRows.h
@@ -4,6 +4,7 @@
 #include "Scheduling/JobProgress.h"
 #include "Scheduling/JobSpec.h"
 #include "Scheduling/SpeedSummary.h"
+#include "Shard/AdmissionForecast.h"
 #include "Store/RowStore.h"
 
 #include <map>
@@ -30,6 +31,8 @@
   /// Number of jobs of each queue of which no task has started; absent while
   /// the owner does not know all jobs.
   std::optional<std::map<std::string, std::uint64_t>> Waiting;
+  /// Absent while the owner cannot tell when tasks find room.
+  std::optional<AdmissionForecast> Forecast;
 
   auto operator==(const Heartbeat &) const -> bool = default;
 };
--- a/Tests/Platform/ConnectionLimitsTest.cpp
+++ b/Tests/Platform/ConnectionLimitsTest.cpp
@@ -85,14 +85,16 @@
     Own.rlim_cur = Own.rlim_max;
     ::setrlimit(RLIMIT_NOFILE, &Own);
     const auto *Given = std::getenv("JAYRAMP_ENTRYD");
-    auto Started = EntryHost::start({Given ? Given : JAYRAMP_ENTRY_DAEMON,
-                                     Folder,
-                                     "edge-0",
-                                     "zone-a",
-                                     {"zone-a"},
-                                     StoreAddress,
-                                     MemoryMb,
-                                     MaxFds});
+    EntryHost::Options Options;
+    Options.Daemon = Given ? Given : JAYRAMP_ENTRY_DAEMON;
+    Options.Folder = Folder;
+    Options.Name = "edge-0";
+    Options.Zone = "zone-a";
+    Options.Zones = {"zone-a"};
+    Options.StoreAddress = StoreAddress;
+    Options.MemoryMb = MemoryMb;
+    Options.MaxFds = MaxFds;
+    auto Started = EntryHost::start(Options);
     ASSERT_TRUE(Started) << Started.error().message();
     Host.emplace(std::move(Started).value());
     const rlimit Limit{DescriptorRlimit, DescriptorRlimit};
--- a/Tests/Shard/JobIngressTest.cpp
+++ b/Tests/Shard/JobIngressTest.cpp
@@ -26,18 +26,33 @@
         std::make_shared<const shard::ServingConfiguration>(Configuration));
   }
 
-  /// Asks for the state of a job that does not exist and returns the response.
-  auto request() -> net::HttpResponse {
+  /// Asks for the state of a job that does not exist, or makes another request
+  /// about it, and returns the response.
+  auto request(const std::string &Method = "GET", const std::string &Body = {})
+      -> net::HttpResponse {
     std::optional<net::HttpResponse> Response;
-    Ingress.handle({"GET",
+    Ingress.handle({Method,
                     "/q/0123456789abcdef",
                     {{"Host", "host"}, {"Authorization", "Bearer key"}},
-                    {}},
+                    Body},
                    [&](net::HttpResponse Next) { Response = std::move(Next); });
     EXPECT_TRUE(runUntil([&] { return Response.has_value(); }));
     return *Response;
   }
 
+  auto submitJob() -> net::HttpResponse {
+    return request("POST", R"({"steps":[{"gpu":1,"estimated-ms":1000}]})");
+  }
+
+  /// Lets the owner forecast that no job can be served before it is too late.
+  auto forecastNoRoom() -> void {
+    Ingress.setForecastSource([](const std::string &) {
+      return shard::AdmissionForecast{
+          {{0, {Milliseconds(60000), Milliseconds(60000)}}},
+          {{"account", 1.0}}};
+    });
+  }
+
   shard::ServingConfiguration Configuration;
   platform::JobIngress Ingress{Gateway, MaxConfigurationAge};
 };
@@ -75,6 +90,36 @@
   EXPECT_EQ(request().Status, 401U);
 }
 
+// Guards against jobs that are stored although they cannot be served in time,
+// and against a refused job that runs all the same.
+TEST_F(JobIngressTest, refusesAJobThatCannotBeServedInTimeAndDoesNotStoreIt) {
+  forecastNoRoom();
+  const auto Response = submitJob();
+  EXPECT_EQ(Response.Status, 429U);
+  EXPECT_TRUE(std::any_of(
+      Response.Headers.begin(), Response.Headers.end(),
+      [](const auto &Header) { return Header.first == "Retry-After"; }));
+  EXPECT_EQ(request().Status, 410U);
+}
+
+// Guards against the refusal of a repeated request whose job was stored by an
+// earlier one, and may run.
+TEST_F(JobIngressTest, acceptsTheRepeatOfAStoredJobWhenOthersAreRefused) {
+  EXPECT_EQ(submitJob().Status, 200U);
+  forecastNoRoom();
+  EXPECT_EQ(submitJob().Status, 200U);
+  EXPECT_EQ(request().Status, 200U);
+}
+
+// Guards against refusing the work that an account is guaranteed.
+TEST_F(JobIngressTest, acceptsGuaranteedJobsWhenOthersAreRefused) {
+  Configuration.Version = 2;
+  Configuration.Accounts.front().GuaranteedGpus = 8;
+  apply();
+  forecastNoRoom();
+  EXPECT_EQ(submitJob().Status, 200U);
+}
+
 // Guards against serving a key after the time by which it must be refused, and
 // against refusing callers much earlier: the platform expects service for 0.6
 // of that time.
--- a/Tests/Shard/SchedulerFixture.h
+++ b/Tests/Shard/SchedulerFixture.h
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
 #include <set>
 
 namespace jayramp::scheduling {
@@ -104,6 +105,19 @@
       Scheduler.runStarted(Id, at(Ms));
   }
 
+  /// Ends the runs that have lasted for \p Duration at \p Ms, or else for their
+  /// estimates.
+  auto endRuns(std::int64_t Ms, std::optional<Milliseconds> Duration = {})
+      -> void {
+    std::vector<RunId> Ended;
+    for (const auto &[Id, LiveRun] : Scheduler.runs())
+      if (at(Ms) - LiveRun.AssignedAt >=
+          Duration.value_or(LiveRun.Job->Spec.Steps[Id.Step].Estimate))
+        Ended.push_back(Id);
+    for (const auto &Id : Ended)
+      Scheduler.runEnded(Id, RunOutcome::Succeeded, "", at(Ms));
+  }
+
   ShardScheduler Scheduler;
 };
 
