scheduling: findings of a review of the learning

The first heartbeat after a takeover could erase the stored speeds, and restored speeds lost their effect in the passes before any worker was registered; runs whose first report said 0 % were never measured; gauges kept zones without workers; a kind of work beyond the first 1,024 was never learned. A test for each failed before.

--- a/Source/Scheduling/RunTimeModel.cpp
+++ b/Source/Scheduling/RunTimeModel.cpp
@@ -110,6 +110,8 @@
     if (Percent < LiveRun.ProgressPercent ||
         Now - LiveRun.LastProgressAt >= StallTime)
       LiveRun.MeasuredFrom.reset();
+    else // Later reports no longer show that this is the first one.
+      LiveRun.MeasuredFrom = measuredFrom(LiveRun);
     return;
   }
   // A member of a gang may have been done long before the others.
--- a/Source/Scheduling/RunTimeModel.h
+++ b/Source/Scheduling/RunTimeModel.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace jayramp::scheduling {
@@ -46,8 +47,11 @@
   // Queries.
 
   /// Returns what is known of the speeds of workers, empty if they are not
-  /// known to differ.
-  auto summary() const -> SpeedSummary { return Speeds.summary(); }
+  /// known to differ, or nothing until refresh() has seen registered workers
+  /// since restoreSpeeds().
+  auto summary() const -> std::optional<SpeedSummary> {
+    return Speeds.summary();
+  }
   /// Returns whether workers are known to differ in speed. If not, decisions
   /// must not depend on speed.
   auto knowsSpeeds() const -> bool { return Speeds.differ(); }
--- a/Source/Scheduling/SpeedSummary.h
+++ b/Source/Scheduling/SpeedSummary.h
@@ -28,7 +28,7 @@
   std::map<std::uint32_t, std::int32_t> SlowWorkers;
 
   /// Largest number of groups of one level.
-  static constexpr std::size_t MaxGroupsPerLevel = 64;
+  static constexpr std::size_t MaxStoredGroups = 64;
   static constexpr std::size_t MaxSlowWorkers = 1024;
 
   /// Returns a checksum that stands for the id of a worker. Few workers have
--- a/Source/Scheduling/WorkKinds.cpp
+++ b/Source/Scheduling/WorkKinds.cpp
@@ -92,6 +92,8 @@
 /// that the estimate tells nothing.
 class WorkKinds::Statistics {
 public:
+  std::uint64_t LastRecord = 0; ///< Number of the latest record.
+
   auto record(double LogEstimate, double LogWork) -> void {
     Older.add(LogEstimate, LogWork);
     Newer.add(LogEstimate, LogWork);
@@ -153,27 +155,29 @@
 WorkKinds::~WorkKinds() = default;
 
 auto WorkKinds::statisticsOf(const JobSpec &Job, const StepSpec &Step)
-    -> Statistics * {
+    -> Statistics & {
   const auto Kind = WorkKind::of(Job, Step);
   auto Found = Kinds.find(Kind);
   if (Found == Kinds.end()) {
     if (Kinds.size() >= MaxKinds)
-      return nullptr;
+      Kinds.erase(std::min_element(
+          Kinds.begin(), Kinds.end(), [](const auto &Left, const auto &Right) {
+            return Left.second->LastRecord < Right.second->LastRecord;
+          }));
     Found = Kinds.emplace(Kind, std::make_unique<Statistics>()).first;
   }
-  return Found->second.get();
+  Found->second->LastRecord = ++Records;
+  return *Found->second;
 }
 
 auto WorkKinds::record(const JobSpec &Job, const StepSpec &Step, double LogWork)
     -> void {
-  if (auto *Known = statisticsOf(Job, Step))
-    Known->record(logEstimate(Step), LogWork);
+  statisticsOf(Job, Step).record(logEstimate(Step), LogWork);
 }
 
 auto WorkKinds::recordDeviation(const JobSpec &Job, const StepSpec &Step,
                                 double Deviation) -> void {
-  if (auto *Known = statisticsOf(Job, Step))
-    Known->recordDeviation(Deviation);
+  statisticsOf(Job, Step).recordDeviation(Deviation);
 }
 
 auto WorkKinds::expected(const JobSpec &Job, const StepSpec &Step) const
--- a/Source/Scheduling/WorkKinds.h
+++ b/Source/Scheduling/WorkKinds.h
@@ -63,10 +63,12 @@
 
   static constexpr std::size_t MaxKinds = 1024;
 
-  /// Returns the statistics of a kind, or null if there is no room for it.
-  auto statisticsOf(const JobSpec &Job, const StepSpec &Step) -> Statistics *;
+  /// Returns the statistics of a kind for a record. A new kind takes the place
+  /// of the one that was recorded least recently if there are too many.
+  auto statisticsOf(const JobSpec &Job, const StepSpec &Step) -> Statistics &;
 
   std::map<WorkKind, std::unique_ptr<Statistics>> Kinds;
+  std::uint64_t Records = 0; ///< Made so far.
 };
 
 } // namespace jayramp::scheduling
--- a/Source/Scheduling/WorkerSpeeds.cpp
+++ b/Source/Scheduling/WorkerSpeeds.cpp
@@ -76,7 +76,7 @@
 constexpr double CentsPerUnit = 100.0;
 
 constexpr double Unbounded = std::numeric_limits<double>::infinity();
-constexpr std::size_t MaxGroupsPerLevel = 8192;
+constexpr std::size_t MaxKnownGroups = 8192; ///< Of one level.
 /// Stands for all groups that come after the limit is reached.
 const std::string OtherGroup = "*";
 
@@ -124,8 +124,7 @@
 auto WorkerSpeeds::groupOf(SpeedLevel Which, std::string Name, SpeedPath &Path)
     -> void {
   auto &Target = level(Which);
-  if (Target.Indices.size() >= MaxGroupsPerLevel &&
-      !Target.Indices.contains(Name))
+  if (Target.Indices.size() >= MaxKnownGroups && !Target.Indices.contains(Name))
     Name = OtherGroup;
   const auto Position = static_cast<std::size_t>(Which);
   const auto [Entry, IsNew] = Target.Indices.try_emplace(
@@ -177,6 +176,14 @@
 
 auto WorkerSpeeds::refresh(const std::map<std::string, WorkerEntry> &Workers,
                            TimePoint Now) -> void {
+  if (std::none_of(Workers.begin(), Workers.end(),
+                   [](const auto &Each) { return Each.second.Registered; })) {
+    // What was restored is not used yet, so it does not age either.
+    if (!IsEstimated)
+      RestoredAt = Now;
+    return;
+  }
+  IsEstimated = true;
   for (const auto &[Id, Entry] : Workers)
     if (Entry.Registered)
       pathOf(Entry);
@@ -352,7 +359,9 @@
   return Workers.Groups[Found->second].RackNumber;
 }
 
-auto WorkerSpeeds::summary() const -> SpeedSummary {
+auto WorkerSpeeds::summary() const -> std::optional<SpeedSummary> {
+  if (!IsEstimated)
+    return std::nullopt;
   SpeedSummary Known;
   if (!Differ)
     return Known;
@@ -381,8 +390,7 @@
             [](const auto &Left, const auto &Right) {
               return Left.first > Right.first;
             });
-  Candidates.resize(
-      std::min(Candidates.size(), SpeedSummary::MaxGroupsPerLevel));
+  Candidates.resize(std::min(Candidates.size(), SpeedSummary::MaxStoredGroups));
   std::sort(Candidates.begin(), Candidates.end(),
             [](const auto &Left, const auto &Right) {
               return Left.second.Name < Right.second.Name;
@@ -413,6 +421,7 @@
 
 auto WorkerSpeeds::restore(const SpeedSummary &Known, TimePoint Now) -> void {
   RestoredAt = Now;
+  IsEstimated = false;
   Differ = Differ || !Known.isEmpty();
   for (const auto &Each : Known.Groups)
     Restored[static_cast<std::size_t>(Each.Level)][Each.Name] =
--- a/Source/Scheduling/WorkerSpeeds.h
+++ b/Source/Scheduling/WorkerSpeeds.h
@@ -37,7 +37,8 @@
   auto record(SpeedLevel Level, const SpeedPath &Path, double LogFactor,
               double Weight, TimePoint Now) -> void;
   auto forgetWorker(const std::string &Id) -> void;
-  /// Computes the estimates of all groups from the measurements.
+  /// Computes the estimates of all groups from the measurements. Has no effect
+  /// on them while no worker is registered.
   auto refresh(const std::map<std::string, WorkerEntry> &Workers, TimePoint Now)
       -> void;
   /// Takes over what another owner has learned, as if from a few runs.
@@ -45,8 +46,9 @@
 
   // Queries.
 
-  /// Returns what is known, empty if workers are not known to differ.
-  auto summary() const -> SpeedSummary;
+  /// Returns what is known, empty if workers are not known to differ, or
+  /// nothing until refresh() has seen registered workers since restore().
+  auto summary() const -> std::optional<SpeedSummary>;
   /// Returns whether groups or workers differ by more than noise.
   auto differ() const -> bool { return Differ; }
   /// Returns the geometric means of the time factors of the workers in each
@@ -64,7 +66,8 @@
   /// at \p Which of \p Path.
   auto measuredAt(SpeedLevel Which, const SpeedPath &Path, TimePoint Now) const
       -> LogEstimate;
-  /// Returns the same for the worker of \p Path, with its variances.
+  /// Returns the estimated log time factor of the worker of \p Path, with its
+  /// variances.
   auto estimate(const SpeedPath &Path) const -> SpeedEstimate;
 
 private:
@@ -130,6 +133,8 @@
   std::unordered_map<std::uint32_t, double> RestoredWorkers;
   TimePoint RestoredAt;
   bool Differ = false;
+  /// refresh() has seen registered workers since restore().
+  bool IsEstimated = false;
 };
 
 } // namespace jayramp::scheduling
--- a/Source/Shard/OwnerGauges.cpp
+++ b/Source/Shard/OwnerGauges.cpp
@@ -97,8 +97,16 @@
 auto OwnerGauges::publishSpeeds(const std::string &Shard,
                                 const ShardOwner &Owner) -> void {
   const auto &RunTimes = Owner.scheduler().runTimes();
+  const auto Factors = RunTimes.zoneFactors();
   auto &Zones = PublishedZones[Shard];
-  for (const auto &[Zone, Factor] : RunTimes.zoneFactors()) {
+  // Zones without workers keep their series, with 0.
+  std::erase_if(Zones, [&](const std::string &Zone) {
+    if (Factors.contains(Zone))
+      return false;
+    Target.gauge("jayramp_zone_time_factor", zoneLabels(Shard, Zone), 0);
+    return true;
+  });
+  for (const auto &[Zone, Factor] : Factors) {
     if (!Zones.contains(Zone) && Zones.size() >= MaxZonesPerShard)
       continue;
     Zones.insert(Zone);
--- a/Source/Shard/OwnerGauges.h
+++ b/Source/Shard/OwnerGauges.h
@@ -46,7 +46,7 @@
   std::set<std::string> PublishedShards;
   /// Closed zones that were published last, by shard.
   std::map<std::string, std::set<std::string>> PublishedClosedZones;
-  /// Zones with a gauge of their time factor, by shard.
+  /// Zones whose time factor was published last, by shard.
   std::map<std::string, std::set<std::string>> PublishedZones;
 };
 
--- a/Source/Shard/OwnerHeartbeat.h
+++ b/Source/Shard/OwnerHeartbeat.h
@@ -27,8 +27,9 @@
   using WaitingCounts =
       std::function<std::optional<std::map<std::string, std::uint64_t>>()>;
 
-  /// Returns what is known of the speeds of workers.
-  using SpeedQuery = std::function<scheduling::SpeedSummary()>;
+  /// Returns what is known of the speeds of workers, or nothing while the
+  /// workers are not known.
+  using SpeedQuery = std::function<std::optional<scheduling::SpeedSummary>()>;
   /// Returns the current forecast, or nothing if there is none.
   using ForecastSource = std::function<std::optional<AdmissionForecast>()>;
 
@@ -43,7 +44,7 @@
   auto sendIfDue() -> void;
   /// Records what the row of speeds held when this owner took over.
   auto recordStoredSpeeds(scheduling::SpeedSummary Found) -> void {
-    SpeedRow.recordStored(std::move(Found));
+    SpeedRow.recordStored(std::move(Found), Clock::now());
   }
   auto close() -> void;
   /// Returns the time at which the last successful write was sent, on the clock
--- a/Source/Shard/ShardRows.cpp
+++ b/Source/Shard/ShardRows.cpp
@@ -313,7 +313,7 @@
     -> Result<scheduling::SpeedSummary> {
   using scheduling::SpeedSummary;
   constexpr auto MaxGroups = static_cast<int>(
-      (scheduling::SpeedLevelCount - 1) * SpeedSummary::MaxGroupsPerLevel);
+      (scheduling::SpeedLevelCount - 1) * SpeedSummary::MaxStoredGroups);
   constexpr auto MaxWorkers = static_cast<int>(SpeedSummary::MaxSlowWorkers);
   rows::SpeedRow Row;
   if (!Row.ParseFromString(Value) || Row.groups_size() > MaxGroups ||
--- a/Source/Shard/SpeedRowSchedule.cpp
+++ b/Source/Shard/SpeedRowSchedule.cpp
@@ -12,15 +12,17 @@
 
 } // namespace
 
-auto SpeedRowSchedule::recordStored(scheduling::SpeedSummary Found) -> void {
+auto SpeedRowSchedule::recordStored(scheduling::SpeedSummary Found,
+                                    TimePoint Now) -> void {
   Stored = std::move(Found);
+  NextWrite = Now + MinWriteInterval;
 }
 
-auto SpeedRowSchedule::takeDue(const scheduling::SpeedSummary &Known,
-                               TimePoint Now)
+auto SpeedRowSchedule::takeDue(
+    const std::optional<scheduling::SpeedSummary> &Known, TimePoint Now)
     -> std::optional<scheduling::SpeedSummary> {
   InWrite.reset();
-  if (Now >= NextWrite && Known.differsNoticeably(Stored)) {
+  if (Known && Now >= NextWrite && Known->differsNoticeably(Stored)) {
     InWrite = Known;
     NextWrite = Now + MinWriteInterval;
   }
--- a/Source/Shard/SpeedRowSchedule.h
+++ b/Source/Shard/SpeedRowSchedule.h
@@ -13,12 +13,12 @@
 public:
   // Commands.
 
-  /// Records what the row held when this owner took over.
-  auto recordStored(scheduling::SpeedSummary Found) -> void;
+  /// Records what the row held when this owner took over, as read at \p Now.
+  auto recordStored(scheduling::SpeedSummary Found, TimePoint Now) -> void;
   /// Returns \p Known if it is to be written with the write that is made at
-  /// \p Now.
-  auto takeDue(const scheduling::SpeedSummary &Known, TimePoint Now)
-      -> std::optional<scheduling::SpeedSummary>;
+  /// \p Now. While nothing is known, the row stays as it is.
+  auto takeDue(const std::optional<scheduling::SpeedSummary> &Known,
+               TimePoint Now) -> std::optional<scheduling::SpeedSummary>;
   /// Records that the write for which takeDue() was called last has succeeded.
   auto confirmWrite() -> void;
 
--- a/Tests/Shard/OwnerGaugesTest.cpp
+++ b/Tests/Shard/OwnerGaugesTest.cpp
@@ -102,6 +102,25 @@
   EXPECT_EQ(value("jayramp_closed_zone_runs" + Labels), 0);
 }
 
+// Guards against zones that are shown, and count towards the limit, long after
+// their last worker has left.
+TEST_F(OwnerGaugesTest, setsTheTimeFactorOfAZoneThatIsGoneToZero) {
+  const std::string Series =
+      "jayramp_zone_time_factor{shard=\"pool\",zone=\"za\"}";
+  Registry.add("w1", "r1", {64000, 128000, 8}, "za");
+  Registry.add("w2", "r2", {64000, 128000, 8}, "zb");
+  startOwner();
+  submit(job("a"));
+  ASSERT_TRUE(runUntil([&] { return Workers.startsOf("a") == 1; }));
+  update();
+  EXPECT_EQ(value(Series), 1);
+  Registry.remove("w1");
+  ASSERT_TRUE(runUntil(
+      [&] { return Owner->scheduler().runTimes().zoneFactors().size() == 1; }));
+  update();
+  EXPECT_EQ(value(Series), 0);
+}
+
 // Guards against walking all jobs at each check of the host.
 TEST_F(OwnerGaugesTest, updatesAtMostOnceASecond) {
   Gauges.update({}, UpdatedAt);
--- a/Tests/Shard/RunTimeModelTest.cpp
+++ b/Tests/Shard/RunTimeModelTest.cpp
@@ -184,6 +184,62 @@
   EXPECT_DOUBLE_EQ(factor("a0-0"), Before);
 }
 
+// Guards against runs whose time up to the second report is never measured.
+TEST_F(RunTimeModelTest, measuresFromTheStartAfterAReportOfNoProgress) {
+  addZones({"a"}, 1, 4);
+  runJobs(10, {.Count = 4});
+  const auto Before = factor("a0-0");
+  auto Slow = startRun(addJob({.Count = 1}), 0, "a0-0");
+  report(Slow, 0, 200);
+  report(Slow, 15, 10000);
+  refresh();
+  EXPECT_GT(factor("a0-0"), Before);
+}
+
+// Guards against passes before the registry was read, which would let the
+// speeds that a predecessor has learned be used only once they are surer.
+TEST_F(RunTimeModelTest, usesRestoredSpeedsOnceWorkersAreKnown) {
+  constexpr std::int32_t LogCentsOfOneAndAHalf = 41;
+  Model.restoreSpeeds({{{SpeedLevel::Zone, "a", 0},
+                        {SpeedLevel::Zone, "b", LogCentsOfOneAndAHalf}},
+                       {}},
+                      Now);
+  refresh();
+  EXPECT_FALSE(Model.summary());
+  addZones({"a", "b"}, 2, 2);
+  refresh();
+  EXPECT_TRUE(Model.knowsSpeeds());
+  ASSERT_TRUE(Model.summary());
+  EXPECT_EQ(Model.summary()->Groups.size(), 2);
+}
+
+// Guards against kinds of work that are never learned after many others.
+TEST_F(RunTimeModelTest, replacesTheKindOfWorkThatWasRecordedLeastRecently) {
+  WorkKinds Kinds;
+  const auto InQueue = [](int Number) {
+    auto Spec = jobSpec("job", {});
+    Spec.Queue = "queue" + std::to_string(Number);
+    return Spec;
+  };
+  const auto Record = [&](int Number) {
+    const auto Spec = InQueue(Number);
+    Kinds.record(Spec, Spec.Steps[0], 1.0);
+  };
+  const auto IsKnown = [&](int Number) {
+    const auto Spec = InQueue(Number);
+    return Kinds.isKnown(Spec, Spec.Steps[0]);
+  };
+  constexpr int MaxKinds = 1024;
+  for (int Number = 0; Number < MaxKinds; ++Number)
+    Record(Number);
+  Record(0);
+  Record(MaxKinds);
+  EXPECT_TRUE(IsKnown(0));
+  EXPECT_FALSE(IsKnown(1));
+  EXPECT_TRUE(IsKnown(2));
+  EXPECT_TRUE(IsKnown(MaxKinds));
+}
+
 TEST_F(RunTimeModelTest, correctsEstimatesThatAreAlwaysTooLong) {
   addZones({"a"}, 2, 3);
   EstimateFactor = [] { return 2.0; };
--- a/Tests/Shard/SpeedRowTest.cpp
+++ b/Tests/Shard/SpeedRowTest.cpp
@@ -81,6 +81,17 @@
   EXPECT_DOUBLE_EQ(factor("w1"), 1.0);
 }
 
+// Guards against a successor that erases the row before it knows any worker.
+TEST_F(SpeedRowTest, theRowStaysWhileTheOwnerRecovers) {
+  const auto Known = slowRack("/r2", 90);
+  putRow(Known);
+  Store.setReadsDown(Rows.journalPartitions().front(), true);
+  startOwner();
+  runFor(Milliseconds(400));
+  ASSERT_TRUE(Store.row(Rows.heartbeatKey()));
+  EXPECT_EQ(storedRow(), Known);
+}
+
 // Guards against a row that keeps groups which are gone.
 TEST_F(SpeedRowTest, theRowFollowsWhatIsKnown) {
   auto Outdated = slowRack("/r2", 90);
@@ -114,7 +125,7 @@
   const auto At = [](std::int64_t Ms) {
     return TimePoint(std::chrono::hours(1)) + Milliseconds(Ms);
   };
-  EXPECT_FALSE(Schedule.takeDue({}, At(0)));
+  EXPECT_FALSE(Schedule.takeDue(SpeedSummary{}, At(0)));
   ASSERT_TRUE(Schedule.takeDue(slowRack("r", 50), At(0)));
   // The write failed, so the row is due again.
   EXPECT_FALSE(Schedule.takeDue(slowRack("r", 50), At(1000)));
@@ -123,7 +134,17 @@
   EXPECT_FALSE(Schedule.takeDue(slowRack("r", 55), At(8000)));
   EXPECT_TRUE(Schedule.takeDue(slowRack("r", 65), At(8000)));
   Schedule.confirmWrite();
-  EXPECT_TRUE(Schedule.takeDue({}, At(12000)));
+  EXPECT_TRUE(Schedule.takeDue(SpeedSummary{}, At(12000)));
+}
+
+// Guards against a successor that replaces the row before it knows more.
+TEST(SpeedRowScheduleTest, keepsTheStoredRowAtFirst) {
+  shard::SpeedRowSchedule Schedule;
+  const auto ReadAt = TimePoint(std::chrono::hours(1));
+  Schedule.recordStored(slowRack("r", 50), ReadAt);
+  EXPECT_FALSE(Schedule.takeDue(SpeedSummary{}, ReadAt + Milliseconds(2999)));
+  EXPECT_FALSE(Schedule.takeDue(std::nullopt, ReadAt + Milliseconds(3000)));
+  EXPECT_TRUE(Schedule.takeDue(SpeedSummary{}, ReadAt + Milliseconds(3000)));
 }
 
 } // namespace
