Findings of a review of connection limits and admission

jayrampd released connections on the threads of its handlers, which raced with the loop on the byte budget; now only the loop does. A handler that threw after it had kept its reply could answer a second time. A refused message was held beside the refusal while a read was pending. The HTTP client reported a limit of its own before the call had returned. Jobs that can never run, or that wait for something else than room, made others be refused (429) on an idle pool; the new AdmissionTest failed before.

--- a/Source/Api/HttpServer.cpp
+++ b/Source/Api/HttpServer.cpp
@@ -143,15 +143,22 @@
   auto receive(net::HttpRequest Request, net::HttpServer::Responder Answer)
       -> void {
     auto Responded = std::make_shared<std::atomic<bool>>(false);
-    Respond Reply = [Loop = Loop, Responded,
-                     Answer = std::move(Answer)](ApiResponse Response) {
+    // Handlers may keep copies of the reply on any thread. The connection that
+    // the answer owns is only ever released on the loop.
+    const std::shared_ptr<net::HttpServer::Responder> Owned(
+        new net::HttpServer::Responder(std::move(Answer)),
+        [Loop = Loop](net::HttpServer::Responder *Released) {
+          Loop->post([Last = std::shared_ptr<net::HttpServer::Responder>(
+                          Released)] {});
+        });
+    Respond Reply = [Loop = Loop, Responded, Owned](ApiResponse Response) {
       if (Responded->exchange(true))
         return;
       net::HttpResponse Message{static_cast<unsigned>(Response.Status),
                                 {{"Content-Type", Response.ContentType}},
                                 std::move(Response.Body)};
-      Loop->post([Answer, Message = std::move(Message)]() mutable {
-        Answer(std::move(Message));
+      Loop->post([Owned, Message = std::move(Message)]() mutable {
+        (*Owned)(std::move(Message));
       });
     };
     auto Work = [Handle = Handle, Reply = std::move(Reply),
--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -150,7 +150,10 @@
       return;
     }
     if (Owner->CallsByAddress[Address] > Owner->Sums.MaxConnections / 2) {
-      fail(ErrorKind::Unavailable, "too many calls");
+      // Not at once: callers do not expect an answer before their call returns.
+      Owner->Loop.post([Self = this->shared_from_this()] {
+        Self->fail(ErrorKind::Unavailable, "too many calls");
+      });
       return;
     }
     const auto Endpoint = parseAddress(Address);
--- a/Source/Net/HttpConnection.cpp
+++ b/Source/Net/HttpConnection.cpp
@@ -52,7 +52,12 @@
   Stream.set_option(boost::asio::ip::tcp::no_delay(true), Ignored);
 }
 
-HttpConnection::~HttpConnection() { close(); }
+HttpConnection::~HttpConnection() {
+  // The handler dropped the request without an answer.
+  if (Current == Phase::Answering)
+    --Owner->InProgress;
+  close();
+}
 
 auto HttpConnection::readNext() -> void {
   Reader.begin(Owner->Limits);
@@ -182,7 +187,9 @@
                             const std::string &Text) -> void {
   report(Reason);
   WaitingForRoom.reset();
-  if (!ReadPending)
+  if (ReadPending)
+    Reader.dropMessage();
+  else
     Reader.discard();
   KeepAlive = false;
   Refused = true;
@@ -207,7 +214,12 @@
   enter(Phase::Answering);
   Deadline.cancel();
   ++Owner->InProgress;
-  const auto Respond = [Self = shared_from_this()](HttpResponse Response) {
+  const auto Respond = [Self = shared_from_this(),
+                        Number = ++RequestNumber](HttpResponse Response) {
+    // A handler that threw was answered for; it may still respond later.
+    if (Self->AnsweredNumber >= Number)
+      return;
+    Self->AnsweredNumber = Number;
     Self->write(std::move(Response));
   };
   try {
--- a/Source/Net/HttpConnection.h
+++ b/Source/Net/HttpConnection.h
@@ -96,6 +96,8 @@
   std::optional<boost::beast::http::response<boost::beast::http::string_body>>
       Message;
   Phase Current = Phase::Waiting;
+  std::uint64_t RequestNumber = 0;  ///< Counts the requests, from 1.
+  std::uint64_t AnsweredNumber = 0; ///< The last request that was answered.
   std::size_t LingerBytesLeft;
   bool KeepAlive = true;
   bool Refused = false;
--- a/Source/Net/MessageReader.h
+++ b/Source/Net/MessageReader.h
@@ -84,6 +84,9 @@
     Parser.reset();
     return Taken;
   }
+  /// Frees what was parsed of the message; a read into the buffer may be
+  /// pending.
+  auto dropMessage() -> void { Parser.reset(); }
   /// Frees all that was read of the message and behind it. No read into the
   /// buffer may be pending.
   auto discard() -> void {
--- a/Source/Shard/AdmissionForecast.cpp
+++ b/Source/Shard/AdmissionForecast.cpp
@@ -24,12 +24,20 @@
 /// Largest number of accounts that a forecast names.
 constexpr std::size_t MaxAccounts = 64;
 
-/// Returns the core-seconds of the tasks of the job whose turn has come.
+/// Returns whether tasks of the step wait for nothing but room.
+auto waitsForRoom(const JobEntry &Job, std::uint32_t Step) -> bool {
+  const auto Reason = Job.waitReason(Step);
+  return Job.isReady(Step) && !Job.OnHold &&
+         Reason != scheduling::WaitReason::NoWorker &&
+         Reason != scheduling::WaitReason::ClosedZone;
+}
+
+/// Returns the core-seconds of the tasks of the job that wait for room.
 auto waitingWork(const ShardScheduler &Scheduler, const JobEntry &Job)
     -> double {
   double Work = 0;
   for (std::uint32_t Step = 0; Step < Job.Spec.Steps.size(); ++Step)
-    if (Job.isReady(Step))
+    if (waitsForRoom(Job, Step))
       Work +=
           Job.Spec.Steps[Step].Need.coreEquivalents() * Job.waitingTasks(Step) *
           Seconds(Scheduler.runTimes().expectedTime(Job.Spec, Step)).count();
@@ -145,6 +153,10 @@
   const auto Rate = std::max(poolCapacity(Scheduler), Pace);
   if (Now - *ObservedSince < PaceHorizon || Rate <= 0)
     return std::nullopt;
+  // Tasks may wait for the next pass, for a rack or for faster workers beside
+  // room; nobody is refused for these.
+  if (!Scheduler.accountsCompete())
+    return AdmissionForecast();
   std::map<std::uint32_t, WaitingWork> WorkByPriority;
   std::map<std::string_view, double> Backlogs;
   for (const auto &[Id, Job] : Scheduler.jobs()) {
--- a/Tests/Shard/AdmissionTest.cpp
+++ b/Tests/Shard/AdmissionTest.cpp
@@ -78,6 +78,18 @@
   EXPECT_FALSE(check("large", 12000)) << "Without a forecast.";
 }
 
+// Guards against refusals on an idle pool because of an urgent job that no set
+// of workers can hold.
+TEST_F(AdmissionTest, aJobThatCanNeverRunKeepsOthersOut) {
+  JobShape Huge{0, 1, 999, false, false, Milliseconds(60000)};
+  Huge.Tenant = "large";
+  addJob("huge", Huge, 0);
+  for (std::int64_t Ms = 0; Ms <= 6000; Ms += StepMs)
+    step(Ms);
+  ASSERT_TRUE(Forecast);
+  EXPECT_FALSE(check("small", 6000));
+}
+
 // Guards against refusals while the room suffices for what can still be late.
 TEST_F(AdmissionTest, jobsAreRefusedThatCanBeServedInTime) {
   for (std::int64_t Ms = 0; Ms <= 12000; Ms += StepMs) {
