--- a/Source/Scheduling/PlacementPass.h
+++ b/Source/Scheduling/PlacementPass.h
@@ -16,8 +16,6 @@
 
 namespace jayramp::scheduling {
 
-class JobEntry;
-class JobTimeEstimate;
 class ShardScheduler;
 
 /// One pass over the waiting tasks of a shard: places the tasks that fit and
@@ -30,32 +28,7 @@
   auto run() -> void;
 
 private:
-  /// A job with tasks that wait, and what decides its turn.
-  struct WaitingJob {
-    std::uint32_t Priority = 0;
-    bool HasNoGuarantee = true;
-    Lateness JobLateness = Lateness::OnTime;
-    /// What its account uses and waits for ahead of it, in core equivalents;
-    /// 0 if there is room for all jobs.
-    double AccountUse = 0;
-    JobEntry *Job = nullptr;
-  };
-
   auto collectCandidates() -> void;
-  auto collectTaskGroups() -> std::vector<TaskGroup>;
-  static auto goesFirst(const WaitingJob &Left, const WaitingJob &Right)
-      -> bool;
-  /// Returns what the waiting tasks whose turn has come need together.
-  static auto waitingNeed(const JobEntry &Job) -> Resources;
-  auto isRoomForAll(const std::vector<WaitingJob> &Jobs) const -> bool;
-  /// Puts the jobs of the account that has had least first where nothing else
-  /// decides between them. \p Jobs are in the order without account use.
-  auto orderByAccountUse(std::vector<WaitingJob> &Jobs) const -> void;
-  auto addTaskGroups(JobEntry &Job, Lateness JobLateness,
-                     std::vector<TaskGroup> &Groups) -> void;
-  auto setSpeedPreference(const JobTimeEstimate &Estimate,
-                          TaskGroup &Group) const -> void;
-  auto latenessOf(const JobEntry &Job) const -> Lateness;
   /// Holds the room that is gathered for gangs against \p Next and the groups
   /// after it. Places the gangs that fit.
   auto holdGangRoom(const TaskGroup &Next, std::vector<TaskGroup> &Groups)
@@ -105,10 +78,10 @@
   /// Returns whether a group that prefers a single rack should wait for room in
   /// one. Bounded for every group.
   auto mustStayInRack(const TaskGroup &Group) -> bool;
-  /// Returns whether the group can be spread over racks without taking room
-  /// that others need: it holds its resources for longer then.
   /// Returns the share of the pool that was in use at the first call.
   auto poolUseOf(const TaskGroup &Group) -> double;
+  /// Returns whether the group can be spread over racks without taking room
+  /// that others need: it holds its resources for longer then.
   auto isPoolIdleFor(const TaskGroup &Group) -> bool;
   /// Returns the layout of least cost if it is within \p Budget. Does not
   /// search if \p KnownFailures shows that there is none; adds a new failure to
--- a/Source/Scheduling/ShardScheduler.h
+++ b/Source/Scheduling/ShardScheduler.h
@@ -169,6 +169,7 @@
 private:
   friend class PlacementPass;
   friend class RunSupervision;
+  friend class TaskGroupCollector;
 
   auto findJob(const std::string &Id) -> JobEntry *;
   auto markChanged(const std::string &Id) -> void;
