shard: the log shows which process of a worker took a start

The answer to a start that shows an earlier time than that process can show is logged as start-answered-by-other-process, and run-over names the incarnation in the worker's entry beside the one that the owner takes for the present. No decision is changed.

--- a/Source/Shard/WorkerClock.h
+++ b/Source/Shard/WorkerClock.h
@@ -24,6 +24,10 @@
   auto reset() -> void { Known = false; }
 
   auto isKnown() const -> bool { return Known; }
+  /// Returns the least that the worker's clock can show at \p Now, in
+  /// milliseconds. An answer to a call that was sent later and shows less is
+  /// that of another process. Must not be called while the clock is unknown.
+  auto lowerBound(TimePoint Now) const -> std::int64_t;
   /// Returns the end of a lease that is granted at \p Now, on the worker's
   /// clock in milliseconds. The lease lasts at most
   /// maxLeaseDuration(LeaseDuration) on this host's clock; it is shorter by up
@@ -35,9 +39,6 @@
   static auto maxLeaseDuration(Milliseconds LeaseDuration) -> Milliseconds;
 
 private:
-  /// Returns the least that the worker's clock can show at \p Now.
-  auto lowerBound(TimePoint Now) const -> std::int64_t;
-
   std::int64_t ReadingMs = 0;
   TimePoint ReadAt; ///< The clock showed ReadingMs at this time or before.
   bool Known = false;
--- a/Source/Shard/WorkerSession.cpp
+++ b/Source/Shard/WorkerSession.cpp
@@ -133,10 +133,30 @@
         EntryWrittenAfter
             ? std::to_string((suspendAwareNow() - *EntryWrittenAfter).count())
             : "unknown"},
-       {"incarnation", std::to_string(Incarnation)}});
+       {"incarnation", std::to_string(Incarnation)},
+       {"entry-incarnation", std::to_string(entryIncarnation())}});
   SharedContext.Scheduler.runLost(Id, now());
 }
 
+auto WorkerSession::entryIncarnation() const -> std::int64_t {
+  const auto *Entry = SharedContext.Scheduler.worker(Worker);
+  return Entry ? Entry->Report.Incarnation : 0;
+}
+
+auto WorkerSession::reportOtherProcess(const RunId &Id,
+                                       std::int64_t LeastClockMs,
+                                       const OrderReply &Reply) const -> void {
+  if (Reply.WorkerClockMs <= 0 || Reply.WorkerClockMs >= LeastClockMs)
+    return;
+  logEvent(LogLevel::Warning, "start-answered-by-other-process",
+           {{"run", toString(Id)},
+            {"worker", Worker},
+            {"clock-ms", std::to_string(Reply.WorkerClockMs)},
+            {"expected-at-least-ms", std::to_string(LeastClockMs)},
+            {"incarnation", std::to_string(Incarnation)},
+            {"entry-incarnation", std::to_string(entryIncarnation())}});
+}
+
 auto WorkerSession::sendDueOrders() -> void {
   if (Closed)
     return;
@@ -324,9 +344,12 @@
   SharedContext.Scheduler.runStartSent(ActiveRun.Id);
   SharedContext.Transport.start(
       target(), Order, SharedContext.Settings.startTimeout(State.StartsSent),
-      expectReply<OrderReply>([this, Id = ActiveRun.Id](const auto &Reply) {
-        onStartReply(Id, Reply);
-      }));
+      expectReply<OrderReply>(
+          [this, Id = ActiveRun.Id,
+           LeastClockMs = Leases.clock().lowerBound(now())](const auto &Reply) {
+            reportOtherProcess(Id, LeastClockMs, Reply);
+            onStartReply(Id, Reply);
+          }));
 }
 
 auto WorkerSession::onStartReply(const RunId &Id, const OrderReply &Reply)
--- a/Source/Shard/WorkerSession.h
+++ b/Source/Shard/WorkerSession.h
@@ -103,6 +103,13 @@
   /// run without a listed end.
   auto concludeRunOver(const scheduling::RunId &Id, RunOverEvidence Evidence)
       -> void;
+  /// Returns the incarnation in the worker's entry; 0 if it is unknown.
+  auto entryIncarnation() const -> std::int64_t;
+  /// Logs if the reply to a start shows a clock below \p LeastClockMs, the
+  /// least that the clock of the process that it was meant for could show.
+  auto reportOtherProcess(const scheduling::RunId &Id,
+                          std::int64_t LeastClockMs,
+                          const OrderReply &Reply) const -> void;
   auto syncOrders() -> void;
   auto sendRunOrder(const scheduling::Run &ActiveRun, RunOrders &State) -> void;
   auto reportStartDelay(const scheduling::RunId &Id, const RunOrders &State)
