test: a worker that restarts under its id takes orders meant for its former process

The stand-in no longer answers, after a restart or a cut, a renewal that the worker had received before.

--- a/Tests/Shard/FakeWorkers.h
+++ b/Tests/Shard/FakeWorkers.h
@@ -160,7 +160,8 @@
     std::erase_if(Each.Ended, [&](const auto &End) {
       return End.Number <= Order.LastSeenEnd;
     });
-    answerRenewal(Target.Id, Order.Wait, Done);
+    answerRenewal({Target.Id, Each.Incarnation, Clock::now() + Timeout},
+                  Order.Wait, Done);
   }
 
 private:
@@ -181,14 +182,28 @@
                                  std::min(Requested, Clock::now() + MaxLease));
   }
 
-  auto answerRenewal(const std::string &Id, Milliseconds Wait,
+  /// A renewal that waits for its reply, at the process that received it.
+  struct ReceivedRenewal {
+    std::string Worker;
+    std::int64_t Incarnation = 0;
+    TimePoint TimesOutAt;
+  };
+
+  auto answerRenewal(const ReceivedRenewal &Received, Milliseconds Wait,
                      const std::function<void(shard::RenewReply)> &Done)
       -> void {
-    auto &Each = WorkersById[Id];
+    auto &Each = WorkersById[Received.Worker];
+    // The process that received the call is gone, or its replies are lost.
+    if (Each.Incarnation != Received.Incarnation || Each.Unresponsive) {
+      const auto Left =
+          std::chrono::ceil<Milliseconds>(Received.TimesOutAt - Clock::now());
+      later(std::max(Left, Milliseconds(0)), [Done] { Done({}); });
+      return;
+    }
     updateTasks(Each);
     if (Each.Ended.empty() && Wait > PollInterval) {
-      later(PollInterval, [this, Id, Wait, Done] {
-        answerRenewal(Id, Wait - PollInterval, Done);
+      later(PollInterval, [this, Received, Wait, Done] {
+        answerRenewal(Received, Wait - PollInterval, Done);
       });
       return;
     }
--- a/Tests/Shard/ShardFixture.h
+++ b/Tests/Shard/ShardFixture.h
@@ -55,6 +55,17 @@
         publish(Each);
       }
   }
+  /// Writes the entry of the process \p Incarnation of a worker that was added,
+  /// whose clock shows \p ClockMs.
+  auto report(const std::string &Id, std::int64_t Incarnation,
+              std::int64_t ClockMs) -> void {
+    for (auto Each : std::vector(Workers))
+      if (Each.Id == Id) {
+        Each.Report->Incarnation = Incarnation;
+        Each.ClockMs = ClockMs;
+        publish(Each);
+      }
+  }
   auto remove(const std::string &Id) -> void { publish({Id, std::nullopt, 0}); }
 
 private:
