shard: orders reach only the process that they were computed for

Cause: a worker's id and address stay when its process restarts, so the next process took orders that were computed for the former one. The end of a lease is a time on a process's clock; the next process, whose clock starts anew, shortened it only to the 10 s that it grants at most, while the owner counted 5.5 s. The number up to which ends are known, which counts anew too, made it forget its own ends.

Change: a connection leads to one process until it is closed. WorkerTarget names the incarnation, and starts, leases and acknowledgements go out only on a connection on which that process has answered a query; a new connection begins with one. If an entry or an order shows another process, the owner grants and acknowledges nothing until the worker has said which one runs; clocks in entries of other processes are ignored. Since no order for the former process reaches the next one, its runs are over, also those whose start was in flight.

--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -54,36 +54,58 @@
     ResponseLimits.MaxFramingBytes = MaxResponseFramingBytes;
   }
 
-  /// Removes an idle connection to \p Address from the pool and returns it;
-  /// none if the pool has none.
-  auto takeIdleSocket(const std::string &Address)
-      -> std::optional<tcp::socket> {
-    auto Found = IdleSockets.find(Address);
-    if (Found == IdleSockets.end() || Found->second.empty())
+  /// An idle connection and the process that it leads to; 0 if it is unknown.
+  struct IdleConnection {
+    tcp::socket Socket;
+    std::int64_t Peer = 0;
+  };
+
+  /// Removes an idle connection to \p Address that suits \p Wanted from the
+  /// pool and returns it; none if the pool has none.
+  auto takeIdle(const std::string &Address, const PeerBinding &Wanted)
+      -> std::optional<IdleConnection> {
+    const auto Found = IdleByAddress.find(Address);
+    if (Found == IdleByAddress.end())
       return std::nullopt;
-    auto Socket = std::move(Found->second.back());
-    Found->second.pop_back();
+    auto &Idle = Found->second;
+    const bool AnyPeer = Wanted.Required == 0 && !Wanted.Identify;
+    const auto Last =
+        std::find_if(Idle.rbegin(), Idle.rend(), [&](const auto &Each) {
+          return AnyPeer || Each.Peer == Wanted.Required;
+        });
+    if (Last == Idle.rend())
+      return std::nullopt;
+    auto Taken = std::move(*Last);
+    Idle.erase(std::next(Last).base());
     --IdleCount;
-    return Socket;
+    return Taken;
   }
 
   /// Returns a connection to the pool, or closes it if the pool is full.
-  auto returnIdleSocket(const std::string &Address, tcp::socket Socket)
+  auto returnIdle(const std::string &Address, IdleConnection Connection)
       -> void {
-    auto &Sockets = IdleSockets[Address];
-    if (Sockets.size() >= MaxIdleConnectionsPerAddress ||
+    auto &Idle = IdleByAddress[Address];
+    if (Idle.size() >= MaxIdleConnectionsPerAddress ||
         IdleCount >= Sums.MaxConnections / 2)
       return;
-    Sockets.push_back(std::move(Socket));
+    Idle.push_back(std::move(Connection));
     ++IdleCount;
   }
 
   auto closeIdle(const std::string &Address) -> void {
-    const auto Found = IdleSockets.find(Address);
-    if (Found == IdleSockets.end())
+    const auto Found = IdleByAddress.find(Address);
+    if (Found == IdleByAddress.end())
       return;
     IdleCount -= Found->second.size();
-    IdleSockets.erase(Found);
+    IdleByAddress.erase(Found);
+  }
+
+  auto isConnectedTo(const std::string &Address, std::int64_t Peer) const
+      -> bool {
+    const auto Found = IdleByAddress.find(Address);
+    return Found != IdleByAddress.end() &&
+           std::any_of(Found->second.begin(), Found->second.end(),
+                       [=](const auto &Each) { return Each.Peer == Peer; });
   }
 
   EventLoop &Loop;
@@ -92,7 +114,7 @@
   std::shared_ptr<ByteBudget> Budget;
   std::size_t IdleCount = 0;
   std::unordered_map<std::string, std::size_t> CallsByAddress;
-  std::unordered_map<std::string, std::vector<tcp::socket>> IdleSockets;
+  std::unordered_map<std::string, std::vector<IdleConnection>> IdleByAddress;
 };
 
 namespace {
@@ -125,10 +147,11 @@
 class Exchange : public std::enable_shared_from_this<Exchange<Pool>> {
 public:
   Exchange(std::shared_ptr<Pool> Owner, std::string Address,
-           HttpRequest Request, HttpClient::Callback Done)
+           HttpRequest Request, HttpClient::Callback Done, PeerBinding Peer)
       : Owner(std::move(Owner)), Address(std::move(Address)),
         Message(serialize(this->Address, std::move(Request))),
-        Done(std::move(Done)), Socket(this->Owner->Loop.context()),
+        Done(std::move(Done)), Peer(std::move(Peer)),
+        Socket(this->Owner->Loop.context()),
         Deadline(this->Owner->Loop.context()), Held(this->Owner->Budget) {
     ++this->Owner->CallsByAddress[this->Address];
   }
@@ -144,16 +167,18 @@
     ExtensionLeft = Timeout * MaxLagExtensionFactor;
     LagCounted = Owner->Loop.totalLag();
     waitUntil(Clock::now() + Timeout);
-    if (auto Pooled = Owner->takeIdleSocket(Address)) {
-      Socket = std::move(*Pooled);
+    if (auto Pooled = Owner->takeIdle(Address, Peer)) {
+      Socket = std::move(Pooled->Socket);
+      PeerNumber = Pooled->Peer;
       send();
       return;
     }
+    if (Peer.Required != 0) {
+      failLater("no connection to this process");
+      return;
+    }
     if (Owner->CallsByAddress[Address] > Owner->Sums.MaxConnections / 2) {
-      // Not at once: callers do not expect an answer before their call returns.
-      Owner->Loop.post([Self = this->shared_from_this()] {
-        Self->fail(ErrorKind::Unavailable, "too many calls");
-      });
+      failLater("too many calls");
       return;
     }
     const auto Endpoint = parseAddress(Address);
@@ -175,6 +200,14 @@
   }
 
 private:
+  /// Fails a call of which nothing was sent, but not at once: callers do not
+  /// expect an answer before their call returns.
+  auto failLater(const char *Detail) -> void {
+    Owner->Loop.post([Self = this->shared_from_this(), Detail] {
+      Self->fail(ErrorKind::Unavailable, Detail);
+    });
+  }
+
   auto waitUntil(TimePoint Due) -> void {
     Deadline.expires_at(Due);
     Deadline.async_wait(
@@ -272,8 +305,10 @@
       Response.Headers.emplace_back(Field.name_string().to_string(),
                                     Field.value().to_string());
     Response.Body = std::move(Received.body());
+    if (const auto Shown = Peer.Identify ? Peer.Identify(Response) : 0)
+      PeerNumber = Shown;
     if (Received.keep_alive() && IsReusable)
-      Owner->returnIdleSocket(Address, std::move(Socket));
+      Owner->returnIdle(Address, {std::move(Socket), PeerNumber});
     finish(std::move(Response));
   }
 
@@ -309,6 +344,8 @@
   std::string Address;
   http::request<http::string_body> Message;
   HttpClient::Callback Done;
+  PeerBinding Peer;
+  std::int64_t PeerNumber = 0; ///< Of the connection; 0 if it is unknown.
   tcp::socket Socket;
   boost::asio::steady_timer Deadline;
   MessageReader<false> Reader;
@@ -328,12 +365,18 @@
 HttpClient::~HttpClient() = default;
 
 auto HttpClient::call(const std::string &Address, HttpRequest Request,
-                      Milliseconds Timeout, Callback Done) -> void {
+                      Milliseconds Timeout, Callback Done, PeerBinding Peer)
+    -> void {
   std::make_shared<Exchange<Core>>(State, Address, std::move(Request),
-                                   std::move(Done))
+                                   std::move(Done), std::move(Peer))
       ->start(Timeout);
 }
 
+auto HttpClient::isConnectedTo(const std::string &Address,
+                               std::int64_t Peer) const -> bool {
+  return State->isConnectedTo(Address, Peer);
+}
+
 auto HttpClient::closeIdleConnections(const std::string &Address) -> void {
   State->closeIdle(Address);
 }
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -14,6 +14,20 @@
 
 class EventLoop;
 
+/// What a call demands of the process at the far end of its connection, or
+/// learns about it. A connection leads to one process until it is closed, so
+/// a process that has identified itself on a connection receives all later
+/// requests on it, and no other process does.
+struct PeerBinding {
+  /// Number of the process that may receive the request; 0 for any. The call
+  /// fails as Unavailable unless isConnectedTo() that process.
+  std::int64_t Required = 0;
+  /// Returns the number of the process that sent a response; 0 if the
+  /// response does not tell. Such a call uses a connection whose process is
+  /// not known yet.
+  std::function<std::int64_t(const HttpResponse &)> Identify;
+};
+
 /// HTTP/1.1 client on an event loop, with a pool of idle keep-alive connections
 /// for each address.
 ///
@@ -47,7 +61,11 @@
   /// extended by the lag, up to four times \p Timeout in total, so that an
   /// overloaded host does not take its peers for dead.
   auto call(const std::string &Address, HttpRequest Request,
-            Milliseconds Timeout, Callback Done) -> void;
+            Milliseconds Timeout, Callback Done, PeerBinding Peer = {}) -> void;
+  /// Returns whether an idle connection to \p Address leads to the process \p
+  /// Peer.
+  auto isConnectedTo(const std::string &Address, std::int64_t Peer) const
+      -> bool;
   /// Closes the pooled idle connections to \p Address; the next call opens a
   /// new one.
   auto closeIdleConnections(const std::string &Address) -> void;
--- a/Source/Shard/WorkerSession.cpp
+++ b/Source/Shard/WorkerSession.cpp
@@ -71,16 +71,17 @@
   if (const auto *Entry = SharedContext.Scheduler.worker(Worker)) {
     if (Entry->Report.Incarnation != Incarnation &&
         Entry->Report.Incarnation != 0) {
-      if (OrdersByRun.empty())
-        switchIncarnation(Entry->Report.Incarnation);
       // If orders are outstanding, the next renewal reports the runs of the new
       // process.
-      Leases.clock().reset();
-      NextRenew = {};
+      if (OrdersByRun.empty())
+        switchIncarnation(Entry->Report.Incarnation);
+      else
+        doubtIncarnation();
     }
     Address = Entry->Report.Address;
   }
-  Leases.clock().recordReport(Change.ClockMs, now());
+  if (entryIncarnation() == Incarnation)
+    Leases.clock().recordReport(Change.ClockMs, now());
 }
 
 auto WorkerSession::onUnregistered(bool WasDraining) -> void {
@@ -108,7 +109,9 @@
   };
 }
 
-auto WorkerSession::target() const -> WorkerTarget { return {Worker, Address}; }
+auto WorkerSession::target() const -> WorkerTarget {
+  return {Worker, Address, Leases.canGrant() ? Incarnation : 0};
+}
 
 auto WorkerSession::concludeRunOver(const RunId &Id, RunOverEvidence Evidence)
     -> void {
@@ -284,7 +287,9 @@
     -> StartConditions {
   StartConditions Conditions;
   Conditions.RunsKnown = RunsKnown || !State.Recovered;
-  Conditions.WorkerAnswers = RenewFailures == 0 && State.StartsUnanswered == 0;
+  Conditions.WorkerAnswers = RenewFailures == 0 &&
+                             State.StartsUnanswered == 0 &&
+                             State.StartsSent == State.StartAttempts;
   Conditions.AnswerPending = State.StartInFlight;
   Conditions.RetryDue = now() >= State.NextStart;
   Conditions.Durable = SharedContext.Journal.isDurable(State.Assignment);
@@ -341,20 +346,22 @@
   Order.FencingToken = SharedContext.FencingToken;
   State.StartInFlight = true;
   ++State.StartsSent;
+  ++State.StartAttempts;
   SharedContext.Scheduler.runStartSent(ActiveRun.Id);
   SharedContext.Transport.start(
-      target(), Order, SharedContext.Settings.startTimeout(State.StartsSent),
+      target(), Order, SharedContext.Settings.startTimeout(State.StartAttempts),
       expectReply<OrderReply>(
-          [this, Id = ActiveRun.Id,
+          [this, Id = ActiveRun.Id, SentTo = Incarnation,
            LeastClockMs = Leases.clock().lowerBound(now())](const auto &Reply) {
             reportOtherProcess(Id, LeastClockMs, Reply);
+            if (SentTo == Incarnation)
+              Leases.clock().recordAnswer(Reply.WorkerClockMs, now());
             onStartReply(Id, Reply);
           }));
 }
 
 auto WorkerSession::onStartReply(const RunId &Id, const OrderReply &Reply)
     -> void {
-  Leases.clock().recordAnswer(Reply.WorkerClockMs, now());
   const auto Found = OrdersByRun.find(Id);
   if (Found == OrdersByRun.end())
     return;
@@ -384,6 +391,10 @@
     ++State.StartsUnanswered;
     State.NextStart = now() + MinRenewInterval;
     break;
+  case OrderOutcome::NotSent:
+    --State.StartsSent;
+    State.NextStart = now() + SharedContext.Settings.RetryDelay;
+    break;
   }
   if (Reply.Outcome != OrderOutcome::Accepted)
     logEvent(LogLevel::Info, "start-not-accepted",
@@ -402,7 +413,7 @@
     SharedContext.Scheduler.pauseWorker(Worker, now());
   if (Reply.Outcome == OrderOutcome::WrongIncarnation) {
     SharedContext.Scheduler.setReachable(Worker, false);
-    NextRenew = {};
+    doubtIncarnation();
   }
   // An earlier start without an answer may still arrive. After a stop, the
   // worker rejects the run number.
@@ -424,7 +435,6 @@
 
 auto WorkerSession::onStopReply(const RunId &Id, const OrderReply &Reply)
     -> void {
-  Leases.clock().recordAnswer(Reply.WorkerClockMs, now());
   if (Reply.Outcome == OrderOutcome::Fenced) {
     SharedContext.OnFenced();
     return;
@@ -455,8 +465,9 @@
   const auto *Entry = SharedContext.Scheduler.worker(Worker);
   const bool MustProbe = Entry && Entry->Registered && !Entry->Reachable;
   if (!OrdersByRun.empty())
-    sendRenewal(RunsKnown && RenewFailures == 0 ? renewWait()
-                                                : Milliseconds{0});
+    sendRenewal(RunsKnown && RenewFailures == 0 && Leases.canGrant()
+                    ? renewWait()
+                    : Milliseconds{0});
   else if (!RunsKnown || MustProbe || Ends.isOutstanding())
     sendRenewal(Milliseconds{0});
 }
@@ -472,16 +483,20 @@
 auto WorkerSession::sendRenewal(Milliseconds Wait) -> void {
   RenewOrder Order;
   Order.FencingToken = SharedContext.FencingToken;
-  Order.LastSeenEnd = Ends.takeAcknowledgement();
   Order.Wait = Wait;
-  if (Leases.canGrant() && !OrdersByRun.empty() && mayGrantLeases())
-    Order.LeaseExpiresAtMs = Leases.grant(now());
+  if (Leases.canGrant()) {
+    Order.LastSeenEnd = Ends.takeAcknowledgement();
+    if (!OrdersByRun.empty() && mayGrantLeases())
+      Order.LeaseExpiresAtMs = Leases.grant(now());
+  }
   RenewInFlight = true;
   SharedContext.Transport.renewLeases(
       target(), Order, Wait + SharedContext.Settings.RenewReplyMargin,
-      expectReply<RenewReply>([this, SentAt = now()](const auto &Reply) {
-        onRenewReply(SentAt, Reply);
-      }));
+      expectReply<RenewReply>(
+          [this, SentAt = now(), Number = ++RenewNumber](const auto &Reply) {
+            if (Number == RenewNumber)
+              onRenewReply(SentAt, Reply);
+          }));
 }
 
 auto WorkerSession::onRenewReply(TimePoint SentAt, const RenewReply &Reply)
@@ -625,14 +640,18 @@
   for (const auto &[Id, State] : OrdersByRun)
     if (!Listed.contains(Id))
       LostRuns.push_back(Id);
-  for (const auto &Id : LostRuns) {
-    const auto &State = OrdersByRun.at(Id);
-    // The new process may still execute a start order that is in flight.
-    if (State.StartInFlight || State.StartsUnanswered > 0)
-      SharedContext.Scheduler.stopRun(Id, scheduling::StopReason::StartRefused);
-    else
-      concludeRunOver(Id, RunOverEvidence::NewIncarnation);
-  }
+  // No order for the former process reaches the new one, even if it is in
+  // flight.
+  for (const auto &Id : LostRuns)
+    concludeRunOver(Id, RunOverEvidence::NewIncarnation);
+}
+
+auto WorkerSession::doubtIncarnation() -> void {
+  Leases.clock().reset();
+  // A renewal in flight to the former process would be waited for in vain.
+  RenewInFlight = false;
+  ++RenewNumber;
+  NextRenew = {};
 }
 
 auto WorkerSession::switchIncarnation(std::int64_t Started) -> void {
--- a/Source/Shard/WorkerSession.h
+++ b/Source/Shard/WorkerSession.h
@@ -83,7 +83,8 @@
     ProgressChange Assignment; ///< Must be durable before a start is sent.
     bool Recovered = false;    ///< Assigned by a previous owner.
     TimePoint PlacedAt;        ///< When this session learned of the run.
-    unsigned StartsSent = 0;
+    unsigned StartsSent = 0;   ///< Those that may have reached the worker.
+    unsigned StartAttempts = 0;
     unsigned StartsUnanswered = 0;
     bool StartInFlight = false;
     bool StopInFlight = false;
@@ -154,6 +155,9 @@
   auto handleUnlistedRuns(TimePoint SentAt, const RenewReply &Reply) -> void;
   auto onNewIncarnation(const RenewReply &Reply) -> void;
   auto switchIncarnation(std::int64_t Started) -> void;
+  /// Grants and acknowledges nothing until the worker has said which of its
+  /// processes runs, and asks it.
+  auto doubtIncarnation() -> void;
   auto onRenewFailure() -> void;
   /// Returns the delay before a worker that did not answer is asked again.
   auto probeDelay() const -> Milliseconds;
@@ -173,6 +177,7 @@
   TimePoint LastContact;
   unsigned CallsInFlight = 0; ///< Of all kinds.
   bool RenewInFlight = false;
+  std::uint64_t RenewNumber = 0; ///< Replies to earlier renewals are ignored.
   bool RunsKnown = false;
   std::set<scheduling::RunId> RecoveredRuns; ///< Assigned by a previous owner.
   bool Unregistered = false;
--- a/Source/Shard/WorkerTransport.h
+++ b/Source/Shard/WorkerTransport.h
@@ -10,13 +10,17 @@
 
 namespace jayramp::shard {
 
-/// Worker that an order is sent to.
+/// Worker that an order is sent to. Its id and address stay the same when its
+/// process restarts.
 struct WorkerTarget {
   std::string Id;
   std::string Address; ///< "ip:port".
+  /// Start time of the process that the order is meant for, Unix ms; 0 if it is
+  /// unknown.
+  std::int64_t Incarnation = 0;
 };
 
-/// Result of an order to a worker.
+/// Result of an order to a worker. The numbers stand in the log.
 enum class OrderOutcome {
   Accepted,
   Fenced,           ///< The worker has seen a higher fencing token.
@@ -25,8 +29,9 @@
   LeaseExpired,     ///< The lease had expired when the order arrived.
   NoCapacity,       ///< The worker lacks free resources for the run.
   Refused,          ///< Not carried out, for another reason.
-  WrongIncarnation, ///< Another process listens at the address.
+  WrongIncarnation, ///< Another process listens at the address; not sent.
   Unanswered,       ///< May have been carried out or may be carried out later.
+  NotSent,          ///< The process could not be identified; not carried out.
 };
 
 /// Reply to a start or stop order.
@@ -92,12 +97,19 @@
 public:
   virtual ~WorkerTransport() = default;
 
+  /// Starts a run. No process but the target's incarnation receives the order,
+  /// since its lease is a time on the clock of that process.
   virtual auto start(const WorkerTarget &Target, const StartOrder &Order,
                      Milliseconds Timeout, std::function<void(OrderReply)> Done)
       -> void = 0;
+  /// Stops a run. Any process of the worker may receive the order: one that
+  /// does not know the run rejects it from then on.
   virtual auto stop(const WorkerTarget &Target, const StopOrder &Order,
                     Milliseconds Timeout, std::function<void(OrderReply)> Done)
       -> void = 0;
+  /// Renews leases and acknowledges ends; no process but the target's
+  /// incarnation receives either. If another process listens, or the
+  /// incarnation is 0, the reply describes the process that listens.
   virtual auto renewLeases(const WorkerTarget &Target, const RenewOrder &Order,
                            Milliseconds Timeout,
                            std::function<void(RenewReply)> Done) -> void = 0;
--- a/Tests/Shard/FakeWorkers.h
+++ b/Tests/Shard/FakeWorkers.h
@@ -12,7 +12,8 @@
 namespace jayramp::test {
 
 /// In-memory workers with leases, fencing, numbered ends, and delayed or lost
-/// replies.
+/// replies. A start, a lease or an acknowledgement for another process than the
+/// present one of a worker does not reach it.
 class FakeWorkers final : public shard::WorkerTransport {
 public:
   struct Task {
@@ -91,6 +92,12 @@
     }
     auto Outcome = shard::OrderOutcome::Accepted;
     updateTasks(Each);
+    if (Target.Incarnation != Each.Incarnation) {
+      later(Each.AnswerDelay, [Done] {
+        Done({shard::OrderOutcome::WrongIncarnation, 0, {}});
+      });
+      return;
+    }
     if (Order.FencingToken < Each.HighestToken)
       Outcome = shard::OrderOutcome::Fenced;
     else if (Each.StoppedOrEnded.contains(Order.Run))
@@ -155,13 +162,16 @@
       return;
     }
     Each.HighestToken = Order.FencingToken;
-    extendLease(Each, Order.LeaseExpiresAtMs);
-    Each.LastSeenEnd = std::max(Each.LastSeenEnd, Order.LastSeenEnd);
-    std::erase_if(Each.Ended, [&](const auto &End) {
-      return End.Number <= Order.LastSeenEnd;
-    });
+    const bool IsIntended = Target.Incarnation == Each.Incarnation;
+    if (IsIntended) {
+      extendLease(Each, Order.LeaseExpiresAtMs);
+      Each.LastSeenEnd = std::max(Each.LastSeenEnd, Order.LastSeenEnd);
+      std::erase_if(Each.Ended, [&](const auto &End) {
+        return End.Number <= Order.LastSeenEnd;
+      });
+    }
     answerRenewal({Target.Id, Each.Incarnation, Clock::now() + Timeout},
-                  Order.Wait, Done);
+                  IsIntended ? Order.Wait : Milliseconds(0), Done);
   }
 
 private:
