shard: a silent worker whose entry changes is not given runs in vain

Cause, as the issue suspected: two places held whether a worker can be reached. A new incarnation in the worker's entry made the scheduler take the worker for reachable, while its session still counted failures and an expired lease. Each run placed there was given up before any call was sent, and nobody asked the worker again, because the scheduler took it for reachable.

Change, the smallest that stops it: the session corrects the scheduler at each new entry as long as the worker does not answer.

Evidence: WorkerReachabilityTest.silentWorkerWithANewEntryIsNotGivenRunsInVain was red before: 332 runs of one task in 0.7 s, and the job did not complete after the worker answered again.

--- a/Source/Shard/WorkerSession.cpp
+++ b/Source/Shard/WorkerSession.cpp
@@ -82,6 +82,9 @@
   }
   if (entryIncarnation() == Incarnation)
     Leases.clock().recordReport(Change.ClockMs, now());
+  // The scheduler takes a new process for one that can be reached.
+  if (RenewFailures > 0)
+    SharedContext.Scheduler.setReachable(Worker, false);
 }
 
 auto WorkerSession::onUnregistered(bool WasDraining) -> void {
--- a/Tests/Shard/WorkerReachabilityTest.cpp
+++ b/Tests/Shard/WorkerReachabilityTest.cpp
@@ -41,6 +41,29 @@
                        Milliseconds(2500)));
 }
 
+// Guards against runs that are placed and lost thousands of times: a worker
+// that does not answer restarts, its new entry makes it look reachable, and
+// each run placed there is given up before any call is sent. It must be asked
+// instead.
+TEST_F(WorkerReachabilityTest, silentWorkerWithANewEntryIsNotGivenRunsInVain) {
+  Registry.add("w1");
+  startOwner();
+  runFor(Milliseconds(30));
+  Workers["w1"].Unresponsive = true;
+  submit(job("a"));
+  ASSERT_TRUE(runUntil([&] { return !Owner->scheduler().runs().empty(); }));
+  ASSERT_TRUE(runUntil([&] { return Owner->scheduler().runs().empty(); }));
+  Workers.restart("w1");
+  Workers["w1"].Unresponsive = true;
+  Registry.report("w1", Workers["w1"].Incarnation, 1);
+  runFor(CutDuration);
+  EXPECT_LE(Owner->scheduler().job("a")->Progress.Steps[0][0].LastRunNumber,
+            3U);
+  Workers["w1"].Unresponsive = false;
+  EXPECT_TRUE(runUntil([&] { return stateOf("a") == JobState::Completed; },
+                       Milliseconds(2500)));
+}
+
 // Guards against a run that is never given up: a change of its worker moves the
 // session's next visit behind the time for which the timer is set.
 TEST_F(WorkerReachabilityTest, leasesAreCheckedAfterAVisitWasPutOff) {
