shard: one value holds what an owner knows of a worker's life

WorkerLife is now the only place. What may be placed, granted, asked and concluded follows from the state. The scheduler is told by the session and no longer draws its own conclusion from an entry.

Three behaviours change: a worker that is new or back is asked before tasks are placed on it; one whose entry names another process gets nothing until that process answers; an entry that names the process before the present one is ignored.

--- a/Source/Shard/WorkerSession.cpp
+++ b/Source/Shard/WorkerSession.cpp
@@ -12,19 +12,13 @@
 using scheduling::Run;
 using scheduling::RunId;
 using scheduling::RunPhase;
+using namespace life_event;
 
 namespace {
 
 /// A worker may truncate its list of ended runs at this size, so a run that is
 /// missing from such a list may still exist.
 constexpr std::size_t TruncatedListingSize = 500;
-/// Number of failed renewals after which a worker gets no new tasks.
-constexpr unsigned UnreachableAfterFailures = 1;
-/// Longest delay between a failed probe of a worker and the next one. The delay
-/// doubles with each failure.
-constexpr Milliseconds MaxProbeDelay{1000};
-/// Keeps the doubled delay within the range of its type.
-constexpr unsigned MaxProbeDelayDoublings = 10;
 /// Interval of renewals while reported ends are not yet durable.
 constexpr Milliseconds UncommittedEndsRenewInterval{400};
 /// Shortest interval between two renewals that report no end.
@@ -50,53 +44,66 @@
       Leases(SharedContext.Settings.LeaseDuration,
              SharedContext.Settings.MaxLeaseDuration,
              PredecessorLeasesExpireAt) {
-  RunsKnown = !PredecessorLeasesExpireAt;
-  if (const auto *Entry = SharedContext.Scheduler.worker(this->Worker)) {
-    Incarnation = Entry->Report.Incarnation;
+  // Before the first answer, the runs on the worker are not known.
+  SharedContext.Scheduler.setReachable(this->Worker, false);
+  if (const auto *Entry = SharedContext.Scheduler.worker(this->Worker))
     for (const auto &[Id, LiveRun] : Entry->Runs)
       RecoveredRuns.insert(Id);
-  }
-  // The runs on the worker are known only after the first renewal.
-  if (!RunsKnown)
-    SharedContext.Scheduler.setReachable(this->Worker, false);
 }
 
 auto WorkerSession::onReport(const WorkerChange &Change) -> void {
-  // Failures before the worker's absence say nothing about its new entry, which
-  // the scheduler takes for a worker that can be reached.
-  if (std::exchange(Unregistered, false) && OrdersByRun.empty())
-    RenewFailures = 0;
-  LeftAfterDrain = false;
   EntryWrittenAfter = Change.WrittenAfter;
-  if (const auto *Entry = SharedContext.Scheduler.worker(Worker)) {
-    if (Entry->Report.Incarnation != Incarnation &&
-        Entry->Report.Incarnation != 0) {
-      // If orders are outstanding, the next renewal reports the runs of the new
-      // process.
-      if (OrdersByRun.empty())
-        switchIncarnation(Entry->Report.Incarnation);
-      else
-        doubtIncarnation();
-    }
-    Address = Entry->Report.Address;
-  }
-  if (entryIncarnation() == Incarnation)
+  Address = Change.Report->Address;
+  learn(EntrySeen{Change.Report->Incarnation});
+  if (Change.Report->Incarnation == Life.incarnation())
     Leases.clock().recordReport(Change.ClockMs, now());
-  // The scheduler takes a new process for one that can be reached.
-  if (RenewFailures > 0)
-    SharedContext.Scheduler.setReachable(Worker, false);
 }
 
 auto WorkerSession::onUnregistered(bool WasDraining) -> void {
-  Unregistered = true;
-  LeftAfterDrain = WasDraining && EntryWrittenAfter &&
-                   suspendAwareNow() - *EntryWrittenAfter <
-                       SharedContext.Settings.MinEntryLifetime;
+  learn(EntryRemoved{WasDraining && EntryWrittenAfter &&
+                     suspendAwareNow() - *EntryWrittenAfter <
+                         SharedContext.Settings.MinEntryLifetime});
+}
+
+auto WorkerSession::learn(const Event &Seen) -> bool {
+  const auto Before = std::exchange(Life, {});
+  auto Result = Before.after(Seen);
+  Life = Result.Next;
+  if (Before.incarnation() != 0 && Life.incarnation() != Before.incarnation()) {
+    Ends = EndAcknowledgement(SharedContext.Journal);
+    Leases.onNewIncarnation(now());
+  }
+  if (Result.AskNow)
+    askNow();
+  SharedContext.Scheduler.setReachable(Worker, Life.mayReceiveTasks());
+  logChange(Before);
+  return Result.FormerEnded;
+}
+
+auto WorkerSession::logChange(const WorkerLife &Before) const -> void {
+  if (Life.isSilent() && !Before.isSilent())
+    logEvent(LogLevel::Warning, "worker-unreachable", {{"worker", Worker}});
+  if (Life.answers() && Before.isSilent())
+    logEvent(LogLevel::Info, "worker-reached", {{"worker", Worker}});
+  if (Life.incarnation() != Before.incarnation())
+    logEvent(LogLevel::Info, "worker-incarnation",
+             {{"worker", Worker},
+              {"before", std::to_string(Before.incarnation())},
+              {"now", std::to_string(Life.incarnation())}});
+}
+
+auto WorkerSession::askNow() -> void {
+  // The clock may be that of another process, and a renewal in flight to it
+  // would be waited for in vain.
+  Leases.clock().reset();
+  RenewInFlight = false;
+  ++RenewNumber;
+  NextRenew = {};
 }
 
 auto WorkerSession::isIdle() const -> bool {
-  return Unregistered && OrdersByRun.empty() && CallsInFlight == 0 &&
-         (RenewFailures > 0 || !Ends.isOutstanding());
+  return !Life.isRegistered() && OrdersByRun.empty() && CallsInFlight == 0 &&
+         (!Life.answers() || !Ends.isOutstanding());
 }
 
 template <typename Reply, typename Handler>
@@ -113,7 +120,8 @@
 }
 
 auto WorkerSession::target() const -> WorkerTarget {
-  return {Worker, Address, Leases.canGrant() ? Incarnation : 0};
+  const bool IsKnown = Life.mayBeGranted() && Leases.canGrant();
+  return {Worker, Address, IsKnown ? Life.incarnation() : 0};
 }
 
 auto WorkerSession::concludeRunOver(const RunId &Id, RunOverEvidence Evidence)
@@ -139,7 +147,7 @@
         EntryWrittenAfter
             ? std::to_string((suspendAwareNow() - *EntryWrittenAfter).count())
             : "unknown"},
-       {"incarnation", std::to_string(Incarnation)},
+       {"incarnation", std::to_string(Life.incarnation())},
        {"entry-incarnation", std::to_string(entryIncarnation())}});
   SharedContext.Scheduler.runLost(Id, now());
 }
@@ -159,7 +167,7 @@
             {"worker", Worker},
             {"clock-ms", std::to_string(Reply.WorkerClockMs)},
             {"expected-at-least-ms", std::to_string(LeastClockMs)},
-            {"incarnation", std::to_string(Incarnation)},
+            {"incarnation", std::to_string(Life.incarnation())},
             {"entry-incarnation", std::to_string(entryIncarnation())}});
 }
 
@@ -205,11 +213,11 @@
     return TimePoint::max();
   if (Ends.hasUncommittedEnds())
     return std::max(NextRenew, LastContact + UncommittedEndsRenewInterval);
-  const auto *Entry = SharedContext.Scheduler.worker(Worker);
-  const bool MustProbe = Entry && Entry->Registered && !Entry->Reachable;
-  if (OrdersByRun.empty() && RunsKnown && !MustProbe && !Ends.isOutstanding())
-    return TimePoint::max();
-  return NextRenew;
+  return needsRenewal() ? NextRenew : TimePoint::max();
+}
+
+auto WorkerSession::needsRenewal() const -> bool {
+  return !OrdersByRun.empty() || Life.mustBeAsked() || Ends.isOutstanding();
 }
 
 auto WorkerSession::awaitedJobs() const -> std::set<std::string> {
@@ -247,7 +255,7 @@
     reportStartDelay(Id, State);
   const auto Withdrawal = withdrawalReason();
   if (ActiveRun.Phase == RunPhase::Assigned && Withdrawal) {
-    if (!State.StartInFlight && (RunsKnown || !State.Recovered))
+    if (!State.StartInFlight && isKnown(State))
       withdrawStart(Id, State, *Withdrawal);
     return;
   }
@@ -258,8 +266,7 @@
     return;
   }
   if (ActiveRun.Phase == RunPhase::Assigned) {
-    const bool Known = RunsKnown || !State.Recovered;
-    if (Known && Leases.canGrant() && !State.StartInFlight &&
+    if (isKnown(State) && Leases.canGrant() && !State.StartInFlight &&
         now() >= State.NextStart &&
         SharedContext.Journal.isDurable(State.Assignment) && mayGrantLeases() &&
         SharedContext.Freshness.maySendStarts())
@@ -277,6 +284,10 @@
     sendStop(Id);
 }
 
+auto WorkerSession::isKnown(const RunOrders &State) const -> bool {
+  return Life.hasAnswered() || !State.Recovered;
+}
+
 auto WorkerSession::reportStartDelay(const RunId &Id, const RunOrders &State)
     -> void {
   if (!StartDelayLog::isLong(State.PlacedAt, now()))
@@ -289,9 +300,8 @@
 auto WorkerSession::startConditions(const RunOrders &State) const
     -> StartConditions {
   StartConditions Conditions;
-  Conditions.RunsKnown = RunsKnown || !State.Recovered;
-  Conditions.WorkerAnswers = RenewFailures == 0 &&
-                             State.StartsUnanswered == 0 &&
+  Conditions.RunsKnown = isKnown(State);
+  Conditions.WorkerAnswers = !Life.isSilent() && State.StartsUnanswered == 0 &&
                              State.StartsSent == State.StartAttempts;
   Conditions.AnswerPending = State.StartInFlight;
   Conditions.RetryDue = now() >= State.NextStart;
@@ -354,10 +364,10 @@
   SharedContext.Transport.start(
       target(), Order, SharedContext.Settings.startTimeout(State.StartAttempts),
       expectReply<OrderReply>(
-          [this, Id = ActiveRun.Id, SentTo = Incarnation,
+          [this, Id = ActiveRun.Id, SentTo = Life.incarnation(),
            LeastClockMs = Leases.clock().lowerBound(now())](const auto &Reply) {
             reportOtherProcess(Id, LeastClockMs, Reply);
-            if (SentTo == Incarnation)
+            if (SentTo == Life.incarnation())
               Leases.clock().recordAnswer(Reply.WorkerClockMs, now());
             onStartReply(Id, Reply);
           }));
@@ -414,10 +424,8 @@
   if (Reply.Outcome == OrderOutcome::NoCapacity ||
       Reply.Outcome == OrderOutcome::Refused)
     SharedContext.Scheduler.pauseWorker(Worker, now());
-  if (Reply.Outcome == OrderOutcome::WrongIncarnation) {
-    SharedContext.Scheduler.setReachable(Worker, false);
-    doubtIncarnation();
-  }
+  if (Reply.Outcome == OrderOutcome::WrongIncarnation)
+    learn(OtherProcessFound{});
   // An earlier start without an answer may still arrive. After a stop, the
   // worker rejects the run number.
   if (CannotStart)
@@ -465,14 +473,10 @@
       sendRenewal(Milliseconds{0});
     return;
   }
-  const auto *Entry = SharedContext.Scheduler.worker(Worker);
-  const bool MustProbe = Entry && Entry->Registered && !Entry->Reachable;
-  if (!OrdersByRun.empty())
-    sendRenewal(RunsKnown && RenewFailures == 0 && Leases.canGrant()
-                    ? renewWait()
-                    : Milliseconds{0});
-  else if (!RunsKnown || MustProbe || Ends.isOutstanding())
-    sendRenewal(Milliseconds{0});
+  const bool MayWait =
+      !OrdersByRun.empty() && Life.answers() && Leases.canGrant();
+  if (needsRenewal())
+    sendRenewal(MayWait ? renewWait() : Milliseconds{0});
 }
 
 auto WorkerSession::renewWait() const -> Milliseconds {
@@ -487,14 +491,15 @@
   RenewOrder Order;
   Order.FencingToken = SharedContext.FencingToken;
   Order.Wait = Wait;
-  if (Leases.canGrant()) {
+  const auto Target = target();
+  if (Target.Incarnation != 0) {
     Order.LastSeenEnd = Ends.takeAcknowledgement();
     if (!OrdersByRun.empty() && mayGrantLeases())
       Order.LeaseExpiresAtMs = Leases.grant(now());
   }
   RenewInFlight = true;
   SharedContext.Transport.renewLeases(
-      target(), Order, Wait + SharedContext.Settings.RenewReplyMargin,
+      Target, Order, Wait + SharedContext.Settings.RenewReplyMargin,
       expectReply<RenewReply>(
           [this, SentAt = now(), Number = ++RenewNumber](const auto &Reply) {
             if (Number == RenewNumber)
@@ -514,18 +519,13 @@
     return;
   }
   LastContact = now();
-  if (RenewFailures > 0)
-    logEvent(LogLevel::Info, "worker-reached", {{"worker", Worker}});
-  RenewFailures = 0;
-  SharedContext.Scheduler.setReachable(Worker, true);
-  if (Reply.Incarnation != 0 && Reply.Incarnation != Incarnation)
-    onNewIncarnation(Reply);
+  if (learn(Answered{Reply.Incarnation}))
+    onFormerEnded(Reply);
   Leases.clock().recordAnswer(Reply.WorkerClockMs, now());
   releaseWithheldEnd(Reply.Ended);
   const bool HasNewEnds = recordEnds(Reply.Ended);
   recordRunning(Reply.Running);
   handleUnlistedRuns(SentAt, Reply);
-  RunsKnown = true;
   if (Ends.withheldEnd())
     NextRenew = now() + WithheldEndRenewInterval;
   else if (now() - SentAt < MinRenewInterval && !HasNewEnds)
@@ -623,17 +623,7 @@
     concludeRunOver(Id, RunOverEvidence::NotListed);
 }
 
-auto WorkerSession::onNewIncarnation(const RenewReply &Reply) -> void {
-  const bool IsFirstContact = Incarnation == 0;
-  logEvent(LogLevel::Info, "worker-incarnation",
-           {{"worker", Worker},
-            {"before", std::to_string(Incarnation)},
-            {"now", std::to_string(Reply.Incarnation)}});
-  if (IsFirstContact) {
-    Incarnation = Reply.Incarnation;
-    return;
-  }
-  switchIncarnation(Reply.Incarnation);
+auto WorkerSession::onFormerEnded(const RenewReply &Reply) -> void {
   std::set<RunId> Listed;
   for (const auto &Each : Reply.Running)
     Listed.insert(Each.Run);
@@ -649,45 +639,18 @@
     concludeRunOver(Id, RunOverEvidence::NewIncarnation);
 }
 
-auto WorkerSession::doubtIncarnation() -> void {
-  Leases.clock().reset();
-  // A renewal in flight to the former process would be waited for in vain.
-  RenewInFlight = false;
-  ++RenewNumber;
-  NextRenew = {};
-}
-
-auto WorkerSession::switchIncarnation(std::int64_t Started) -> void {
-  Incarnation = Started;
-  Ends = EndAcknowledgement(SharedContext.Journal);
-  Leases.onNewIncarnation(now());
-}
-
 auto WorkerSession::onRenewFailure() -> void {
-  ++RenewFailures;
-  if (RenewFailures == UnreachableAfterFailures) {
-    logEvent(LogLevel::Warning, "worker-unreachable", {{"worker", Worker}});
-    SharedContext.Scheduler.setReachable(Worker, false);
-  }
-  NextRenew = now() + probeDelay();
+  learn(Unanswered{});
+  NextRenew = now() + Life.probeDelay(SharedContext.Settings.RetryDelay);
   SharedContext.OnStateChanged();
   sendDueOrders();
 }
 
-auto WorkerSession::probeDelay() const -> Milliseconds {
-  const auto Doublings = std::min(RenewFailures, MaxProbeDelayDoublings);
-  return std::min(SharedContext.Settings.RetryDelay * (1 << Doublings),
-                  MaxProbeDelay);
-}
-
 auto WorkerSession::checkLeases() -> void {
-  const bool NotAnswering = RenewFailures > 0 || Address.empty();
-  if (OrdersByRun.empty() || !NotAnswering)
+  if (OrdersByRun.empty())
     return;
-  if (LeftAfterDrain)
-    dropAllRuns(RunOverEvidence::WorkerLeft);
-  else if (now() > Leases.expireAt())
-    dropAllRuns(RunOverEvidence::LeaseExpired);
+  if (const auto Evidence = Life.evidenceAgainstRuns(now() > Leases.expireAt()))
+    dropAllRuns(*Evidence);
 }
 
 auto WorkerSession::dropAllRuns(RunOverEvidence Evidence) -> void {
@@ -709,9 +672,7 @@
 }
 
 auto WorkerSession::mayGrantLeases() const -> bool {
-  // While a worker does not answer, its leases must be able to expire, and
-  // every order that reaches it would extend them.
-  return RenewFailures == 0 && SharedContext.MayGrantLeases();
+  return Life.mayBeGranted() && SharedContext.MayGrantLeases();
 }
 
 } // namespace jayramp::shard
--- a/Source/Shard/WorkerSession.h
+++ b/Source/Shard/WorkerSession.h
@@ -10,6 +10,7 @@
 #include "Shard/StartConditions.h"
 #include "Shard/StartDelayLog.h"
 #include "Shard/WorkerLeases.h"
+#include "Shard/WorkerLife.h"
 #include "Shard/WorkerRegistry.h"
 #include "Shard/WorkerTransport.h"
 
@@ -111,6 +112,12 @@
   auto reportOtherProcess(const scheduling::RunId &Id,
                           std::int64_t LeastClockMs,
                           const OrderReply &Reply) const -> void;
+  /// Learns what \p Seen tells of the worker's life, and does what follows.
+  /// Returns whether the process before has ended.
+  auto learn(const life_event::Event &Seen) -> bool;
+  auto logChange(const WorkerLife &Before) const -> void;
+  /// Asks the worker at once which of its processes runs.
+  auto askNow() -> void;
   auto syncOrders() -> void;
   auto sendRunOrder(const scheduling::Run &ActiveRun, RunOrders &State) -> void;
   auto reportStartDelay(const scheduling::RunId &Id, const RunOrders &State)
@@ -118,6 +125,8 @@
   auto startConditions(const RunOrders &State) const -> StartConditions;
   /// Returns why no start may be sent to the worker; none if one may.
   auto withdrawalReason() const -> std::optional<scheduling::StopReason>;
+  /// Returns whether the session knows what became of earlier starts of a run.
+  auto isKnown(const RunOrders &State) const -> bool;
   auto isHeldBack(const scheduling::RunId &Id) const -> bool;
   /// Cancels a run whose start was not confirmed.
   auto withdrawStart(const scheduling::RunId &Id, const RunOrders &State,
@@ -135,6 +144,7 @@
   auto renewIfDue() -> void;
   /// Returns when a renewal is due; the latest possible time if none is needed.
   auto nextRenewal() const -> TimePoint;
+  auto needsRenewal() const -> bool;
   /// Returns how long the worker may delay the reply to the next renewal.
   auto renewWait() const -> Milliseconds;
   auto sendRenewal(Milliseconds Wait) -> void;
@@ -153,14 +163,9 @@
   /// Handles the runs that the reply to a renewal sent at \p SentAt should
   /// list but does not.
   auto handleUnlistedRuns(TimePoint SentAt, const RenewReply &Reply) -> void;
-  auto onNewIncarnation(const RenewReply &Reply) -> void;
-  auto switchIncarnation(std::int64_t Started) -> void;
-  /// Grants and acknowledges nothing until the worker has said which of its
-  /// processes runs, and asks it.
-  auto doubtIncarnation() -> void;
+  /// Handles the first reply of a process that has taken the place of another.
+  auto onFormerEnded(const RenewReply &Reply) -> void;
   auto onRenewFailure() -> void;
-  /// Returns the delay before a worker that did not answer is asked again.
-  auto probeDelay() const -> Milliseconds;
   auto checkLeases() -> void;
   auto dropAllRuns(RunOverEvidence Evidence) -> void;
   auto mayGrantLeases() const -> bool;
@@ -172,20 +177,15 @@
   std::string Address; ///< Last known address; kept after the worker has left.
   std::map<scheduling::RunId, RunOrders> OrdersByRun;
   EndAcknowledgement Ends; ///< Of the present incarnation.
-  std::int64_t Incarnation = 0;
+  WorkerLife Life;
   WorkerLeases Leases;
   TimePoint LastContact;
   unsigned CallsInFlight = 0; ///< Of all kinds.
   bool RenewInFlight = false;
   std::uint64_t RenewNumber = 0; ///< Replies to earlier renewals are ignored.
-  bool RunsKnown = false;
   std::set<scheduling::RunId> RecoveredRuns; ///< Assigned by a previous owner.
-  bool Unregistered = false;
   /// The worker's last entry was not written before this time.
   std::optional<Milliseconds> EntryWrittenAfter;
-  /// Its entry was removed after a drain, too early to have expired.
-  bool LeftAfterDrain = false;
-  unsigned RenewFailures = 0;
   TimePoint NextRenew;
   bool Closed = false;
 };
