shard: contact, orders and ends of a worker in classes of their own

A run that was never sent is given back as soon as its worker is silent, not with the worker's leases.

--- /dev/null
+++ b/Source/Shard/EndRecorder.cpp
@@ -0,0 +1,72 @@
+#include "Shard/EndRecorder.h"
+
+#include "Base/EventLog.h"
+#include "Shard/SessionContext.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jayramp::shard {
+
+namespace {
+
+/// A worker with an end that must not be acknowledged gets no new tasks, so
+/// that its list of ends stays short; renewed at each reply.
+constexpr Milliseconds WithheldEndQuarantine{2000};
+
+} // namespace
+
+EndRecorder::EndRecorder(SessionContext &SharedContext, std::string Worker)
+    : SharedContext(SharedContext), Worker(std::move(Worker)),
+      Ends(SharedContext.Journal) {}
+
+auto EndRecorder::record(const std::vector<ReportedEnd> &Ended) -> bool {
+  releaseWithheld(Ended);
+  bool HasNewEnds = false;
+  for (const auto &End : Ended) {
+    if (Ends.isRecorded(End.Number))
+      continue;
+    HasNewEnds = true;
+    if (!SharedContext.Scheduler.runEnded(End.Run, End.Outcome, End.Checkpoint,
+                                          Clock::now()))
+      withhold(End);
+    logEvent(LogLevel::Info, "task-ended",
+             {{"run", toString(End.Run)},
+              {"worker", Worker},
+              {"how", std::to_string(static_cast<int>(End.Outcome))}});
+    Ends.record(End.Number, SharedContext.Journal.latestChange(End.Run.Job));
+  }
+  return HasNewEnds;
+}
+
+auto EndRecorder::onNewIncarnation() -> void {
+  Ends = EndAcknowledgement(SharedContext.Journal);
+}
+
+auto EndRecorder::withhold(const ReportedEnd &End) -> void {
+  logEvent(LogLevel::Warning, "end-withheld",
+           {{"run", toString(End.Run)}, {"worker", Worker}});
+  Ends.withhold({End.Number, End.Run.Job});
+}
+
+auto EndRecorder::releaseWithheld(const std::vector<ReportedEnd> &Ended)
+    -> void {
+  const auto &Withheld = Ends.withheldEnd();
+  if (!Withheld)
+    return;
+  // An end that precedes the expiry of the worker's leases does not count as
+  // known. A job that was forgotten is not shown to anyone any more.
+  const bool LeasesExpiredSince =
+      std::any_of(Ended.begin(), Ended.end(), [&](const ReportedEnd &End) {
+        return End.Number > Withheld->Number &&
+               End.Outcome == scheduling::RunOutcome::LeaseExpired;
+      });
+  if (LeasesExpiredSince || !SharedContext.Scheduler.job(Withheld->Job)) {
+    Ends.release();
+    return;
+  }
+  SharedContext.Scheduler.quarantineWorker(Worker, Clock::now() +
+                                                       WithheldEndQuarantine);
+}
+
+} // namespace jayramp::shard
--- /dev/null
+++ b/Source/Shard/EndRecorder.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "Shard/EndAcknowledgement.h"
+#include "Shard/WorkerTransport.h"
+
+#include <string>
+#include <vector>
+
+namespace jayramp::shard {
+
+struct SessionContext;
+
+/// Reports the ends that a worker lists to the scheduler, and decides which of
+/// them may be acknowledged.
+class EndRecorder {
+public:
+  EndRecorder(SessionContext &SharedContext, std::string Worker);
+
+  // Commands.
+
+  /// Records the ends that were not reported before. Returns whether there are
+  /// any.
+  auto record(const std::vector<ReportedEnd> &Ended) -> bool;
+  /// Forgets the ends of the worker's former process, whose numbers mean
+  /// nothing to the present one.
+  auto onNewIncarnation() -> void;
+  auto acknowledgement() -> EndAcknowledgement & { return Ends; }
+
+  // Queries.
+
+  auto acknowledgement() const -> const EndAcknowledgement & { return Ends; }
+
+private:
+  /// Withholds the acknowledgement of the success of a run whose task was
+  /// started again, because the run had been taken for lost. If it were
+  /// acknowledged, the task would count as one that was started after its
+  /// success was known.
+  auto withhold(const ReportedEnd &End) -> void;
+  /// Acknowledges ends again if there is no reason to withhold them any more.
+  auto releaseWithheld(const std::vector<ReportedEnd> &Ended) -> void;
+
+  SessionContext &SharedContext;
+  std::string Worker;
+  EndAcknowledgement Ends; ///< Of the present incarnation.
+};
+
+} // namespace jayramp::shard
--- a/Source/Shard/RunOverEvidence.cpp
+++ b/Source/Shard/RunOverEvidence.cpp
@@ -2,10 +2,33 @@
 
 namespace jayramp::shard {
 
+auto isNeverSent(RunOverEvidence Evidence) -> bool {
+  switch (Evidence) {
+  case RunOverEvidence::JobHeldBack:
+  case RunOverEvidence::Withdrawn:
+  case RunOverEvidence::StoppedUnsent:
+  case RunOverEvidence::WorkerSilent:
+    return true;
+  case RunOverEvidence::StartRefused:
+  case RunOverEvidence::NotListed:
+  case RunOverEvidence::NewIncarnation:
+  case RunOverEvidence::LeaseExpired:
+  case RunOverEvidence::WorkerLeft:
+    return false;
+  }
+  return false;
+}
+
 auto toString(RunOverEvidence Evidence) -> std::string_view {
   switch (Evidence) {
-  case RunOverEvidence::NeverSent:
-    return "never-sent";
+  case RunOverEvidence::JobHeldBack:
+    return "job-held-back";
+  case RunOverEvidence::Withdrawn:
+    return "withdrawn";
+  case RunOverEvidence::StoppedUnsent:
+    return "stopped-unsent";
+  case RunOverEvidence::WorkerSilent:
+    return "worker-silent";
   case RunOverEvidence::StartRefused:
     return "start-refused";
   case RunOverEvidence::NotListed:
--- a/Source/Shard/RunOverEvidence.h
+++ b/Source/Shard/RunOverEvidence.h
@@ -6,7 +6,10 @@
 
 /// What shows that a run is over whose end its worker has not listed.
 enum class RunOverEvidence {
-  NeverSent,      ///< No start of it was sent.
+  JobHeldBack,    ///< Never sent: its job's progress cannot be written.
+  Withdrawn,      ///< Never sent: its worker leaves or its zone is closed.
+  StoppedUnsent,  ///< Never sent: it was stopped before.
+  WorkerSilent,   ///< Never sent: its worker does not answer.
   StartRefused,   ///< The worker refused its only start.
   NotListed,      ///< The worker has stopped it and does not list it.
   NewIncarnation, ///< The worker's process has been replaced.
@@ -14,6 +17,9 @@
   WorkerLeft,     ///< The worker has left after a drain.
 };
 
+/// Returns whether \p Evidence is that no start of the run was sent.
+auto isNeverSent(RunOverEvidence Evidence) -> bool;
+
 /// Returns the name of \p Evidence for logs.
 auto toString(RunOverEvidence Evidence) -> std::string_view;
 
--- a/Source/Shard/ShardOwner.h
+++ b/Source/Shard/ShardOwner.h
@@ -11,6 +11,7 @@
 #include "Shard/ProgressJournal.h"
 #include "Shard/RecoveryDelayLog.h"
 #include "Shard/RowCleaner.h"
+#include "Shard/SessionContext.h"
 #include "Shard/SessionSchedule.h"
 #include "Shard/ShardRows.h"
 #include "Shard/SpeedLog.h"
@@ -125,7 +126,7 @@
   SessionSchedule Schedule;
   FreshnessGuard Freshness;
   ClosedZoneLog ZoneLog;
-  WorkerSession::Context SharedContext;
+  SessionContext SharedContext;
   TimePoint OwnershipTakenAt;
   bool Recovering = true;
   bool DecisionDue = false;
--- a/Source/Shard/WorkerLeases.h
+++ b/Source/Shard/WorkerLeases.h
@@ -29,6 +29,7 @@
 
   // Queries.
 
+  auto clock() const -> const WorkerClock & { return Clock; }
   /// Returns true once the worker's clock is known.
   auto canGrant() const -> bool { return Clock.isKnown(); }
   /// Returns the time from which no lease can be valid; the epoch if none was
--- a/Source/Shard/WorkerLife.cpp
+++ b/Source/Shard/WorkerLife.cpp
@@ -171,6 +171,8 @@
                         [](const Answered &) {}, [](const Unanswered &) {},
                         [](const OtherProcessFound &) {}},
              Seen);
+  Result.NewIncarnation =
+      incarnation() != 0 && Result.Next.incarnation() != incarnation();
   return Result;
 }
 
--- a/Source/Shard/WorkerLife.h
+++ b/Source/Shard/WorkerLife.h
@@ -141,6 +141,8 @@
   /// The worker has to be asked at once which process runs; replies that are
   /// still waited for come from a process that is gone.
   bool AskNow = false;
+  /// Numbers, clocks and orders of the process before mean nothing any more.
+  bool NewIncarnation = false;
   /// The process before has certainly ended, and its runs with it.
   bool FormerEnded = false;
 };
