scheduling: a task whose runs are never sent waits longer each time

RetryBackoff doubles a delay from 20 ms to 1 s; each task has one for runs that ended without ever being sent, each worker one for those that it caused. A start ends both. tasks-waiting and its gauge name the reason backoff; run-over counts the ends by reason.

Registered workers that do not answer are a gauge, jayramp_workers_not_answering. One that nobody asks for 5 s, which no state of WorkerLife permits, is logged as workers-not-asked and counted in jayramp_workers_not_asked.

--- a/Source/Scheduling/JobEntry.cpp
+++ b/Source/Scheduling/JobEntry.cpp
@@ -27,6 +27,7 @@
   for (std::uint32_t Step = 0; Step < Spec.Steps.size(); ++Step) {
     const auto &Declared = Spec.Steps[Step];
     Progress.Steps[Step].resize(Declared.Count);
+    Steps[Step].UnsentRuns.resize(Declared.Count);
     // Bounded, so that sums over jobs with absurd requirements do not overflow.
     TotalGpus = std::min(
         MaxTotalGpus, TotalGpus + std::min(Declared.Need.Gpus, MaxTotalGpus) *
@@ -91,6 +92,20 @@
   Since = WaitsSinceSubmission ? SubmittedAt : Now;
 }
 
+auto JobEntry::recordStarted(std::uint32_t Step, std::uint32_t Index) -> void {
+  resetWait(Step);
+  Steps[Step].UnsentRuns[Index].recordSuccess();
+}
+
+auto JobEntry::recordUnsentRun(std::uint32_t Step, std::uint32_t Index,
+                               const RetryBackoff::Limits &Delay, TimePoint Now)
+    -> void {
+  auto &Unsent = Steps[Step].UnsentRuns[Index];
+  Unsent.recordFailure(Delay, Now);
+  Steps[Step].LastUnsentDelayEnds =
+      std::max(Steps[Step].LastUnsentDelayEnds, Unsent.until());
+}
+
 auto JobEntry::recordStartSent(std::uint32_t Step, std::uint32_t Index,
                                std::uint32_t RunNumber) -> void {
   auto &Sent = Steps[Step].SentRuns[Index];
@@ -113,17 +128,29 @@
   });
 }
 
-auto JobEntry::waitingIndices(std::uint32_t Step, std::uint32_t MaxCount) const
+auto JobEntry::placeableIndices(std::uint32_t Step, std::uint32_t MaxCount,
+                                TimePoint Now) const
     -> std::vector<std::uint32_t> {
   std::vector<std::uint32_t> Indices;
   const auto &Tasks = Progress.Steps[Step];
+  const auto &Unsent = Steps[Step].UnsentRuns;
   for (std::uint32_t Index = 0;
        Index < Tasks.size() && Indices.size() < MaxCount; ++Index)
-    if (!Tasks[Index].Done && Tasks[Index].Worker.empty())
+    if (!Tasks[Index].Done && Tasks[Index].Worker.empty() &&
+        Unsent[Index].isOver(Now))
       Indices.push_back(Index);
   return Indices;
 }
 
+auto JobEntry::placeableTasks(std::uint32_t Step, TimePoint Now) const
+    -> std::uint32_t {
+  const auto Waiting = Steps[Step].Waiting;
+  if (Now >= Steps[Step].LastUnsentDelayEnds)
+    return Waiting;
+  return static_cast<std::uint32_t>(
+      placeableIndices(Step, Waiting, Now).size());
+}
+
 auto JobEntry::addToWaiting(std::uint32_t Step) -> void {
   ++Steps[Step].Waiting;
   ++WaitingTasks;
--- a/Source/Scheduling/JobEntry.h
+++ b/Source/Scheduling/JobEntry.h
@@ -3,6 +3,7 @@
 #include "Base/Clock.h"
 #include "Scheduling/JobProgress.h"
 #include "Scheduling/JobSpec.h"
+#include "Scheduling/RetryBackoff.h"
 #include "Scheduling/StepWork.h"
 #include "Scheduling/WaitReason.h"
 
@@ -33,7 +34,7 @@
   auto recordWaiting(std::uint32_t Step, TimePoint Now) -> void;
   /// Records that a worker has started a task of \p Step. A placement alone
   /// does not end a wait: the worker may refuse the start.
-  auto recordStarted(std::uint32_t Step) -> void { resetWait(Step); }
+  auto recordStarted(std::uint32_t Step, std::uint32_t Index) -> void;
   /// Frees what was measured of the work of the steps, which is not needed once
   /// the job is final.
   auto releaseMeasuredWork() -> void {
@@ -51,6 +52,12 @@
   auto recordStartSent(std::uint32_t Step, std::uint32_t Index,
                        std::uint32_t RunNumber) -> void;
 
+  /// Records that a run of the task ended at \p Now without ever being sent to
+  /// its worker.
+  auto recordUnsentRun(std::uint32_t Step, std::uint32_t Index,
+                       const RetryBackoff::Limits &Delay, TimePoint Now)
+      -> void;
+
   // Queries.
 
   /// Returns whether all steps that \p Step depends on are done.
@@ -69,6 +76,9 @@
   }
   /// Returns the number of tasks of all steps that are neither done nor placed.
   auto waitingTasks() const -> std::uint32_t { return WaitingTasks; }
+  /// Returns the number of waiting tasks of \p Step that may be placed at
+  /// \p Now: those whose runs were sent lately, or long enough ago were not.
+  auto placeableTasks(std::uint32_t Step, TimePoint Now) const -> std::uint32_t;
   /// Returns since when tasks of \p Step have waited, or had waited when all of
   /// them were placed; none if their turn has not come, or if any of them has
   /// started since the wait was recorded.
@@ -85,10 +95,10 @@
   auto waitReason(std::uint32_t Step) const -> std::optional<WaitReason> {
     return Steps[Step].LastWaitReason;
   }
-  /// Returns the indices of the first waiting tasks of \p Step, at most
-  /// \p MaxCount.
-  auto waitingIndices(std::uint32_t Step, std::uint32_t MaxCount) const
-      -> std::vector<std::uint32_t>;
+  /// Returns the indices of the first tasks of \p Step that may be placed at
+  /// \p Now, at most \p MaxCount.
+  auto placeableIndices(std::uint32_t Step, std::uint32_t MaxCount,
+                        TimePoint Now) const -> std::vector<std::uint32_t>;
 
   JobSpec Spec;
   JobProgress Progress;
@@ -120,6 +130,9 @@
     std::optional<TimePoint> SpeedWaitSince;
     /// By task: the highest number of a run whose start may have been sent.
     std::vector<std::uint32_t> SentRuns;
+    /// By task: of its runs that were never sent since one was started.
+    std::vector<RetryBackoff> UnsentRuns;
+    TimePoint LastUnsentDelayEnds; ///< Of all tasks.
   };
 
   auto addToWaiting(std::uint32_t Step) -> void;
--- a/Source/Scheduling/PlacementPass.cpp
+++ b/Source/Scheduling/PlacementPass.cpp
@@ -105,7 +105,7 @@
     if (Entry.isOpen() && ReserveSpeeds.contains(Speed))
       TotalGpus += Entry.Report.Capacity.Gpus;
     if (Entry.isOpen() && Entry.Reachable && !Entry.Report.Draining &&
-        Now >= Entry.QuarantinedUntil)
+        Now >= Entry.QuarantinedUntil && Entry.UnsentRuns.isOver(Now))
       Candidates.add(Entry, Speed);
   }
   ReservedGpus = Scheduler.Reserve.size(TotalGpus, Now);
@@ -374,7 +374,8 @@
   auto &Job = *Group.Job;
   const auto &Spec = Group.spec();
   const auto &Tasks = Job.Progress.Steps[Group.Step];
-  const auto Indices = Job.waitingIndices(Group.Step, ChosenLayout.TaskCount);
+  const auto Indices =
+      Job.placeableIndices(Group.Step, ChosenLayout.TaskCount, Now);
   std::uint32_t RunNumber = 0;
   for (const auto Index : Indices)
     RunNumber = std::max(RunNumber, Tasks[Index].LastRunNumber + 1);
--- a/Source/Scheduling/SchedulingPolicy.h
+++ b/Source/Scheduling/SchedulingPolicy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/Clock.h"
+#include "Scheduling/RetryBackoff.h"
 
 #include <cstdint>
 
@@ -23,6 +24,10 @@
   std::uint32_t QuarantineFailures = 2;
   /// How long a worker that refused a start gets no other task.
   Milliseconds StartRefusalBackoff{500};
+  /// Delay before a task is placed again whose run ended without ever being
+  /// sent to its worker, and before the worker gets tasks again if it caused
+  /// that. It doubles with each such end in a row.
+  RetryBackoff::Limits UnsentRunDelay{Milliseconds{20}, Milliseconds{1000}};
   /// Work that may be lost by preemption for a job of the most urgent priority,
   /// as a multiple of the work that the job itself does.
   double MaxPreemptionCostRatio = 4.0;
--- a/Source/Scheduling/ShardScheduler.cpp
+++ b/Source/Scheduling/ShardScheduler.cpp
@@ -201,7 +201,9 @@
   LiveRun.LastProgressAt = Now;
   LiveRun.LastReportAt = Now;
   auto &Job = *LiveRun.Job;
-  Job.recordStarted(Id.Step);
+  Job.recordStarted(Id.Step, Id.Index);
+  if (const auto Target = Workers.find(LiveRun.Worker); Target != Workers.end())
+    Target->second.UnsentRuns.recordSuccess();
   if (Job.Spec.Steps[Id.Step].Gang)
     StartingGangs.insert(gangId(Id));
   if (Job.Progress.State == JobState::Pending) {
@@ -326,6 +328,19 @@
     stopGang(Id);
 }
 
+auto ShardScheduler::runUnsent(const RunId &Id, bool WorkerCausedIt,
+                               TimePoint Now) -> void {
+  const auto Found = Runs.find(Id);
+  if (Found == Runs.end())
+    return;
+  Found->second.Job->recordUnsentRun(Id.Step, Id.Index, Policy.UnsentRunDelay,
+                                     Now);
+  if (const auto Target = Workers.find(Found->second.Worker);
+      WorkerCausedIt && Target != Workers.end())
+    Target->second.UnsentRuns.recordFailure(Policy.UnsentRunDelay, Now);
+  runLost(Id, Now);
+}
+
 auto ShardScheduler::stopRun(const RunId &Id, StopReason Reason,
                              const std::string &PreemptingJob) -> void {
   auto Found = Runs.find(Id);
--- a/Source/Scheduling/ShardScheduler.h
+++ b/Source/Scheduling/ShardScheduler.h
@@ -87,6 +87,10 @@
   /// Records that a run is not alive and never will be, although no worker
   /// reported its end.
   auto runLost(const RunId &Id, TimePoint Now) -> void;
+  /// Records that a run ends that was never sent to its worker. Its task is
+  /// placed again after a delay that grows with each such run in a row; so is
+  /// anything on the worker if \p WorkerCausedIt.
+  auto runUnsent(const RunId &Id, bool WorkerCausedIt, TimePoint Now) -> void;
   /// Decides to stop a run. The run keeps its resources until it has ended.
   auto stopRun(const RunId &Id, StopReason Reason,
                const std::string &PreemptingJob = {}) -> void;
--- a/Source/Scheduling/TaskGroupCollector.cpp
+++ b/Source/Scheduling/TaskGroupCollector.cpp
@@ -109,13 +109,17 @@
     if (Waiting == 0 || !Job.isReady(Step))
       continue;
     Job.recordWaiting(Step, Now);
-    TaskGroup Group{&Job, Step, Waiting, JobLateness};
+    const auto Placeable = Job.placeableTasks(Step, Now);
+    const bool AllWait = Placeable == 0 || (Spec.Gang && Placeable < Waiting);
+    TaskGroup Group{&Job, Step, AllWait ? Waiting : Placeable, JobLateness};
     if (Estimate)
       setSpeedPreference(*Estimate, Group);
     if (Job.OnHold)
       Group.NotTried = WaitReason::OnHold;
     else if (Spec.Gang && Waiting < Spec.Count)
       Group.NotTried = WaitReason::EarlierRuns;
+    else if (AllWait)
+      Group.NotTried = WaitReason::Backoff;
     Groups.push_back(Group);
   }
 }
--- a/Source/Scheduling/WaitDiagnosis.cpp
+++ b/Source/Scheduling/WaitDiagnosis.cpp
@@ -133,7 +133,7 @@
   std::uint32_t Count = 0;
   for (const auto &[Id, Entry] : Scheduler.workers())
     if (isEligible(Group, Entry) && Entry.Reachable &&
-        Now < Entry.QuarantinedUntil)
+        (Now < Entry.QuarantinedUntil || !Entry.UnsentRuns.isOver(Now)))
       Count += roomOn(Group, Entry);
   return Count;
 }
--- a/Source/Scheduling/WaitReason.cpp
+++ b/Source/Scheduling/WaitReason.cpp
@@ -24,6 +24,8 @@
     return "no-worker";
   case WaitReason::EarlierRuns:
     return "earlier-runs";
+  case WaitReason::Backoff:
+    return "backoff";
   case WaitReason::OnHold:
     return "on-hold";
   }
@@ -38,6 +40,7 @@
   case WaitReason::GangRoom:
   case WaitReason::Quarantine:
   case WaitReason::Unreachable:
+  case WaitReason::Backoff:
     return true;
   case WaitReason::Room:
   case WaitReason::ClosedZone:
--- a/Source/Scheduling/WaitReason.h
+++ b/Source/Scheduling/WaitReason.h
@@ -19,6 +19,7 @@
   ClosedZone,  ///< There is room only in availability zones that are closed.
   NoWorker,    ///< No set of registered workers could hold them when empty.
   EarlierRuns, ///< Earlier runs of the gang may be alive.
+  Backoff,     ///< Their last runs were never sent; they are tried again later.
   OnHold,      ///< Their progress cannot be stored at present.
 };
 
@@ -26,7 +27,7 @@
     WaitReason::Room,        WaitReason::Rack,       WaitReason::Reserve,
     WaitReason::GangRoom,    WaitReason::Speed,      WaitReason::Quarantine,
     WaitReason::Unreachable, WaitReason::ClosedZone, WaitReason::NoWorker,
-    WaitReason::EarlierRuns, WaitReason::OnHold};
+    WaitReason::EarlierRuns, WaitReason::Backoff,    WaitReason::OnHold};
 
 /// Returns the name of \p Reason in logs and metrics.
 auto toString(WaitReason Reason) -> std::string_view;
--- a/Source/Scheduling/WorkerEntry.h
+++ b/Source/Scheduling/WorkerEntry.h
@@ -2,6 +2,7 @@
 
 #include "Base/Clock.h"
 #include "Scheduling/Resources.h"
+#include "Scheduling/RetryBackoff.h"
 #include "Scheduling/RunId.h"
 #include "Scheduling/WorkerReport.h"
 
@@ -27,6 +28,8 @@
   /// Jobs that failed on the worker since its last success.
   std::set<std::string> FailedJobs;
   TimePoint QuarantinedUntil;
+  /// Of runs that the worker could not be sent since its last start.
+  RetryBackoff UnsentRuns;
   /// Expected time of a task here as a multiple of its time on a typical
   /// worker; updated before each scheduling pass.
   double TimeFactor = 1.0;
--- a/Source/Shard/OwnerGauges.cpp
+++ b/Source/Shard/OwnerGauges.cpp
@@ -58,6 +58,14 @@
     publishWaits(Target, Shard, Reason, Totals);
 }
 
+auto publishContacts(Metrics &Target, const std::string &Shard,
+                     const WorkerContacts &Known) -> void {
+  Target.gauge("jayramp_workers_not_answering", shardLabel(Shard),
+               static_cast<double>(Known.NotAnswering));
+  Target.gauge("jayramp_workers_not_asked", shardLabel(Shard),
+               static_cast<double>(Known.NotAsked));
+}
+
 } // namespace
 
 auto OwnerGauges::update(const OwnersByShard &Owners, TimePoint Now) -> void {
@@ -90,6 +98,7 @@
       static_cast<double>(Scheduler.roomForGangs().gatherings().size()));
   Target.gauge("jayramp_owner_recovering", shardLabel(Shard),
                Owner.isRecovering() ? 1 : 0);
+  publishContacts(Target, Shard, Owner.workerContacts());
   publishSpeeds(Shard, Owner);
   publishClosedZones(Shard, &Scheduler);
 }
@@ -146,6 +155,7 @@
   publishCompetition(Target, Shard, false, 0);
   Target.gauge("jayramp_gangs_with_held_room", shardLabel(Shard), 0);
   Target.gauge("jayramp_owner_recovering", shardLabel(Shard), 0);
+  publishContacts(Target, Shard, {});
   for (const auto &Zone : PublishedZones[Shard])
     Target.gauge("jayramp_zone_time_factor", zoneLabels(Shard, Zone), 0);
   Target.gauge("jayramp_worker_speeds_differ", shardLabel(Shard), 0);
--- a/Source/Shard/ShardOwner.cpp
+++ b/Source/Shard/ShardOwner.cpp
@@ -43,6 +43,7 @@
       RecoveryLog(this->Shard, CurrentOwnership.Owner.FencingToken,
                   Clock::now()),
       LearnedSpeedLog(this->Shard), LoadLog(this->Shard),
+      ContactLog(this->Shard),
       Freshness(this->Shard, Deps.Registry, Deps.Settings),
       ZoneLog(this->Shard), SharedContext{Deps.Loop,
                                           Deps.Transport,
@@ -381,6 +382,8 @@
   // The workers of a zone are counted once they are known.
   if (!Recovering && Freshness.isWorkerListFresh())
     ZoneLog.update(Scheduler);
+  if (ContactLog.isDue(Clock::now()))
+    ContactLog.report(workerContacts(), Clock::now());
   LearnedSpeedLog.report(Scheduler.runTimes(), Clock::now());
   forgetFinalJobs();
   Heartbeat->sendIfDue();
@@ -424,6 +427,20 @@
                     : Forecaster.forecast(Scheduler, Clock::now());
 }
 
+auto ShardOwner::workerContacts() const -> WorkerContacts {
+  WorkerContacts Known;
+  for (const auto &[Id, Session] : Sessions) {
+    if (!Session->lacksAnswer())
+      continue;
+    ++Known.NotAnswering;
+    if (Clock::now() - Session->lastAsked() < WorkerContactLog::LongestPause)
+      continue;
+    if (++Known.NotAsked == 1)
+      Known.FirstNotAsked = Id;
+  }
+  return Known;
+}
+
 auto ShardOwner::removeJobRows(const std::string &Job) -> void {
   const auto Found = IntakesOfJob.extract(Job);
   if (Found.empty())
--- a/Source/Shard/ShardOwner.h
+++ b/Source/Shard/ShardOwner.h
@@ -16,6 +16,7 @@
 #include "Shard/ShardRows.h"
 #include "Shard/SpeedLog.h"
 #include "Shard/SpeedRowReader.h"
+#include "Shard/WorkerContacts.h"
 #include "Shard/WorkerRegistry.h"
 #include "Shard/WorkerSession.h"
 #include "Store/RowStore.h"
@@ -62,6 +63,8 @@
   auto scheduler() const -> const scheduling::ShardScheduler & {
     return Scheduler;
   }
+  /// Returns which registered workers the owner is not in contact with.
+  auto workerContacts() const -> WorkerContacts;
   /// Returns true until the stored state has been read; no decisions are made
   /// before.
   auto isRecovering() const -> bool { return Recovering; }
@@ -112,6 +115,7 @@
   RecoveryDelayLog RecoveryLog;
   SpeedLog LearnedSpeedLog;
   LoadDecisionLog LoadLog;
+  WorkerContactLog ContactLog;
   AdmissionForecaster Forecaster;
   std::shared_ptr<OwnerHeartbeat> Heartbeat;
   std::shared_ptr<SpeedRowReader> SpeedReader;
--- a/Source/Shard/WorkerLink.cpp
+++ b/Source/Shard/WorkerLink.cpp
@@ -85,7 +85,11 @@
             : "unknown"},
        {"incarnation", std::to_string(Life.incarnation())},
        {"entry-incarnation", std::to_string(entryIncarnation())}});
-  SharedContext.Scheduler.runLost(Id, Now);
+  if (isNeverSent(Evidence))
+    SharedContext.Scheduler.runUnsent(
+        Id, Evidence == RunOverEvidence::WorkerSilent, Now);
+  else
+    SharedContext.Scheduler.runLost(Id, Now);
 }
 
 auto WorkerLink::reportOtherProcess(const RunId &Id, std::int64_t LeastClockMs,
--- a/Source/Shard/WorkerSession.cpp
+++ b/Source/Shard/WorkerSession.cpp
@@ -138,6 +138,7 @@
       Order.LeaseExpiresAtMs = Link.grantLease();
   }
   RenewInFlight = true;
+  LastAsked = now();
   SharedContext.Transport.renewLeases(
       Target, Order, Wait + SharedContext.Settings.RenewReplyMargin,
       expectReply<RenewReply>(
--- a/Source/Shard/WorkerSession.h
+++ b/Source/Shard/WorkerSession.h
@@ -50,6 +50,10 @@
   /// Returns when the next orders are due, apart from those that wait for a
   /// reply, a commit or a decision.
   auto nextDue() const -> TimePoint;
+  /// Returns whether the worker is registered and did not answer the last call.
+  auto lacksAnswer() const -> bool { return Link.life().mustBeAsked(); }
+  /// Returns when the worker was last asked; when the session began before.
+  auto lastAsked() const -> TimePoint { return LastAsked; }
   /// Returns the ids of the jobs whose commit permits further orders.
   auto awaitedJobs() const -> std::set<std::string>;
 
@@ -79,6 +83,7 @@
   bool RenewInFlight = false;
   std::uint64_t RenewNumber = 0; ///< Replies to earlier renewals are ignored.
   TimePoint NextRenew;
+  TimePoint LastAsked = Clock::now();
   bool Closed = false;
 };
 
--- a/Tests/Shard/OwnerGaugesTest.cpp
+++ b/Tests/Shard/OwnerGaugesTest.cpp
@@ -43,6 +43,22 @@
   TimePoint UpdatedAt = Clock::now();
 };
 
+// Guards against workers that stand idle because they do not answer, without a
+// trace on the metrics page.
+TEST_F(OwnerGaugesTest, showsWorkersThatDoNotAnswer) {
+  Registry.add("w1");
+  Registry.add("w2");
+  Workers["w2"].Unresponsive = true;
+  startOwner();
+  runFor(Milliseconds(300));
+  update();
+  EXPECT_EQ(value("jayramp_workers_not_answering{shard=\"pool\"}"), 1);
+  EXPECT_EQ(value("jayramp_workers_not_asked{shard=\"pool\"}"), 0);
+  Owner.reset();
+  update();
+  EXPECT_EQ(value("jayramp_workers_not_answering{shard=\"pool\"}"), 0);
+}
+
 // Guards against a metrics page that does not tell tasks that wait for room
 // from an owner that does not act.
 TEST_F(OwnerGaugesTest, showsWaitingTasksByReasonAndTheUseOfThePool) {
