test: requests that are bound to a process, over real sockets

The binding of calls to the process at the far end of a connection had tests with fake workers only. LoopbackProcess is an HTTP server on the event loop of the test that can be replaced by another one on the same port; HttpClientTest covers what a call that requires a process or identifies one may do with connections.

--- a/Tests/Shard/HttpClientTest.cpp
+++ b/Tests/Shard/HttpClientTest.cpp
@@ -1,4 +1,5 @@
 #include "Net/HttpClient.h"
+#include "LoopbackProcess.h"
 #include "Net/EventLoop.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -11,6 +12,7 @@
 #include <chrono>
 #include <functional>
 #include <future>
+#include <memory>
 #include <optional>
 #include <string_view>
 #include <thread>
@@ -182,5 +184,181 @@
   }
 }
 
+/// Processes that identify themselves by a number in each response.
+class PeerBindingTest : public testing::Test {
+protected:
+  struct Process {
+    unsigned Requests = 0;
+    std::unique_ptr<test::LoopbackProcess> Listening;
+  };
+
+  explicit PeerBindingTest(const HttpClient::Limits &Limits = {})
+      : Client(Loop, Limits) {}
+
+  /// Lets a process that answers with \p Number listen on \p Port, in place of
+  /// the one that listens there.
+  auto listen(std::unique_ptr<Process> &Place, const test::LoopbackPort &Port,
+              std::int64_t Number) -> void {
+    Place.reset();
+    Place = std::make_unique<Process>();
+    Place->Listening = std::make_unique<test::LoopbackProcess>(
+        Loop, Port,
+        [Requests = &Place->Requests, Number](const auto &, const auto &) {
+          ++*Requests;
+          return test::LoopbackProcess::Answer{
+              {200, {}, std::to_string(Number)}};
+        });
+  }
+  auto listen(std::int64_t Number) -> void { listen(Server, Port, Number); }
+
+  static auto identifying() -> PeerBinding {
+    return {0, [](const HttpResponse &Response) {
+              return std::strtoll(Response.Body.c_str(), nullptr, 10);
+            }};
+  }
+  static auto requiring(std::int64_t Number) -> PeerBinding {
+    return {Number, nullptr};
+  }
+
+  auto send(const std::string &Address, PeerBinding Binding) -> void {
+    ++CallsMade;
+    Client.call(
+        Address, {"GET", "/", {}, {}}, Timeout,
+        [this](Result<HttpResponse> Outcome) {
+          Outcomes.push_back(
+              Outcome ? Outcome.value().Body
+                      : std::string(toString(Outcome.error().kind())));
+        },
+        std::move(Binding));
+  }
+  /// Runs the loop until all calls have ended.
+  auto awaitAll() -> void {
+    const auto Limit = Clock::now() + Milliseconds(10000);
+    while (Outcomes.size() < CallsMade && Clock::now() < Limit) {
+      Loop.context().restart();
+      Loop.context().run_one_for(Milliseconds(10));
+    }
+  }
+  /// Runs the loop for a while, in which nothing is expected.
+  auto runFor(Milliseconds Duration) -> void {
+    Loop.context().restart();
+    Loop.context().run_for(Duration);
+  }
+  /// Returns the body of the response to a call, or the kind of its error.
+  auto call(const std::string &Address, PeerBinding Binding) -> std::string {
+    send(Address, std::move(Binding));
+    awaitAll();
+    return Outcomes.empty() ? "no outcome" : Outcomes.back();
+  }
+  auto call(PeerBinding Binding) -> std::string {
+    return call(Port.address(), std::move(Binding));
+  }
+
+  EventLoop Loop;
+  HttpClient Client;
+  test::LoopbackPort Port;
+  std::unique_ptr<Process> Server;
+  Milliseconds Timeout{2000};
+  std::size_t CallsMade = 0;
+  std::vector<std::string> Outcomes; ///< Of the calls that have ended.
+};
+
+const std::string Unavailable(toString(ErrorKind::Unavailable));
+
+// Guards against a request for one process that goes out on a connection that
+// may lead to another one: a new one, one to a process that is not known, or
+// one to another process.
+TEST_F(PeerBindingTest, sendsNothingWithoutAConnectionToTheProcess) {
+  listen(5);
+  EXPECT_EQ(call(requiring(7)), Unavailable);
+  EXPECT_EQ(Server->Listening->acceptedConnections(), 0U);
+  EXPECT_EQ(call({}), "5");
+  EXPECT_EQ(call(requiring(7)), Unavailable);
+  EXPECT_EQ(call(identifying()), "5");
+  EXPECT_EQ(call(requiring(7)), Unavailable);
+  runFor(Milliseconds(20));
+  EXPECT_EQ(Server->Requests, 2U);
+  EXPECT_EQ(Server->Listening->acceptedConnections(), 1U);
+}
+
+// Guards against a query before each request, though the process on the
+// connection is known.
+TEST_F(PeerBindingTest, reusesTheConnectionOfAProcessThatIdentifiedItself) {
+  listen(5);
+  EXPECT_FALSE(Client.isConnectedTo(Port.address(), 5));
+  EXPECT_EQ(call(identifying()), "5");
+  EXPECT_TRUE(Client.isConnectedTo(Port.address(), 5));
+  EXPECT_EQ(call(requiring(5)), "5");
+  EXPECT_EQ(call(requiring(5)), "5");
+  EXPECT_EQ(Server->Requests, 3U);
+  EXPECT_EQ(Server->Listening->acceptedConnections(), 1U);
+}
+
+// Guards against a connection that is taken for idle while a request is on it.
+TEST_F(PeerBindingTest, countsNoConnectionInUseAsAConnectionToItsProcess) {
+  listen(5);
+  EXPECT_EQ(call(identifying()), "5");
+  send(Port.address(), requiring(5));
+  EXPECT_FALSE(Client.isConnectedTo(Port.address(), 5));
+  send(Port.address(), requiring(5));
+  awaitAll();
+  EXPECT_EQ(Outcomes, (std::vector<std::string>{"5", Unavailable, "5"}));
+}
+
+// Guards against a query for the process that listens now, sent on a connection
+// to its predecessor.
+TEST_F(PeerBindingTest, identifiesOnlyConnectionsWhoseProcessIsUnknown) {
+  listen(5);
+  EXPECT_EQ(call(identifying()), "5");
+  EXPECT_EQ(call(identifying()), "5");
+  EXPECT_EQ(Server->Listening->acceptedConnections(), 2U);
+  listen(6);
+  EXPECT_EQ(call(identifying()), "6");
+  EXPECT_EQ(Server->Requests, 1U);
+}
+
+TEST_F(PeerBindingTest, identifiesAConnectionOfAnEarlierCall) {
+  listen(5);
+  EXPECT_EQ(call({}), "5");
+  EXPECT_FALSE(Client.isConnectedTo(Port.address(), 5));
+  EXPECT_EQ(call(identifying()), "5");
+  EXPECT_EQ(call(requiring(5)), "5");
+  EXPECT_EQ(Server->Listening->acceptedConnections(), 1U);
+}
+
+// Guards against an order that was computed for a process and is carried out by
+// the next one on the same port.
+TEST_F(PeerBindingTest, keepsRequestsForAProcessFromItsSuccessor) {
+  listen(5);
+  send(Port.address(), identifying());
+  send(Port.address(), identifying());
+  awaitAll();
+  listen(6);
+  for (int Attempt = 0; Attempt < 4; ++Attempt) {
+    send(Port.address(), requiring(5));
+    send(Port.address(), requiring(5));
+    awaitAll();
+    EXPECT_NE(Outcomes.back(), "6");
+  }
+  EXPECT_EQ(Server->Requests, 0U);
+  EXPECT_EQ(call(identifying()), "6");
+  EXPECT_EQ(call(requiring(5)), Unavailable);
+  EXPECT_EQ(call(requiring(6)), "6");
+  EXPECT_EQ(Server->Requests, 2U);
+}
+
+// Guards against callers that are called back before their call returns, or
+// more than once.
+TEST_F(PeerBindingTest, reportsAnAbsentProcessOnceAndAfterTheCall) {
+  listen(5);
+  Timeout = Milliseconds(50);
+  send(Port.address(), requiring(7));
+  EXPECT_EQ(Outcomes.size(), 0U);
+  awaitAll();
+  EXPECT_EQ(Outcomes, std::vector<std::string>{Unavailable});
+  runFor(Timeout * 2);
+  EXPECT_EQ(Outcomes.size(), 1U);
+}
+
 } // namespace
 } // namespace jayramp::net
