net: a full pool keeps the first connection to a process

Cause: the client drops a connection that returns to a full pool. Since orders go out only on a connection on which their process has identified itself, the process then gets none: each query identifies it on a new connection, which is closed at once. The pool is full after four parallel calls to the former process of a worker that restarts, until a call on one of these connections fails, and for every further worker once half of the connections that a host may have are idle (about 500 with 4,100 descriptors).

Change: the first connection to a process that has identified itself replaces another one of the pool.

Evidence: two new cases of HttpClientTest, red before: the call to the identified process ended as UNAVAILABLE.

--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -81,17 +81,38 @@
     return Taken;
   }
 
-  /// Returns a connection to the pool, or closes it if the pool is full.
+  /// Returns a connection to the pool. If the pool is full, closes it, or
+  /// another one if it is the only one to a process that has identified itself:
+  /// that process receives its requests on no other.
   auto returnIdle(const std::string &Address, IdleConnection Connection)
       -> void {
     auto &Idle = IdleByAddress[Address];
-    if (Idle.size() >= MaxIdleConnectionsPerAddress ||
-        IdleCount >= Sums.MaxConnections / 2)
-      return;
+    const bool AddressIsFull = Idle.size() >= MaxIdleConnectionsPerAddress;
+    if (AddressIsFull || IdleCount >= Sums.MaxConnections / 2) {
+      const bool IsNeeded =
+          Connection.Peer != 0 && !isConnectedTo(Address, Connection.Peer);
+      if (!IsNeeded || !(AddressIsFull ? closeOldest(Idle) : closeAnyIdle()))
+        return;
+    }
     Idle.push_back(std::move(Connection));
     ++IdleCount;
   }
 
+  /// Closes the first connection in \p Idle; returns whether there is one.
+  auto closeOldest(std::vector<IdleConnection> &Idle) -> bool {
+    if (Idle.empty())
+      return false;
+    Idle.erase(Idle.begin());
+    --IdleCount;
+    return true;
+  }
+
+  /// Closes an idle connection to any address; returns whether there is one.
+  auto closeAnyIdle() -> bool {
+    return std::any_of(IdleByAddress.begin(), IdleByAddress.end(),
+                       [this](auto &Each) { return closeOldest(Each.second); });
+  }
+
   auto closeIdle(const std::string &Address) -> void {
     const auto Found = IdleByAddress.find(Address);
     if (Found == IdleByAddress.end())
--- a/Tests/Shard/HttpClientTest.cpp
+++ b/Tests/Shard/HttpClientTest.cpp
@@ -360,5 +360,56 @@
   EXPECT_EQ(Outcomes.size(), 1U);
 }
 
+// Guards against a process that restarted and never gets an order: the pool was
+// full of connections to its predecessor, and each on which the new process
+// identified itself was closed instead of kept.
+TEST_F(PeerBindingTest, keepsAConnectionToASuccessorBesideThoseToItsFormer) {
+  listen(5);
+  for (int Each = 0; Each < 8; ++Each)
+    send(Port.address(), identifying());
+  awaitAll();
+  listen(6);
+  EXPECT_EQ(call(identifying()), "6");
+  EXPECT_TRUE(Client.isConnectedTo(Port.address(), 6));
+  EXPECT_EQ(call(requiring(6)), "6");
+  EXPECT_EQ(Server->Listening->acceptedConnections(), 1U);
+}
+
+/// A client that may keep few idle connections in total.
+class SmallPoolTest : public PeerBindingTest {
+protected:
+  static constexpr std::size_t MaxIdle = 3;
+
+  static auto limits() -> HttpClient::Limits {
+    HttpClient::Limits Limits;
+    Limits.MaxConnections = MaxIdle * 2;
+    return Limits;
+  }
+  SmallPoolTest() : PeerBindingTest(limits()) {}
+};
+
+// Guards against processes that never get an order because the idle connections
+// to other processes fill the pool.
+TEST_F(SmallPoolTest, keepsAConnectionOnWhichAProcessHasJustIdentifiedItself) {
+  std::vector<test::LoopbackPort> Ports(2 * MaxIdle);
+  std::vector<std::unique_ptr<Process>> Servers(Ports.size());
+  for (std::size_t Each = 0; Each < Ports.size(); ++Each)
+    listen(Servers[Each], Ports[Each], 5 + static_cast<std::int64_t>(Each));
+  for (int Round = 0; Round < 2; ++Round)
+    for (std::size_t Each = 0; Each < Ports.size(); ++Each) {
+      const auto Number = 5 + static_cast<std::int64_t>(Each);
+      call(Ports[Each].address(), identifying());
+      EXPECT_EQ(call(Ports[Each].address(), requiring(Number)),
+                std::to_string(Number));
+    }
+  std::size_t Kept = 0;
+  for (std::size_t Each = 0; Each < Ports.size(); ++Each)
+    Kept += Client.isConnectedTo(Ports[Each].address(),
+                                 5 + static_cast<std::int64_t>(Each))
+                ? 1
+                : 0;
+  EXPECT_EQ(Kept, MaxIdle);
+}
+
 } // namespace
 } // namespace jayramp::net
