platform: orders for an unknown process of a worker reach none

Cause: the connections of stops have no known process; a start for incarnation 0 took one of them for a connection to its process, and any process received it, against what WorkerTransport promises. The session sends no start before it knows the worker's clock, so only a worker that reports a clock and no start time could cause it.

Evidence: a new case of WorkerClientTest, red before: the start was accepted.

--- a/Tests/Shard/WorkerClientTest.cpp
+++ b/Tests/Shard/WorkerClientTest.cpp
@@ -70,6 +70,20 @@
   EXPECT_TRUE(Worker->misdirected().empty());
 }
 
+// Guards against leases and acknowledgements for whichever process listens,
+// before the owner knows any.
+TEST_F(WorkerClientTest, ordersForAnUnknownProcessReachNone) {
+  listen(Next);
+  EXPECT_EQ(renew(0).Incarnation, Next);
+  // Leaves an idle connection whose process is not known.
+  Client.closeIdleConnections(Port.address());
+  EXPECT_EQ(stop(0).Outcome, OrderOutcome::Accepted);
+  EXPECT_NE(start(0).Outcome, OrderOutcome::Accepted);
+  EXPECT_EQ(renew(0).Incarnation, Next);
+  EXPECT_TRUE(Worker->received("/run-start").empty());
+  EXPECT_TRUE(Worker->misdirected().empty());
+}
+
 // Guards against orders that are refused although the process is the same.
 TEST_F(WorkerClientTest, ordersReachTheSameProcessAfterItsConnectionsAreLost) {
   listen(Former);
