--- a/Tests/Shard/LoopbackProcess.h
+++ b/Tests/Shard/LoopbackProcess.h
@@ -41,12 +41,14 @@
     Listening->accept();
   }
   ~LoopbackProcess() {
-    Listening->Acceptor.close();
+    stopListening();
     closeConnections();
   }
   LoopbackProcess(const LoopbackProcess &) = delete;
   auto operator=(const LoopbackProcess &) -> LoopbackProcess & = delete;
 
+  /// Keeps the connections, but accepts no more.
+  auto stopListening() -> void { Listening->Acceptor.close(); }
   auto closeConnections() -> void {
     for (const auto &Each : Listening->Connections)
       Each->close();
--- a/Tests/Shard/LoopbackWorker.h
+++ b/Tests/Shard/LoopbackWorker.h
@@ -61,6 +61,7 @@
     Behaviours[Path] = std::move(Given);
   }
   auto closeConnections() -> void { Process.closeConnections(); }
+  auto stopListening() -> void { Process.stopListening(); }
   auto acceptedConnections() const -> unsigned {
     return Process.acceptedConnections();
   }
--- a/Tests/Shard/WorkerClientFixture.h
+++ b/Tests/Shard/WorkerClientHarness.h
@@ -13,18 +13,26 @@
 
 /// A worker client and a worker whose process can be replaced by another one at
 /// the same address, over real sockets.
-class WorkerClientFixture : public testing::Test {
-protected:
+class WorkerClientHarness {
+public:
   static constexpr std::int64_t Former = 1000;
   static constexpr std::int64_t Next = 2000;
 
-  WorkerClientFixture() : Client(Loop), Orders(Client) {}
+  WorkerClientHarness() : Client(Loop), Orders(Client) {}
 
   /// Ends the process that listens; another one listens in its place.
   auto listen(std::int64_t Incarnation) -> void {
     Worker.reset();
     Worker = std::make_unique<LoopbackWorker>(Loop, Port, Incarnation);
   }
+  /// Lets another process listen while the one before keeps its connections.
+  auto listenBeside(std::int64_t Incarnation) -> void {
+    if (Worker) {
+      Worker->stopListening();
+      Separated.push_back(std::move(Worker));
+    }
+    listen(Incarnation);
+  }
   auto target(std::int64_t Incarnation) const -> shard::WorkerTarget {
     return {"worker", Port.address(), Incarnation};
   }
@@ -91,7 +99,8 @@
   net::HttpClient Client;
   platform::WorkerClient Orders;
   LoopbackPort Port;
-  std::unique_ptr<LoopbackWorker> Worker;
+  std::unique_ptr<LoopbackWorker> Worker; ///< Listens on the port.
+  std::vector<std::unique_ptr<LoopbackWorker>> Separated;
   Milliseconds Timeout{2000};
   std::size_t Sent = 0;
   std::vector<shard::OrderReply> Started; ///< Replies, in order of arrival.
--- a/Tests/Shard/WorkerClientTest.cpp
+++ b/Tests/Shard/WorkerClientTest.cpp
@@ -1,4 +1,4 @@
-#include "WorkerClientFixture.h"
+#include "WorkerClientHarness.h"
 
 #include <set>
 
@@ -7,7 +7,7 @@
 
 using shard::OrderOutcome;
 
-class WorkerClientTest : public WorkerClientFixture {};
+class WorkerClientTest : public testing::Test, protected WorkerClientHarness {};
 
 // Guards against a task that runs twice: the next process of a worker starts a
 // run that was placed on the former one.
@@ -197,6 +197,20 @@
   EXPECT_LT(Clock::now() - Begin, Timeout + SchedulingDelay + Loop.totalLag());
 }
 
+// Guards against an order that follows the address instead of the process,
+// while the connections to the former process are still open.
+TEST_F(WorkerClientTest, ordersReachTheFormerProcessOnlyOnItsConnections) {
+  listen(Former);
+  EXPECT_EQ(start(Former).Outcome, OrderOutcome::Accepted);
+  listenBeside(Next);
+  EXPECT_EQ(start(Former).Outcome, OrderOutcome::Accepted);
+  EXPECT_EQ(start(Next).Outcome, OrderOutcome::Accepted);
+  EXPECT_EQ(Separated.front()->received("/run-start").size(), 2U);
+  EXPECT_EQ(Worker->received("/run-start").size(), 1U);
+  EXPECT_TRUE(Separated.front()->misdirected().empty());
+  EXPECT_TRUE(Worker->misdirected().empty());
+}
+
 // Guards against a run that goes on after the worker has restarted unnoticed.
 TEST_F(WorkerClientTest, aStopReachesTheProcessThatListens) {
   listen(Former);
