net: a malformed address fails a call after it returns

Cause: of the calls that fail without sending anything, the one to a malformed address called back before call() returned, which callers do not expect: a worker's entry may hold any text as its address.

Change: it fails later, as the others do.

Evidence: a new case of HttpClientTest, red before.

--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -205,7 +205,7 @@
     const auto Endpoint = parseAddress(Address);
     if (!Endpoint) {
       // The text becomes the value of a metric label.
-      fail(ErrorKind::Unavailable, "not an address");
+      failLater("not an address");
       return;
     }
     Socket.async_connect(
--- a/Tests/Shard/HttpClientTest.cpp
+++ b/Tests/Shard/HttpClientTest.cpp
@@ -375,6 +375,14 @@
   EXPECT_EQ(Server->Listening->acceptedConnections(), 1U);
 }
 
+// Guards against the same for an address that cannot be called.
+TEST_F(PeerBindingTest, reportsAMalformedAddressAfterTheCall) {
+  send("worker-1", {});
+  EXPECT_EQ(Outcomes.size(), 0U);
+  awaitAll();
+  EXPECT_EQ(Outcomes, std::vector<std::string>{Unavailable});
+}
+
 /// A client that may keep few idle connections in total.
 class SmallPoolTest : public PeerBindingTest {
 protected:
