shard: the departure of a process ends no run of the next one

Seen by callers: a task runs on two workers at once. A worker drains, leaves and starts again under its id while an owner's view of service discovery is late. The owner learns of the new process by an answer and starts a task there. Then it sees the draining entry of the former process and its removal. If the new process cannot be reached before its own entry is seen, the owner takes the removal for its departure and starts the task elsewhere while its lease is valid.

Cause: WorkerLife kept only that the worker had left, not which of its processes, and an answer of another process did not end that.

Change: EntryRemoved names the process of the entry. It is evidence for runs of that process only. An entry that names no process is no evidence any more; its runs wait for the end of their leases.

On the code before, WorkerDepartureTest.departureOfTheFormerProcessEndsNoRunOfTheNext on the whole owner sees 2 starts and 2 running copies; with the change 1 and 1. All tests of WorkerDepartureTest, WorkerRestartTest, WorkerReachabilityTest, WorkerSessionTest, ShardOwnerTest and ShardHandoverTest pass.

--- a/Source/Shard/WorkerLife.cpp
+++ b/Source/Shard/WorkerLife.cpp
@@ -158,7 +158,7 @@
   auto Result = Visitor.take();
   std::visit(Overloaded{[&](const EntrySeen &) {
                           Result.Next.Registered = true;
-                          Result.Next.LeftAfterDrain = false;
+                          Result.Next.ProcessThatLeft = 0;
                           // A worker that returns is asked without the delay
                           // that its silence before had grown to.
                           Result.AskNow |=
@@ -166,7 +166,8 @@
                         },
                         [&](const EntryRemoved &Removed) {
                           Result.Next.Registered = false;
-                          Result.Next.LeftAfterDrain = Removed.LeftAfterDrain;
+                          Result.Next.ProcessThatLeft =
+                              Removed.LeftAfterDrain ? Removed.Incarnation : 0;
                         },
                         [](const Answered &) {}, [](const Unanswered &) {},
                         [](const OtherProcessFound &) {}},
@@ -214,11 +215,13 @@
     -> std::optional<RunOverEvidence> {
   const auto Expired =
       LeasesOver ? std::optional(RunOverEvidence::LeaseExpired) : std::nullopt;
+  // The removal of an entry tells nothing of the runs of a later process.
+  const bool HasLeft = ProcessThatLeft != 0 && ProcessThatLeft == incarnation();
   const auto Unreached =
-      LeftAfterDrain ? std::optional(RunOverEvidence::WorkerLeft) : Expired;
+      HasLeft ? std::optional(RunOverEvidence::WorkerLeft) : Expired;
   return std::visit(
       Overloaded{
-          [&](const Unidentified &) { return Unreached; },
+          [&](const Unidentified &) { return Expired; },
           [&](const Introduced &) { return std::optional<RunOverEvidence>(); },
           [&](const Answering &) { return std::optional<RunOverEvidence>(); },
           [&](const Silent &) { return Unreached; },
--- a/Source/Shard/WorkerLife.h
+++ b/Source/Shard/WorkerLife.h
@@ -59,8 +59,10 @@
   std::int64_t Incarnation = 0; ///< 0 if the entry does not tell.
 };
 
+/// The worker's entry is no longer in service discovery.
 struct EntryRemoved {
-  bool LeftAfterDrain = false; ///< Too early to have expired.
+  std::int64_t Incarnation = 0; ///< That it named; 0 if it did not tell.
+  bool LeftAfterDrain = false;  ///< Removed too early to have expired.
 };
 
 /// A query or renewal was answered. Replies that the owner has stopped waiting
@@ -130,8 +132,9 @@
   contact::State State;
   /// The process before the present one; a late entry may still name it.
   std::int64_t Former = 0;
+  /// The process whose entry shows that it has left after a drain; 0 if none.
+  std::int64_t ProcessThatLeft = 0;
   bool Registered = false;
-  bool LeftAfterDrain = false;
   bool AnsweredBefore = false;
 };
 
--- a/Source/Shard/WorkerLink.cpp
+++ b/Source/Shard/WorkerLink.cpp
@@ -48,9 +48,10 @@
 }
 
 auto WorkerLink::recordRemoval(bool WasDraining) -> void {
-  learn(EntryRemoved{WasDraining && EntryWrittenAfter &&
-                     suspendAwareNow() - *EntryWrittenAfter <
-                         SharedContext.Settings.MinEntryLifetime});
+  const bool LeftAfterDrain = WasDraining && EntryWrittenAfter &&
+                              suspendAwareNow() - *EntryWrittenAfter <
+                                  SharedContext.Settings.MinEntryLifetime;
+  learn(EntryRemoved{entryIncarnation(), LeftAfterDrain});
 }
 
 auto WorkerLink::recordClock(std::int64_t Incarnation, std::int64_t ClockMs)
--- a/Tests/Shard/WorkerDepartureTest.cpp
+++ b/Tests/Shard/WorkerDepartureTest.cpp
@@ -57,5 +57,29 @@
   EXPECT_EQ(Workers.runningCopiesOf("a"), 1U);
 }
 
+// Guards against running a task twice: the draining entry of the former process
+// and its removal are seen after an answer of the next process, which then
+// cannot be reached.
+TEST_F(WorkerDepartureTest, departureOfTheFormerProcessEndsNoRunOfTheNext) {
+  Settings.LeaseDuration = Milliseconds(4000);
+  Registry.add("w1");
+  startOwner();
+  runFor(Milliseconds(30));
+  Workers.restart("w1");
+  Workers["w1"].WorkTime = Milliseconds(60000);
+  submit(job("a"));
+  ASSERT_TRUE(runUntil([&] { return Workers["w1"].Started.size() == 1; }));
+  runFor(Milliseconds(30));
+  Registry.add("w2");
+  Workers["w2"].WorkTime = Milliseconds(60000);
+  Registry.drain("w1");
+  runFor(Milliseconds(20));
+  Workers["w1"].Unresponsive = true;
+  Registry.remove("w1");
+  runFor(Milliseconds(1500));
+  EXPECT_EQ(Workers.startsOf("a"), 1U);
+  EXPECT_EQ(Workers.runningCopiesOf("a"), 1U);
+}
+
 } // namespace
 } // namespace jayramp::test
