shard: a stalled run on a worker without an entry is stopped again

Seen by callers: a task never ends. It makes no progress on a worker that answers and whose entry has expired, for example because the store was down.

Cause: since the session reports a worker as reachable only if tasks may be placed on it, which a worker without an entry does not allow. The supervision of runs skips workers that are not reachable. Placement looks at the entry itself.

Change: the session reports whether the worker answers.

--- a/Source/Shard/WorkerLink.cpp
+++ b/Source/Shard/WorkerLink.cpp
@@ -32,7 +32,7 @@
   // The clock may be that of another process.
   if (Result.AskNow)
     Leases.clock().reset();
-  SharedContext.Scheduler.setReachable(Worker, Life.mayReceiveTasks());
+  SharedContext.Scheduler.setReachable(Worker, Life.answers());
   logChange(Before);
   return Result;
 }
--- a/Source/Shard/WorkerLink.h
+++ b/Source/Shard/WorkerLink.h
@@ -30,7 +30,7 @@
   // Commands.
 
   /// Learns what \p Seen tells of the worker's life, and tells the scheduler
-  /// whether the worker may get tasks.
+  /// whether the worker answers. Whether it is registered, the scheduler knows.
   auto learn(const life_event::Event &Seen) -> WorkerLife::Transition;
   /// Handles a new entry of the worker in the registry.
   auto recordEntry(const WorkerChange &Change) -> WorkerLife::Transition;
--- a/Tests/Shard/WorkerReachabilityTest.cpp
+++ b/Tests/Shard/WorkerReachabilityTest.cpp
@@ -75,6 +75,17 @@
                        Milliseconds(3000)));
 }
 
+// Guards against a task that never ends: it makes no progress on a worker that
+// answers but whose entry has expired, for example because the store was down.
+TEST_F(WorkerReachabilityTest, stalledRunOfAnUnregisteredWorkerIsStopped) {
+  ASSERT_NO_FATAL_FAILURE(startOwnerWithLongRun());
+  runFor(Milliseconds(100));
+  Registry.add("w2");
+  Registry.remove("w1");
+  EXPECT_TRUE(runUntil([&] { return Workers["w2"].Started.size() == 1; }));
+  EXPECT_EQ(Workers.runningCopiesOf("a"), 1U);
+}
+
 // Guards against a flood of calls to workers that cannot be reached.
 TEST_F(WorkerReachabilityTest, probesOfAWorkerThatCannotBeReachedAreFew) {
   Settings.RenewReplyMargin = Milliseconds(10);
