shard: a departure before the first answer ends no run of an earlier owner

Seen by callers: a task runs on two workers at once. An owner starts a task on a process that has taken the place of one that left, before the entry of the former process is gone from its view. Another owner takes the shard over, gets no answer, sees the draining entry of the former process and its removal late, and starts the task elsewhere while its lease is valid.

Cause: an owner that has had no answer does not know on which process the runs of the owner before were started; it took them for runs of the process that the entry names.

Change: the departure of a process is evidence only once the worker has answered this owner. Else the runs wait for the end of the predecessor's leases.

Evidence: with a process that had left before the first one, the search of all sequences finds: run of predecessor; entry of predecessor process seen; call is unanswered; entry of process that left removed. On the code before, WorkerDepartureTest.lateDepartureAfterATakeoverEndsNoRun sees 2 starts and 2 running copies; with the change 1 and 1.

--- a/Source/Shard/WorkerLife.cpp
+++ b/Source/Shard/WorkerLife.cpp
@@ -216,7 +216,10 @@
   const auto Expired =
       LeasesOver ? std::optional(RunOverEvidence::LeaseExpired) : std::nullopt;
   // The removal of an entry tells nothing of the runs of a later process.
-  const bool HasLeft = ProcessThatLeft != 0 && ProcessThatLeft == incarnation();
+  // Before the first answer, an earlier owner may have started runs on such a
+  // process.
+  const bool HasLeft = AnsweredBefore && ProcessThatLeft != 0 &&
+                       ProcessThatLeft == incarnation();
   const auto Unreached =
       HasLeft ? std::optional(RunOverEvidence::WorkerLeft) : Expired;
   return std::visit(
--- a/Tests/Shard/WorkerDepartureTest.cpp
+++ b/Tests/Shard/WorkerDepartureTest.cpp
@@ -81,5 +81,31 @@
   EXPECT_EQ(Workers.runningCopiesOf("a"), 1U);
 }
 
+// Guards against running a task twice: an owner takes the shard over and sees
+// the late departure of a process before any answer. The owner before it has
+// started the task on the next process.
+TEST_F(WorkerDepartureTest, lateDepartureAfterATakeoverEndsNoRun) {
+  Settings.LeaseDuration = Milliseconds(4000);
+  Registry.add("w1");
+  startOwner();
+  runFor(Milliseconds(30));
+  Workers.restart("w1");
+  Workers["w1"].WorkTime = Milliseconds(60000);
+  submit(job("a"));
+  ASSERT_TRUE(runUntil([&] { return Workers["w1"].Started.size() == 1; }));
+  runFor(Milliseconds(30));
+  Owner.reset();
+  Workers["w1"].Unresponsive = true;
+  startOwner(2);
+  Registry.add("w2");
+  Workers["w2"].WorkTime = Milliseconds(60000);
+  runFor(Milliseconds(200));
+  Registry.drain("w1");
+  Registry.remove("w1");
+  runFor(Milliseconds(1500));
+  EXPECT_EQ(Workers.startsOf("a"), 1U);
+  EXPECT_EQ(Workers.runningCopiesOf("a"), 1U);
+}
+
 } // namespace
 } // namespace jayramp::test
--- a/Tests/Shard/WorkerLifeModel.cpp
+++ b/Tests/Shard/WorkerLifeModel.cpp
@@ -64,6 +64,7 @@
 
 WorkerLifeModel::WorkerLifeModel(LifeFault Fault, bool HasRunOfPredecessor)
     : Fault(Fault) {
+  ProcessesThatLeft = bitOf(PredecessorProcess);
   if (!HasRunOfPredecessor)
     return;
   Runner = Present;
--- a/Tests/Shard/WorkerLifeTest.cpp
+++ b/Tests/Shard/WorkerLifeTest.cpp
@@ -157,6 +157,15 @@
             RunOverEvidence::WorkerLeft);
 }
 
+// Guards against concluding a run that an earlier owner has started by the
+// departure of a process that was the worker's only before that start.
+TEST(WorkerLifeTest, departureBeforeTheFirstAnswerEndsNoRun) {
+  const auto Life =
+      lifeAfter({EntrySeen{Former}, Unanswered{}, EntryRemoved{Former, true}});
+  EXPECT_EQ(Life.evidenceAgainstRuns(false), std::nullopt);
+  EXPECT_EQ(Life.evidenceAgainstRuns(true), RunOverEvidence::LeaseExpired);
+}
+
 /// A model with the steps that led to it.
 struct Trace {
   WorkerLifeModel Model;
