shard: an acknowledgement that did not reach its worker is sent again

The number up to which ends are known counted as sent once a renewal had been given to the transport. Since a silent worker is asked without leases and acknowledgements, and since a renewal may be answered by the query that precedes it, the number may never have left: the worker answers again, lists the end again, is idle, and nothing is owed to it any more. It lists the end in each reply and its clients see an end that nobody takes note of, until another run is placed there.

Change: an end that is listed again although it was acknowledged is acknowledged again.

Evidence: WorkerSessionTest.acknowledgementThatWasLostIsSentAgain was red in three runs of three before, and passes in three of three now; the other tests of WorkerSession, WorkerRestart, WorkerReachability, WorkerDeparture and ShardOwner pass.

--- a/Source/Shard/EndAcknowledgement.cpp
+++ b/Source/Shard/EndAcknowledgement.cpp
@@ -1,5 +1,6 @@
 #include "Shard/EndAcknowledgement.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace jayramp::shard {
@@ -10,6 +11,11 @@
   UncommittedEnds.push_back({Number, std::move(Change)});
 }
 
+auto EndAcknowledgement::recordRepeated(std::uint64_t Number) -> void {
+  if (Number > 0)
+    LastSent = std::min(LastSent, Number - 1);
+}
+
 auto EndAcknowledgement::withhold(WithheldEnd End) -> void {
   if (!FirstWithheld)
     FirstWithheld = std::move(End);
--- a/Source/Shard/EndAcknowledgement.h
+++ b/Source/Shard/EndAcknowledgement.h
@@ -28,6 +28,9 @@
 
   /// Records the end \p Number, whose effect on its job is \p Change.
   auto record(std::uint64_t Number, ProgressChange Change) -> void;
+  /// Records that a reply lists the end \p Number again. If it was
+  /// acknowledged, the acknowledgement has not reached the worker.
+  auto recordRepeated(std::uint64_t Number) -> void;
   /// Withholds the acknowledgement of an end, and of all later ones.
   auto withhold(WithheldEnd End) -> void;
   /// Ends the withholding.
@@ -68,6 +71,8 @@
   std::optional<WithheldEnd> FirstWithheld;
   std::uint64_t LastRecorded = 0;
   std::uint64_t LastDurable = 0; ///< Last end that may be acknowledged.
+  /// Last end that was acknowledged, as far as replies have not shown the
+  /// contrary.
   std::uint64_t LastSent = 0;
 };
 
--- a/Source/Shard/EndRecorder.cpp
+++ b/Source/Shard/EndRecorder.cpp
@@ -24,8 +24,10 @@
   releaseWithheld(Ended);
   bool HasNewEnds = false;
   for (const auto &End : Ended) {
-    if (Ends.isRecorded(End.Number))
+    if (Ends.isRecorded(End.Number)) {
+      Ends.recordRepeated(End.Number);
       continue;
+    }
     HasNewEnds = true;
     if (!SharedContext.Scheduler.runEnded(End.Run, End.Outcome, End.Checkpoint,
                                           Clock::now()))
--- a/Tests/Shard/WorkerSessionTest.cpp
+++ b/Tests/Shard/WorkerSessionTest.cpp
@@ -83,5 +83,21 @@
   EXPECT_TRUE(runUntil([&] { return Workers["w1"].LastSeenEnd == 1; }));
 }
 
+// Guards against ends that are never acknowledged: the renewal that
+// acknowledges the last end of a worker does not reach it, and the worker is
+// idle afterwards.
+TEST_F(WorkerSessionTest, acknowledgementThatWasLostIsSentAgain) {
+  Registry.add("w1");
+  startOwner();
+  submit(job("a"));
+  ASSERT_TRUE(runUntil([&] { return Workers.startsOf("a") == 1; }));
+  Store.setTransactionDelay(Milliseconds(50));
+  ASSERT_TRUE(runUntil([&] { return Owner->scheduler().runs().empty(); }));
+  Workers["w1"].Unresponsive = true;
+  runFor(Milliseconds(300));
+  Workers["w1"].Unresponsive = false;
+  EXPECT_TRUE(runUntil([&] { return Workers["w1"].LastSeenEnd == 1; }));
+}
+
 } // namespace
 } // namespace jayramp::test
