shard: a start that finds another process counts as never sent

The delay that grows for tasks whose runs are never sent did not cover one such end: the start that is not sent because another process listens than the one that it was meant for. Such a run was given up as refused by its worker, which neither delays the task nor the worker. Where starts and queries keep reaching different processes, a task was placed and given up as fast as calls return.

Change: the evidence other-process is one of those of a run that was never sent, and one that its worker caused.

--- a/Source/Shard/RunOverEvidence.cpp
+++ b/Source/Shard/RunOverEvidence.cpp
@@ -8,6 +8,7 @@
   case RunOverEvidence::Withdrawn:
   case RunOverEvidence::StoppedUnsent:
   case RunOverEvidence::WorkerSilent:
+  case RunOverEvidence::OtherProcess:
     return true;
   case RunOverEvidence::StartRefused:
   case RunOverEvidence::NotListed:
@@ -19,6 +20,11 @@
   return false;
 }
 
+auto isUnsentForWorker(RunOverEvidence Evidence) -> bool {
+  return Evidence == RunOverEvidence::WorkerSilent ||
+         Evidence == RunOverEvidence::OtherProcess;
+}
+
 auto toString(RunOverEvidence Evidence) -> std::string_view {
   switch (Evidence) {
   case RunOverEvidence::JobHeldBack:
@@ -29,6 +35,8 @@
     return "stopped-unsent";
   case RunOverEvidence::WorkerSilent:
     return "worker-silent";
+  case RunOverEvidence::OtherProcess:
+    return "other-process";
   case RunOverEvidence::StartRefused:
     return "start-refused";
   case RunOverEvidence::NotListed:
--- a/Source/Shard/RunOverEvidence.h
+++ b/Source/Shard/RunOverEvidence.h
@@ -10,6 +10,7 @@
   Withdrawn,      ///< Never sent: its worker leaves or its zone is closed.
   StoppedUnsent,  ///< Never sent: it was stopped before.
   WorkerSilent,   ///< Never sent: its worker does not answer.
+  OtherProcess,   ///< Never sent: another process of its worker listens.
   StartRefused,   ///< The worker refused its only start.
   NotListed,      ///< The worker has stopped it and does not list it.
   NewIncarnation, ///< The worker's process has been replaced.
@@ -20,6 +21,10 @@
 /// Returns whether \p Evidence is that no start of the run was sent.
 auto isNeverSent(RunOverEvidence Evidence) -> bool;
 
+/// Returns whether \p Evidence is that the worker's state kept a start from
+/// being sent.
+auto isUnsentForWorker(RunOverEvidence Evidence) -> bool;
+
 /// Returns the name of \p Evidence for logs.
 auto toString(RunOverEvidence Evidence) -> std::string_view;
 
--- a/Source/Shard/WorkerLink.cpp
+++ b/Source/Shard/WorkerLink.cpp
@@ -87,8 +87,7 @@
        {"incarnation", std::to_string(Life.incarnation())},
        {"entry-incarnation", std::to_string(entryIncarnation())}});
   if (isNeverSent(Evidence))
-    SharedContext.Scheduler.runUnsent(
-        Id, Evidence == RunOverEvidence::WorkerSilent, Now);
+    SharedContext.Scheduler.runUnsent(Id, isUnsentForWorker(Evidence), Now);
   else
     SharedContext.Scheduler.runLost(Id, Now);
 }
--- a/Source/Shard/WorkerOrders.cpp
+++ b/Source/Shard/WorkerOrders.cpp
@@ -283,7 +283,9 @@
   // An earlier start without an answer may still arrive. After a stop, the
   // worker rejects the run number.
   if (CannotStart)
-    Link.concludeRunOver(Id, RunOverEvidence::StartRefused);
+    Link.concludeRunOver(Id, Reply.Outcome == OrderOutcome::WrongIncarnation
+                                 ? RunOverEvidence::OtherProcess
+                                 : RunOverEvidence::StartRefused);
   else
     SharedContext.Scheduler.stopRun(Id, StopReason::StartRefused);
 }
--- a/Tests/Shard/FakeWorkers.h
+++ b/Tests/Shard/FakeWorkers.h
@@ -32,6 +32,7 @@
     Milliseconds AnswerDelay{0};   ///< Delay of each reply.
     bool Unresponsive = false;     ///< Ignores all orders.
     unsigned UnansweredStarts = 0; ///< Next starts that get no reply.
+    bool MisdirectsStarts = false; ///< Starts, not queries, reach another one.
     bool FailsTasks = false;       ///< All tasks fail.
     std::map<scheduling::RunId, Task> Running;
     std::vector<shard::ReportedEnd> Ended;
@@ -92,7 +93,7 @@
     }
     auto Outcome = shard::OrderOutcome::Accepted;
     updateTasks(Each);
-    if (Target.Incarnation != Each.Incarnation) {
+    if (Target.Incarnation != Each.Incarnation || Each.MisdirectsStarts) {
       later(Each.AnswerDelay, [Done] {
         Done({shard::OrderOutcome::WrongIncarnation, 0, {}});
       });
--- a/Tests/Shard/WorkerReachabilityTest.cpp
+++ b/Tests/Shard/WorkerReachabilityTest.cpp
@@ -64,6 +64,23 @@
                        Milliseconds(2500)));
 }
 
+// Guards against runs that are placed and lost thousands of times: each start
+// finds another process than the queries before and after it, and is not sent.
+TEST_F(WorkerReachabilityTest,
+       startsThatFindAnotherProcessAreNotRepeatedAtOnce) {
+  Registry.add("w1");
+  Workers["w1"].MisdirectsStarts = true;
+  startOwner();
+  submit(job("a"));
+  runFor(Milliseconds(1000));
+  const auto &Task = Owner->scheduler().job("a")->Progress.Steps[0][0];
+  EXPECT_GE(Task.LastRunNumber, 2U);
+  EXPECT_LE(Task.LastRunNumber, 8U);
+  Workers["w1"].MisdirectsStarts = false;
+  EXPECT_TRUE(runUntil([&] { return stateOf("a") == JobState::Completed; },
+                       Milliseconds(2500)));
+}
+
 // Guards against a run that is never given up: a change of its worker moves the
 // session's next visit behind the time for which the timer is set.
 TEST_F(WorkerReachabilityTest, leasesAreCheckedAfterAVisitWasPutOff) {
