platform: starts for one process take turns on its connections

Each start that found no identified connection opened one and sent a query first.

StartTurns lets a start wait for the connection of one in progress, as long as that is not later than a new connection would be.

--- a/Tests/Shard/WorkerClientTest.cpp
+++ b/Tests/Shard/WorkerClientTest.cpp
@@ -1,5 +1,6 @@
 #include "WorkerClientHarness.h"
 
+#include <map>
 #include <set>
 
 namespace jayramp::test {
@@ -164,6 +165,66 @@
     EXPECT_EQ(Tasks.count(Task), 2U) << Task;
 }
 
+// Guards against a connection and a query for each of several starts.
+TEST_F(WorkerClientTest, parallelStartsTakeTurnsOnAConnection) {
+  listen(Former);
+  for (std::uint32_t Index = 0; Index < 3; ++Index)
+    sendStart(Former, Index);
+  awaitAll();
+  EXPECT_EQ(Worker->acceptedConnections(), 1U);
+  EXPECT_EQ(Worker->received("/hold").size(), 1U);
+  EXPECT_EQ(Worker->received("/run-start").size(), 3U);
+  for (std::uint32_t Index = 0; Index < 12; ++Index)
+    sendStart(Former, Index);
+  awaitAll();
+  EXPECT_EQ(Worker->acceptedConnections(), 4U);
+  EXPECT_EQ(Worker->received("/run-start").size(), 15U);
+  for (const auto &Reply : Started)
+    EXPECT_EQ(Reply.Outcome, OrderOutcome::Accepted) << Reply.Detail;
+}
+
+// Guards against starts that wait without end, or longer than their time limit,
+// for one that stays unanswered.
+TEST_F(WorkerClientTest, startsWaitForATurnNoLongerThanTheirTimeLimit) {
+  constexpr Milliseconds SchedulingDelay{150};
+  listen(Former);
+  Worker->behave("/run-start", {.Answers = false});
+  const auto Begin = Clock::now();
+  Timeout = Milliseconds(200);
+  for (std::uint32_t Index = 0; Index < 3; ++Index)
+    sendStart(Former, Index);
+  awaitAll();
+  EXPECT_LT(Clock::now() - Begin, Timeout + SchedulingDelay + Loop.totalLag());
+  std::map<OrderOutcome, int> Outcomes;
+  for (const auto &Reply : Started)
+    ++Outcomes[Reply.Outcome];
+  EXPECT_EQ(Outcomes,
+            (std::map<OrderOutcome, int>{{OrderOutcome::Unanswered, 1},
+                                         {OrderOutcome::NotSent, 2}}));
+  EXPECT_EQ(Worker->received("/run-start").size(), 1U);
+  // A start with a shorter time limit does not wait.
+  sendStart(Former, 3);
+  Timeout = Milliseconds(100);
+  sendStart(Former, 4);
+  awaitAll();
+  EXPECT_EQ(Started[3].Outcome, OrderOutcome::Unanswered);
+  EXPECT_EQ(Started[4].Outcome, OrderOutcome::Unanswered);
+}
+
+// Guards against starts that are forgotten when the one that they wait for
+// fails.
+TEST_F(WorkerClientTest, startsThatWaitGoOnAfterALostConnection) {
+  listen(Former);
+  EXPECT_EQ(start(Former).Outcome, OrderOutcome::Accepted);
+  Worker->closeConnections();
+  for (std::uint32_t Index = 0; Index < 3; ++Index)
+    sendStart(Former, Index);
+  awaitAll();
+  EXPECT_EQ(Started[1].Outcome, OrderOutcome::Unanswered);
+  EXPECT_EQ(Started[2].Outcome, OrderOutcome::Accepted);
+  EXPECT_EQ(Started[3].Outcome, OrderOutcome::Accepted);
+}
+
 // Guards against one of several starts that reaches the next process on the
 // connection that another one has opened.
 TEST_F(WorkerClientTest, parallelStartsForTheFormerProcessDoNotReachTheNext) {
