review: stand-ins of workers restart under their ids

A worker could be cut off, but its process never ended. WorkerStandIn::crash() and startAgain() put another process at its id and address, with another `born` and clock, and nothing of what the former one knew. Either the process crashes, so that connections are reset and refused, or its machine, so that they are silent until another process runs. HttpServer keeps the connections of processes apart: no request on a connection of a former process reaches the next one. A cut may carry out the calls that arrived in it when it ends, without an answer. The members of a gang that was at work end `broken` when the process of another one is gone, and the history notes which ends were acknowledged.

Existing scenarios use none of it.

--- a/review/standins/Http.cpp
+++ b/review/standins/Http.cpp
@@ -1,9 +1,6 @@
 #include "Http.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
+#include "HttpServer.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -13,54 +10,12 @@
 
 #include <algorithm>
 #include <cstdlib>
-#include <memory>
-#include <thread>
 #include <utility>
 
 namespace review {
 
-namespace http = boost::beast::http;
-using boost::asio::ip::tcp;
-using ErrorCode = boost::system::error_code;
-
 namespace {
 
-auto serveConnection(tcp::socket Socket, const HttpHandler &Handler) -> void {
-  boost::beast::flat_buffer Buffer;
-  ErrorCode Failure;
-  Socket.set_option(tcp::no_delay(true), Failure);
-  while (true) {
-    http::request<http::string_body> Received;
-    http::read(Socket, Buffer, Received, Failure);
-    if (Failure)
-      return;
-    const auto Answer =
-        Handler({Received.method_string().to_string(),
-                 Received.target().to_string(), Received.body()});
-    // An unanswered call leaves the connection open and silent.
-    if (!Answer)
-      continue;
-    http::response<http::string_body> Message;
-    Message.version(11);
-    Message.result(Answer->Status);
-    Message.set(http::field::content_type, "application/json");
-    Message.keep_alive(Received.keep_alive());
-    Message.body() = Answer->Body;
-    Message.prepare_payload();
-    http::write(Socket, Message, Failure);
-    if (Failure || !Received.keep_alive())
-      return;
-  }
-}
-
-auto loopbackEndpoint(unsigned Port) -> sockaddr_in {
-  sockaddr_in Endpoint{};
-  Endpoint.sin_family = AF_INET;
-  Endpoint.sin_port = htons(static_cast<std::uint16_t>(Port));
-  Endpoint.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  return Endpoint;
-}
-
 auto sendAll(int Descriptor, const std::string &Text) -> bool {
   std::size_t Sent = 0;
   while (Sent < Text.size()) {
@@ -99,24 +54,19 @@
 
 } // namespace
 
+auto loopbackEndpoint(unsigned Port) -> sockaddr_in {
+  sockaddr_in Endpoint{};
+  Endpoint.sin_family = AF_INET;
+  Endpoint.sin_port = htons(static_cast<std::uint16_t>(Port));
+  Endpoint.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return Endpoint;
+}
+
 auto serveHttp(HttpHandler Handler) -> std::string {
-  // Never destroyed: the threads use them until the process ends.
-  static boost::asio::io_context Context;
-  auto Acceptor = std::make_shared<tcp::acceptor>(
-      Context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-  const auto Port = Acceptor->local_endpoint().port();
-  std::thread([Acceptor, Handler = std::move(Handler)] {
-    while (true) {
-      ErrorCode Failure;
-      tcp::socket Socket(Context);
-      Acceptor->accept(Socket, Failure);
-      if (!Failure)
-        std::thread([Handler, Accepted = std::move(Socket)]() mutable {
-          serveConnection(std::move(Accepted), Handler);
-        }).detach();
-    }
-  }).detach();
-  return "127.0.0.1:" + std::to_string(Port);
+  // Never destroyed: its threads use it until the process ends.
+  auto *Server = new HttpServer;
+  Server->open(std::move(Handler));
+  return Server->address();
 }
 
 auto callHttp(const std::string &Address, const ClientCall &Call,
--- a/review/standins/Http.h
+++ b/review/standins/Http.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <netinet/in.h>
+
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -23,8 +25,8 @@
 using HttpHandler =
     std::function<std::optional<HttpResponse>(const HttpRequest &)>;
 
-/// Serves HTTP/1.1 on a free port of 127.0.0.1 with one thread for each
-/// connection until the process ends. Returns the address as "ip:port".
+/// Serves HTTP/1.1 on a free port of 127.0.0.1 until the process ends. Returns
+/// the address as "ip:port".
 auto serveHttp(HttpHandler Handler) -> std::string;
 
 /// Request of a client, with the headers that the platform's pages name.
@@ -41,8 +43,11 @@
 auto callHttp(const std::string &Address, const ClientCall &Call,
               std::int64_t TimeoutMs) -> std::optional<HttpResponse>;
 
-/// Returns a port of 127.0.0.1 that is reserved for the entry host.
+/// Returns a port of 127.0.0.1 that is reserved: only sockets that allow the
+/// reuse of addresses can bind it.
 auto freePort() -> unsigned;
+/// Returns \p Port of 127.0.0.1.
+auto loopbackEndpoint(unsigned Port) -> sockaddr_in;
 
 /// Returns the value of \p Name in the query of \p Target, decoded; empty if it
 /// is missing.
--- a/review/standins/RunHistory.h
+++ b/review/standins/RunHistory.h
@@ -25,6 +25,8 @@
     std::int64_t StartMs = 0;
     std::optional<std::int64_t> EndMs;
     std::string How;
+    /// When the worker was told that its end is known.
+    std::optional<std::int64_t> AcknowledgedMs;
   };
 
   explicit RunHistory(Record &Output) : Output(Output) {}
@@ -33,7 +35,7 @@
   auto start(const std::string &Task, std::uint32_t Run,
              const std::string &Worker) -> std::size_t {
     std::lock_guard Lock(Mutex);
-    Entries.push_back({Task, Run, Worker, Output.elapsedMs(), {}, {}});
+    Entries.push_back({Task, Run, Worker, Output.elapsedMs(), {}, {}, {}});
     Output.write("run starts: " + describe(Entries.back()));
     return Entries.size() - 1;
   }
@@ -46,6 +48,11 @@
     Output.write("run ends: " + describe(Ended) + ", " + How);
   }
 
+  auto acknowledge(std::size_t Position) -> void {
+    std::lock_guard Lock(Mutex);
+    Entries.at(Position).AcknowledgedMs = Output.elapsedMs();
+  }
+
   auto entries() const -> std::vector<Entry> {
     std::lock_guard Lock(Mutex);
     return Entries;
--- a/review/standins/WorkerStandIn.cpp
+++ b/review/standins/WorkerStandIn.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <functional>
 #include <thread>
 #include <utility>
 
@@ -45,20 +46,33 @@
                   numberIn(Spec, Name, Default));
 }
 
-/// The members of each gang run that are present on any worker.
+auto unixMs() -> std::int64_t {
+  return std::chrono::duration_cast<milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+/// The gang runs of all workers.
 struct GangBoard {
-  std::mutex Mutex; ///< Guards PresentByGang.
-  std::map<std::pair<std::string, std::uint32_t>, std::int64_t> PresentByGang;
+  struct Gang {
+    std::int64_t Present = 0;
+    bool IsDone = false;
+    bool HasLostMember = false; ///< While it was at work.
+  };
 
-  auto add(const std::string &Task, std::uint32_t Run, std::int64_t Change)
-      -> void {
-    std::lock_guard Lock(Mutex);
-    PresentByGang[{Task.substr(0, Task.rfind('.')), Run}] += Change;
-  }
-  auto present(const std::string &Task, std::uint32_t Run) -> std::int64_t {
+  /// Returns the gang run of \p Task; \p Change, if given, is applied first.
+  auto look(const std::string &Task, std::uint32_t Run,
+            const std::function<void(Gang &)> &Change = {}) -> Gang {
     std::lock_guard Lock(Mutex);
-    return PresentByGang[{Task.substr(0, Task.rfind('.')), Run}];
+    auto &Found = ByRun[{Task.substr(0, Task.rfind('.')), Run}];
+    if (Change)
+      Change(Found);
+    return Found;
   }
+
+private:
+  std::mutex Mutex; ///< Guards ByRun.
+  std::map<std::pair<std::string, std::uint32_t>, Gang> ByRun;
 };
 
 auto gangBoard() -> GangBoard & {
@@ -71,41 +85,80 @@
 WorkerStandIn::WorkerStandIn(Settings Options, StoreStandIn &Store,
                              RunHistory &History)
     : Options(std::move(Options)), Store(Store), History(History),
-      BornUnixMs(std::chrono::duration_cast<milliseconds>(
-                     std::chrono::system_clock::now().time_since_epoch())
-                     .count()),
-      Address(serveHttp(
-          [this](const HttpRequest &Request) { return handle(Request); })) {
+      BornUnixMs(unixMs()) {
+  listen();
   std::thread([this] {
-    auto NextEntry = Clock::now();
     while (true) {
-      if (Clock::now() >= NextEntry) {
-        writeEntry();
-        NextEntry += HeartbeatInterval;
-      }
+      writeEntryIfDue();
       update();
       std::this_thread::sleep_for(UpdateInterval);
     }
   }).detach();
 }
 
-auto WorkerStandIn::setCutOff(bool CutOff) -> void {
-  std::lock_guard Lock(Mutex);
-  IsCutOff = CutOff;
+auto WorkerStandIn::listen() -> void {
+  Server.open([this, Process = ProcessNumber](const HttpRequest &Request) {
+    return handle(Request, Process);
+  });
 }
 
-auto WorkerStandIn::startDraining(std::int64_t RemainingMs) -> void {
+auto WorkerStandIn::crash(Crash Kind) -> void {
+  {
+    std::lock_guard Lock(Mutex);
+    if (!IsUp)
+      return;
+    IsUp = false;
+    // Threads of the former process carry nothing out any more.
+    ++ProcessNumber;
+    for (const auto &[Task, Each] : Known.RunByTask) {
+      History.end(Each.HistoryPosition, "died");
+      const bool WasAtWork = Each.WorkStartedAt.has_value();
+      gangBoard().look(Task, Each.Number, [=](GangBoard::Gang &Gang) {
+        Gang.HasLostMember = Gang.HasLostMember || WasAtWork;
+        --Gang.Present;
+      });
+    }
+    Known = {};
+    Ended.notify_all();
+    CutEnded.notify_all();
+  }
+  if (Kind == Crash::Process)
+    Server.close();
+  else
+    Server.suspend();
+}
+
+auto WorkerStandIn::startAgain(const NextProcess &Next) -> void {
   {
     std::lock_guard Lock(Mutex);
-    LeavesAt = Clock::now() + milliseconds(RemainingMs);
+    if (IsUp)
+      return;
+    IsUp = true;
+    Born = Clock::now();
+    BornUnixMs = unixMs();
+    FirstClockMs = Next.ClockMs;
+    NextEntry = Born + milliseconds(Next.EntryDelayMs);
   }
+  listen();
+}
+
+auto WorkerStandIn::setCutOff(bool CutOff, bool Delays) -> void {
+  std::lock_guard Lock(Mutex);
+  IsCutOff = CutOff;
+  DelaysCalls = Delays;
+  CutEnded.notify_all();
+}
+
+auto WorkerStandIn::startDraining(std::int64_t RemainingMs) -> void {
+  std::lock_guard Lock(Mutex);
+  LeavesAt = Clock::now() + milliseconds(RemainingMs);
   writeEntry();
 }
 
 auto WorkerStandIn::runningTasks() -> std::vector<std::string> {
   std::lock_guard Lock(Mutex);
   std::vector<std::string> Tasks;
-  for (const auto &[Task, Each] : RunByTask)
+  for (const auto &[Task, Each] : Known.RunByTask)
     Tasks.push_back(Task);
   return Tasks;
 }
@@ -113,14 +166,21 @@
 auto WorkerStandIn::clockMs() const -> std::int64_t {
   const auto Elapsed =
       std::chrono::duration_cast<milliseconds>(Clock::now() - Born).count();
-  return 1000 + static_cast<std::int64_t>(static_cast<double>(Elapsed) *
-                                          Options.ClockRate);
+  return FirstClockMs + static_cast<std::int64_t>(static_cast<double>(Elapsed) *
+                                                  Options.ClockRate);
 }
 
-auto WorkerStandIn::writeEntry() -> void {
+auto WorkerStandIn::writeEntryIfDue() -> void {
   std::lock_guard Lock(Mutex);
+  if (!IsUp || Clock::now() < NextEntry)
+    return;
+  writeEntry();
+  NextEntry += HeartbeatInterval;
+}
+
+auto WorkerStandIn::writeEntry() -> void {
   json Entry{{"service", Options.Service},
-             {"address", Address},
+             {"address", Server.address()},
              {"zone", Options.Zone},
              {"version", "v1"},
              {"slots", 8},
@@ -131,7 +191,7 @@
              {"labels", {"a", Options.Rack}},
              {"clock-ms", clockMs()},
              {"born", BornUnixMs},
-             {"sequence", ++Sequence}};
+             {"sequence", ++Known.Sequence}};
   if (LeavesAt)
     Entry["remaining-ms"] = std::max<std::int64_t>(
         0, std::chrono::duration_cast<milliseconds>(*LeavesAt - Clock::now())
@@ -145,41 +205,50 @@
   return {409, json{{"clock-ms", clockMs()}, {"reason", Reason}}.dump()};
 }
 
-auto WorkerStandIn::handle(const HttpRequest &Request)
+auto WorkerStandIn::handle(const HttpRequest &Request, std::uint64_t Process)
     -> std::optional<HttpResponse> {
+  std::unique_lock Lock(Mutex);
+  const auto IsRunning = [this, Process] {
+    return IsUp && Process == ProcessNumber;
+  };
+  bool IsAnswered = !IsCutOff;
+  if (IsCutOff && DelaysCalls)
+    CutEnded.wait(Lock, [&] { return !IsRunning() || !IsCutOff; });
+  if (!IsRunning() || IsCutOff)
+    return std::nullopt;
+  auto Answer = carryOut(Request, Lock);
+  IsAnswered = IsAnswered && IsRunning() && !IsCutOff;
+  return IsAnswered ? std::optional(std::move(Answer)) : std::nullopt;
+}
+
+auto WorkerStandIn::carryOut(const HttpRequest &Request,
+                             std::unique_lock<std::mutex> &Lock)
+    -> HttpResponse {
   const auto Order = json::parse(Request.Body, nullptr, false);
-  {
-    std::lock_guard Lock(Mutex);
-    if (IsCutOff)
-      return std::nullopt;
-  }
-  std::optional<HttpResponse> Answer(HttpResponse{404, "{}"});
   if (Request.Target == "/run-start")
-    Answer = startRun(Order);
-  else if (Request.Target == "/run-stop")
-    Answer = stopRun(Order);
-  else if (Request.Target == "/hold")
-    Answer = hold(Order);
-  std::lock_guard Lock(Mutex);
-  return IsCutOff ? std::nullopt : Answer;
+    return startRun(Order);
+  if (Request.Target == "/run-stop")
+    return stopRun(Order);
+  if (Request.Target == "/hold")
+    return hold(Order, Lock);
+  return {404, "{}"};
 }
 
 auto WorkerStandIn::isFenced(const json &Order) -> bool {
   const auto Token = Order.value("fencing-token", std::uint64_t{0});
-  if (Token < HighestToken)
+  if (Token < Known.HighestToken)
     return true;
-  HighestToken = Token;
+  Known.HighestToken = Token;
   return false;
 }
 
 auto WorkerStandIn::extendLease(const json &Order) -> void {
   const auto Requested = Order.value("deadline-ms", std::int64_t{0});
-  LeaseEndMs =
-      std::max(LeaseEndMs, std::min(Requested, clockMs() + MaxLeaseMs));
+  Known.LeaseEndMs =
+      std::max(Known.LeaseEndMs, std::min(Requested, clockMs() + MaxLeaseMs));
 }
 
 auto WorkerStandIn::startRun(const json &Order) -> HttpResponse {
-  std::lock_guard Lock(Mutex);
   if (isFenced(Order))
     return reply("fence");
   const auto Task = Order.at("task").get<std::string>();
@@ -188,13 +257,13 @@
   if (Order.value("deadline-ms", std::int64_t{0}) <= clockMs())
     return reply("late");
   extendLease(Order);
-  if (const auto Present = RunByTask.find(Task);
-      Present != RunByTask.end() && Present->second.Number == Number)
+  if (const auto Present = Known.RunByTask.find(Task);
+      Present != Known.RunByTask.end() && Present->second.Number == Number)
     return reply("");
-  if (Number <= LastEndedRun[Task] || RunByTask.contains(Task))
+  if (Number <= Known.LastEndedRun[Task] || Known.RunByTask.contains(Task))
     return reply("old");
   std::int64_t UsedGpus = 0;
-  for (const auto &[Name, Each] : RunByTask)
+  for (const auto &[Name, Each] : Known.RunByTask)
     UsedGpus += Each.Gpus;
   Run Started;
   Started.Gpus = numberOfStep(Spec, "gpu", Task, 0);
@@ -205,38 +274,54 @@
   Started.GangSize = numberIn(Spec, "gang", 1);
   Started.StartedAt = Clock::now();
   Started.HistoryPosition = History.start(Task, Number, Options.Id);
-  gangBoard().add(Task, Number, 1);
-  RunByTask[Task] = Started;
+  gangBoard().look(Task, Number, [](GangBoard::Gang &Gang) { ++Gang.Present; });
+  Known.RunByTask[Task] = Started;
   return reply("");
 }
 
 auto WorkerStandIn::stopRun(const json &Order) -> HttpResponse {
-  std::lock_guard Lock(Mutex);
   if (isFenced(Order))
     return reply("fence");
   const auto Task = Order.at("task").get<std::string>();
   const auto Number = Order.at("run").get<std::uint32_t>();
-  if (const auto Present = RunByTask.find(Task);
-      Present != RunByTask.end() && Present->second.Number <= Number) {
+  if (const auto Present = Known.RunByTask.find(Task);
+      Present != Known.RunByTask.end() && Present->second.Number <= Number) {
     if (!Present->second.StopsAt)
       Present->second.StopsAt = Clock::now() + StopTime;
     return reply("");
   }
-  LastEndedRun[Task] = std::max(LastEndedRun[Task], Number);
+  Known.LastEndedRun[Task] = std::max(Known.LastEndedRun[Task], Number);
   return reply("");
 }
 
-auto WorkerStandIn::hold(const json &Order) -> HttpResponse {
-  std::unique_lock Lock(Mutex);
+auto WorkerStandIn::hold(const json &Order, std::unique_lock<std::mutex> &Lock)
+    -> HttpResponse {
   if (isFenced(Order))
     return reply("fence");
   extendLease(Order);
   const auto LastSeen = Order.value("last-seen", std::uint64_t{0});
-  std::erase_if(Ends, [=](const End &Each) { return Each.Number <= LastSeen; });
+  std::erase_if(Known.Ends, [=, this](const End &Each) {
+    if (Each.Number <= LastSeen)
+      History.acknowledge(Each.HistoryPosition);
+    return Each.Number <= LastSeen;
+  });
   Ended.wait_for(Lock, milliseconds(Order.value("wait-ms", std::int64_t{0})),
-                 [this] { return !Ends.empty(); });
+                 [this, Process = ProcessNumber] {
+                   return !Known.Ends.empty() || Process != ProcessNumber;
+                 });
+  json Listed = json::array();
+  for (const auto &Each : Known.Ends)
+    Listed.push_back({Each.Number, Each.Task, Each.Run, Each.How, ""});
+  return {200, json{{"clock-ms", clockMs()},
+                    {"born", BornUnixMs},
+                    {"running", runningRows()},
+                    {"ended", Listed}}
+                   .dump()};
+}
+
+auto WorkerStandIn::runningRows() const -> json {
   json Running = json::array();
-  for (const auto &[Task, Each] : RunByTask) {
+  for (const auto &[Task, Each] : Known.RunByTask) {
     std::int64_t Percent = 0;
     if (Each.WorkStartedAt)
       Percent = std::min<std::int64_t>(
@@ -247,25 +332,22 @@
                    std::max<std::int64_t>(1, Each.WorkMs));
     Running.push_back({Task, Each.Number, "", Percent});
   }
-  json Listed = json::array();
-  for (const auto &Each : Ends)
-    Listed.push_back({Each.Number, Each.Task, Each.Run, Each.How, ""});
-  return {200, json{{"clock-ms", clockMs()},
-                    {"born", BornUnixMs},
-                    {"running", Running},
-                    {"ended", Listed}}
-                   .dump()};
+  return Running;
 }
 
 auto WorkerStandIn::endRun(const std::string &Task, const std::string &How)
     -> void {
-  const auto Found = RunByTask.find(Task);
+  const auto Found = Known.RunByTask.find(Task);
   const auto Number = Found->second.Number;
   History.end(Found->second.HistoryPosition, How);
-  gangBoard().add(Task, Number, -1);
-  LastEndedRun[Task] = std::max(LastEndedRun[Task], Number);
-  Ends.push_back({++EndCount, Task, Number, How});
-  RunByTask.erase(Found);
+  gangBoard().look(Task, Number, [&](GangBoard::Gang &Gang) {
+    --Gang.Present;
+    Gang.IsDone = Gang.IsDone || How == "done";
+  });
+  Known.LastEndedRun[Task] = std::max(Known.LastEndedRun[Task], Number);
+  Known.Ends.push_back(
+      {++Known.EndCount, Task, Number, How, Found->second.HistoryPosition});
+  Known.RunByTask.erase(Found);
   Ended.notify_all();
 }
 
@@ -273,17 +355,20 @@
   std::lock_guard Lock(Mutex);
   const auto Now = Clock::now();
   std::vector<std::pair<std::string, std::string>> Ending;
-  for (auto &[Task, Each] : RunByTask) {
-    if (!Each.WorkStartedAt &&
-        gangBoard().present(Task, Each.Number) >= Each.GangSize)
+  for (auto &[Task, Each] : Known.RunByTask) {
+    const auto Gang = gangBoard().look(Task, Each.Number);
+    if (!Each.WorkStartedAt && Gang.Present >= Each.GangSize)
       Each.WorkStartedAt = Now;
-    if (clockMs() >= LeaseEndMs)
+    if (clockMs() >= Known.LeaseEndMs)
       Ending.emplace_back(Task, "lapsed");
     else if (Each.StopsAt) {
       if (Now >= *Each.StopsAt)
         Ending.emplace_back(Task, "stopped");
     } else if (!Each.WorkStartedAt && Now - Each.StartedAt >= GangTimeout)
       Ending.emplace_back(Task, "alone");
+    else if (Each.WorkStartedAt && Each.GangSize > 1 && Gang.HasLostMember &&
+             !Gang.IsDone)
+      Ending.emplace_back(Task, "broken");
     else if (Each.WorkStartedAt &&
              Now - *Each.WorkStartedAt >= milliseconds(Each.WorkMs))
       Ending.emplace_back(Task, "done");
