test: workers that restart under their ids and are cut off, with real hosts

The fixture of OutageTest moves to StageTest, so that both tests share it. Its check of overlapping runs becomes RunRules, which lists all pairs, and OutageTest now also refuses a run that starts after an end as done was acknowledged.

--- a/Tests/Platform/FaultPlan.h
+++ b/Tests/Platform/FaultPlan.h
@@ -48,6 +48,8 @@
   std::vector<ZoneClosure> Closures; ///< One after the other.
   /// If true, the store drops the entries of all workers during its outage.
   bool EntriesLapse = false;
+  /// If false, workers that seem to have room may be out of reach.
+  bool LooksForIdleRoom = true;
 
   /// Returns the faults of a run with \p TrafficMs of traffic, the last of
   /// which ends at least 10 s before its end.
--- a/Tests/Platform/JobPlan.cpp
+++ b/Tests/Platform/JobPlan.cpp
@@ -56,6 +56,21 @@
   return Plan;
 }
 
+auto JobPlan::randomLong(std::string Id, std::mt19937_64 &Random) -> JobPlan {
+  const auto Kind = between(Random, 0, 9);
+  JobPlan Plan;
+  Plan.Id = std::move(Id);
+  Plan.IsUrgent = Kind == 0;
+  Plan.IsSameRackGang = Kind == 1 || Kind == 2;
+  const auto StepCount = Kind == 3 ? 2 : 1;
+  for (int Step = 0; Step < StepCount; ++Step)
+    Plan.Steps.push_back({static_cast<unsigned>(between(Random, 2, 4)),
+                          static_cast<unsigned>(between(Random, 1, 3)),
+                          StepCount == 2 ? between(Random, 3000, 5000)
+                                         : between(Random, 7000, 11000)});
+  return Plan;
+}
+
 auto JobPlan::body() const -> std::string {
   // The stand-ins of the workers read the length and the accelerators of a task
   // from the spec.
--- a/Tests/Platform/JobPlan.h
+++ b/Tests/Platform/JobPlan.h
@@ -33,6 +33,9 @@
   /// Returns a single task, two steps, a gang or an urgent job.
   static auto random(std::string Id, std::mt19937_64 &Random) -> JobPlan;
 
+  /// Returns tasks that work for 3 s to 11 s: one step, two steps or a gang.
+  static auto randomLong(std::string Id, std::mt19937_64 &Random) -> JobPlan;
+
   /// Returns the body of the request that submits the job.
   auto body() const -> std::string;
   auto operator==(const JobPlan &) const -> bool = default;
--- a/Tests/Platform/OutageStage.cpp
+++ b/Tests/Platform/OutageStage.cpp
@@ -1,5 +1,7 @@
 #include "OutageStage.h"
 
+#include "RunRules.h"
+
 #include <algorithm>
 #include <array>
 #include <cstdlib>
@@ -226,6 +228,8 @@
 }
 
 auto OutageStage::lookForIdleRoom() -> void {
+  if (!Plan.LooksForIdleRoom)
+    return;
   const auto NowMs = Output.elapsedMs();
   if (!isCalm())
     LastFaultMs = NowMs;
@@ -253,6 +257,15 @@
   addFinding(Text);
 }
 
+auto OutageStage::logLines(const std::string &Text) const
+    -> std::vector<std::string> {
+  std::vector<std::string> Found;
+  for (const auto &Host : Hosts)
+    for (auto &Line : Host.logLines(Text))
+      Found.push_back(std::move(Line));
+  return Found;
+}
+
 auto OutageStage::findDeadHosts() -> void {
   for (auto &Host : Hosts)
     if (!Host.isAsExpected()) {
@@ -278,6 +291,11 @@
     tick();
 }
 
+auto OutageStage::runUntilCalm() -> void {
+  while (!isCalm())
+    tick();
+}
+
 auto OutageStage::runUntilCompleted(std::int64_t LimitMs)
     -> std::vector<std::string> {
   const auto UntilMs = Output.elapsedMs() + LimitMs;
@@ -310,10 +328,9 @@
   auto All = Findings;
   for (const auto &Each : Jobs.contradictions())
     All.push_back(Each);
-  if (const auto Overlap = Platform.history().findOverlap())
-    All.push_back(
-        "two runs overlap: " + review::RunHistory::describe(Overlap->first) +
-        " and " + review::RunHistory::describe(Overlap->second));
+  for (const auto &Each :
+       RunRules::findings(Platform.history().entries(), Output.elapsedMs()))
+    All.push_back(Each);
   return All;
 }
 
--- a/Tests/Platform/OutageStage.h
+++ b/Tests/Platform/OutageStage.h
@@ -37,6 +37,8 @@
   auto beginFaults(FaultPlan Plan) -> void;
   /// Plays the faults and looks for idle room for \p DurationMs.
   auto run(std::int64_t DurationMs) -> void;
+  /// The same until the store is up and all hosts run.
+  auto runUntilCalm() -> void;
   /// Closes a zone while the owner is stopped, and kills the owner before it
   /// can act on that; the host starts again as after a fault. Returns when the
   /// store had the request.
@@ -53,11 +55,14 @@
   /// Returns the jobs that are not.
   auto runUntilCompleted(std::int64_t LimitMs) -> std::vector<std::string>;
   auto close() -> void { Hosts.clear(); }
+  /// Returns the lines of all hosts' logs that contain \p Text.
+  auto logLines(const std::string &Text) const -> std::vector<std::string>;
 
+  auto platform() -> review::Cluster & { return Platform; }
   auto jobs() -> AcceptedJobs & { return Jobs; }
   auto callers() const -> const std::vector<std::string> & { return Callers; }
-  /// Idle room, contradicting answers, overlapping runs and hosts that ended by
-  /// themselves, each with the lines of the logs that belong to it.
+  /// Idle room, contradicting answers, broken rules of runs and hosts that
+  /// ended by themselves, each with the lines of the logs that belong to it.
   auto findings() -> std::vector<std::string>;
   auto summary() -> std::string;
 
--- a/Tests/Platform/OutageTest.cpp
+++ b/Tests/Platform/OutageTest.cpp
@@ -1,21 +1,17 @@
 // Real entry hosts through outages of the whole store. JAYRAMP_SEED repeats a
 // run; README.md names the other variables.
-#include "OutageStage.h"
+#include "StageTest.h"
 
 #include <gtest/gtest.h>
 
 #include <atomic>
-#include <cinttypes>
-#include <cstdio>
 #include <cstdlib>
-#include <filesystem>
 #include <iostream>
 #include <thread>
 
 namespace jayramp::platform_test {
 namespace {
 
-constexpr std::int64_t SettleMs = 3000;
 /// From the end of the traffic until all jobs are completed.
 constexpr std::int64_t CompletionLimitMs = 25000;
 constexpr unsigned ClientCount = 3;
@@ -25,54 +21,8 @@
 /// So long that a gang that waits for a rack does so until after the outage.
 constexpr std::int64_t RoundFillerMs = 28000;
 
-auto environmentNumber(const char *Name, std::uint64_t Default)
-    -> std::uint64_t {
-  const auto *Value = std::getenv(Name);
-  return Value ? std::strtoull(Value, nullptr, 10) : Default;
-}
-
-auto jobId(std::uint64_t Client, std::uint64_t Number) -> std::string {
-  // The multiplier spreads the ids over the partitions of the store.
-  const auto Id = (Client << 32U | Number) * std::uint64_t{0x9e3779b97f4a7c15};
-  char Text[17];
-  std::snprintf(Text, sizeof(Text), "%016" PRIx64, Id);
-  return Text;
-}
-
-class OutageTest : public testing::Test {
+class OutageTest : public StageTest {
 protected:
-  OutageTest() {
-    const auto *Given = std::getenv("JAYRAMP_KEEP_LOGS");
-    const auto *Name =
-        testing::UnitTest::GetInstance()->current_test_info()->name();
-    IsKept = Given;
-    Folder = std::string(Given ? Given : testing::TempDir()) + "/outage-" +
-             Name + "-" + std::to_string(Seed) + "-" +
-             std::to_string(::getpid());
-    std::filesystem::create_directories(Folder);
-    std::cout << "JAYRAMP_SEED=" << Seed << "\n";
-  }
-
-  ~OutageTest() override {
-    if (Stage)
-      Stage->close();
-    if (HasFailure())
-      std::cout << "logs are kept in " << Folder << "\n";
-    else if (!IsKept)
-      std::filesystem::remove_all(Folder);
-  }
-
-  auto start() -> void {
-    auto Started = OutageStage::start(Folder);
-    ASSERT_TRUE(Started) << Started.error().message();
-    Stage = Started.value();
-    Stage->run(SettleMs);
-  }
-
-  auto submit(const JobPlan &Plan) -> void {
-    ASSERT_TRUE(Stage->jobs().submit(Plan, Stage->callers(), NextCaller++));
-  }
-
   /// Keeps two workers of each rack busy, so that no rack holds a wide gang.
   auto fillRacks(unsigned Round, std::int64_t WorkMs) -> void {
     for (unsigned Rack = 0; Rack < OutageStage::RackCount; ++Rack)
@@ -104,18 +54,6 @@
     }
   }
 
-  /// Asks hosts in turn for the states of jobs until \p Stop is set.
-  auto askForStates(const std::atomic<bool> &Stop) -> void {
-    std::mt19937_64 Random(Seed);
-    while (!Stop) {
-      if (const auto Jobs = Stage->jobs().all(); !Jobs.empty())
-        Stage->jobs().stateOf(
-            Jobs[Random() % Jobs.size()],
-            Stage->callers()[Random() % FaultPlan::HostCount]);
-      review::sleepMs(100);
-    }
-  }
-
   auto runTraffic(unsigned Round, std::int64_t DurationMs) -> void {
     std::atomic<bool> Stop = false;
     std::vector<std::jthread> Clients;
@@ -127,18 +65,6 @@
     Stage->run(DurationMs);
     Stop = true;
   }
-
-  auto expectNoFindings() -> void {
-    std::cout << Stage->summary() << "\n";
-    for (const auto &Each : Stage->findings())
-      ADD_FAILURE() << Each;
-  }
-
-  const std::uint64_t Seed = environmentNumber("JAYRAMP_SEED", 6);
-  std::string Folder;
-  bool IsKept = false;
-  OutageStage *Stage = nullptr;
-  std::size_t NextCaller = 0;
 };
 
 // Guards against a wide gang that starves for a rack beside idle workers when
@@ -176,8 +102,7 @@
     ASSERT_NO_FATAL_FAILURE(fillRacks(Round, RoundFillerMs));
     runTraffic(Round++, std::min(LeftMs, FaultPlan::RoundMs));
   }
-  for (const auto &Each : Stage->runUntilCompleted(CompletionLimitMs))
-    ADD_FAILURE() << Each;
+  expectAllCompleted(CompletionLimitMs);
   expectNoFindings();
 }
 
@@ -203,8 +128,7 @@
   const auto OpenedMs = Stage->openZone();
   for (const auto &Each : Stage->startsInZone(Zone, ClosedMs, OpenedMs))
     ADD_FAILURE() << "started in the closed zone: " << Each;
-  for (const auto &Each : Stage->runUntilCompleted(CompletionLimitMs))
-    ADD_FAILURE() << Each;
+  expectAllCompleted(CompletionLimitMs);
   EXPECT_FALSE(Stage->startsInZone(Zone, OpenedMs, Stage->elapsedMs()).empty());
   expectNoFindings();
 }
