shard: names and comments found by a review

A new process of a worker does not wait for the delay of runs that the former one could not be sent (UnsentRuns is reset like the other marks on a worker). Else names and comments only.

--- a/Source/Scheduling/ShardScheduler.cpp
+++ b/Source/Scheduling/ShardScheduler.cpp
@@ -112,6 +112,7 @@
   if (Entry.Report.Incarnation != Report.Incarnation) {
     Entry.FailedJobs.clear();
     Entry.QuarantinedUntil = {};
+    Entry.UnsentRuns.recordSuccess();
     // A worker that is new to this owner may be known to the one before.
     if (Entry.Report.Incarnation != 0)
       RunTimes.forgetWorker(Report.Id);
--- a/Source/Scheduling/WorkerEntry.h
+++ b/Source/Scheduling/WorkerEntry.h
@@ -19,7 +19,7 @@
 struct WorkerEntry {
   WorkerReport Report;
   bool Registered = true;    ///< Listed by service discovery.
-  bool Reachable = true;     ///< Answers start and stop orders.
+  bool Reachable = true;     ///< Answered the last call.
   bool InClosedZone = false; ///< Gets no new runs.
   std::size_t Rack = 0;      ///< Number of the rack, from 0.
   Resources Used;            ///< Resources of runs that may be alive.
--- a/Source/Shard/WorkerOrders.cpp
+++ b/Source/Shard/WorkerOrders.cpp
@@ -104,7 +104,7 @@
     reportStartDelay(Id, State);
   const auto Withdrawal = withdrawalReason();
   if (ActiveRun.Phase == RunPhase::Assigned && Withdrawal) {
-    if (!State.StartInFlight && isKnown(State))
+    if (!State.StartInFlight && areEarlierStartsKnown(State))
       withdrawStart(Id, State, *Withdrawal);
     return;
   }
@@ -131,13 +131,13 @@
 }
 
 auto WorkerOrders::maySendStart(const RunOrders &State) const -> bool {
-  return isKnown(State) && Link.leases().canGrant() && !State.StartInFlight &&
-         now() >= State.NextStart &&
+  return areEarlierStartsKnown(State) && Link.leases().canGrant() &&
+         !State.StartInFlight && now() >= State.NextStart &&
          SharedContext.Journal.isDurable(State.Assignment) &&
          Link.mayGrantLeases() && SharedContext.Freshness.maySendStarts();
 }
 
-auto WorkerOrders::isKnown(const RunOrders &State) const -> bool {
+auto WorkerOrders::areEarlierStartsKnown(const RunOrders &State) const -> bool {
   return Link.life().hasAnswered() || !State.Recovered;
 }
 
@@ -153,7 +153,7 @@
 auto WorkerOrders::startConditions(const RunOrders &State) const
     -> StartConditions {
   StartConditions Conditions;
-  Conditions.RunsKnown = isKnown(State);
+  Conditions.RunsKnown = areEarlierStartsKnown(State);
   Conditions.WorkerAnswers =
       !Link.life().isSilent() && State.areStartsAnswered();
   Conditions.AnswerPending = State.StartInFlight;
--- a/Source/Shard/WorkerOrders.h
+++ b/Source/Shard/WorkerOrders.h
@@ -70,7 +70,7 @@
   /// Returns why no start may be sent to the worker; none if one may.
   auto withdrawalReason() const -> std::optional<scheduling::StopReason>;
   /// Returns whether it is known what became of earlier starts of a run.
-  auto isKnown(const RunOrders &State) const -> bool;
+  auto areEarlierStartsKnown(const RunOrders &State) const -> bool;
   auto isHeldBack(const scheduling::RunId &Id) const -> bool;
   /// Cancels a run whose start was not confirmed.
   auto withdrawStart(const scheduling::RunId &Id, const RunOrders &State,
--- a/Source/Shard/WorkerSession.cpp
+++ b/Source/Shard/WorkerSession.cpp
@@ -30,19 +30,19 @@
              {[this](WorkerOrders::ReplyHandler Handle) {
                 return expectReply<OrderReply>(std::move(Handle));
               },
-              [this] { follow(Link.learn(OtherProcessFound{})); },
+              [this] { carryOut(Link.learn(OtherProcessFound{})); },
               [this] { sendDueOrders(); }}),
       Ends(SharedContext, Link.worker()) {}
 
 auto WorkerSession::onReport(const WorkerChange &Change) -> void {
-  follow(Link.recordEntry(Change));
+  carryOut(Link.recordEntry(Change));
 }
 
 auto WorkerSession::onUnregistered(bool WasDraining) -> void {
   Link.recordRemoval(WasDraining);
 }
 
-auto WorkerSession::follow(const WorkerLife::Transition &Result) -> void {
+auto WorkerSession::carryOut(const WorkerLife::Transition &Result) -> void {
   if (Result.NewIncarnation)
     Ends.onNewIncarnation();
   if (!Result.AskNow)
@@ -161,7 +161,7 @@
   }
   Link.recordContact();
   const auto Result = Link.learn(Answered{Reply.Incarnation});
-  follow(Result);
+  carryOut(Result);
   if (Result.FormerEnded)
     Orders.onFormerEnded(Reply);
   Link.recordClock(Link.life().incarnation(), Reply.WorkerClockMs);
@@ -178,7 +178,7 @@
 }
 
 auto WorkerSession::onRenewFailure() -> void {
-  follow(Link.learn(Unanswered{}));
+  carryOut(Link.learn(Unanswered{}));
   NextRenew = now() + Link.life().probeDelay(SharedContext.Settings.RetryDelay);
   SharedContext.OnStateChanged();
   sendDueOrders();
--- a/Source/Shard/WorkerSession.h
+++ b/Source/Shard/WorkerSession.h
@@ -63,7 +63,7 @@
   template <typename Reply, typename Handler>
   auto expectReply(Handler Handle) -> std::function<void(const Reply &)>;
   /// Does what has to be done after an event in the worker's life.
-  auto follow(const WorkerLife::Transition &Result) -> void;
+  auto carryOut(const WorkerLife::Transition &Result) -> void;
   auto renewIfDue() -> void;
   auto needsRenewal() const -> bool;
   /// Returns when a renewal is due; the latest possible time if none is needed.
