--- a/Tests/Shard/WorkerRestartTest.cpp
+++ b/Tests/Shard/WorkerRestartTest.cpp
@@ -104,5 +104,20 @@
   EXPECT_EQ(Workers.startsOf("a"), 1U);
 }
 
+// Guards against a task on a worker that does not suit it: the next process of
+// a worker answers before its entry is seen, and gets tasks by the labels, the
+// capacity and the state that the former one had reported.
+TEST_F(WorkerRestartTest, nextProcessGetsNoTasksByTheReportOfTheFormer) {
+  Registry.add("w1");
+  startOwner();
+  runFor(Milliseconds(30));
+  Workers.restart("w1");
+  submit(job("a"));
+  runFor(Milliseconds(300));
+  EXPECT_EQ(Workers.startsOf("a"), 0U);
+  Registry.report("w1", Workers["w1"].Incarnation, 1);
+  EXPECT_TRUE(runUntil([&] { return stateOf("a") == JobState::Completed; }));
+}
+
 } // namespace
 } // namespace jayramp::test
