shard: a reply that does not tell its process is no answer of a process

Seen by callers: a worker whose entry tells its incarnation, but whose replies do not, is given runs that are never sent, and is called in between without delay.

Cause: WorkerLife took such a reply for one of the process in the entry, also after an order had found that another one listens.

Change: the session treats it as no answer. The worker gets no tasks, and is asked after a delay that grows. Answered names a process always.

All tests of WorkerReachabilityTest pass.

--- a/Source/Shard/WorkerLife.cpp
+++ b/Source/Shard/WorkerLife.cpp
@@ -136,14 +136,9 @@
   }
 
   auto answer(std::int64_t Expected, const Answered &By) -> void {
-    const auto Shown = By.Incarnation != 0 ? By.Incarnation : Expected;
     Result.Next.AnsweredBefore = true;
-    if (Shown == 0) {
-      Result.Next.State = Unidentified{};
-      return;
-    }
-    Result.Next.State = Answering{Shown};
-    if (Shown == Expected || Expected == 0)
+    Result.Next.State = Answering{By.Incarnation};
+    if (By.Incarnation == Expected || Expected == 0)
       return;
     Result.Next.Former = Expected;
     Result.FormerEnded = true;
--- a/Source/Shard/WorkerLife.h
+++ b/Source/Shard/WorkerLife.h
@@ -66,9 +66,9 @@
 };
 
 /// A query or renewal was answered. Replies that the owner has stopped waiting
-/// for are not reported.
+/// for are not reported. One that does not tell its process counts as none.
 struct Answered {
-  std::int64_t Incarnation = 0; ///< 0 if the reply does not tell.
+  std::int64_t Incarnation = 0; ///< Not 0.
 };
 
 /// A query or renewal was not answered in time.
--- a/Source/Shard/WorkerSession.cpp
+++ b/Source/Shard/WorkerSession.cpp
@@ -155,7 +155,8 @@
     SharedContext.OnFenced();
     return;
   }
-  if (Reply.Outcome != OrderOutcome::Accepted) {
+  // A reply that does not tell which process it is from is none of a process.
+  if (Reply.Outcome != OrderOutcome::Accepted || Reply.Incarnation == 0) {
     onRenewFailure();
     return;
   }
--- a/Tests/Shard/FakeWorkers.h
+++ b/Tests/Shard/FakeWorkers.h
@@ -30,6 +30,7 @@
     std::uint64_t NextEnd = 1;
     Milliseconds WorkTime{30};     ///< Run time of each task.
     Milliseconds AnswerDelay{0};   ///< Delay of each reply.
+    bool TellsIncarnation = true;  ///< In its replies.
     bool Unresponsive = false;     ///< Ignores all orders.
     unsigned UnansweredStarts = 0; ///< Next starts that get no reply.
     bool MisdirectsStarts = false; ///< Starts, not queries, reach another one.
@@ -93,7 +94,8 @@
     }
     auto Outcome = shard::OrderOutcome::Accepted;
     updateTasks(Each);
-    if (Target.Incarnation != Each.Incarnation || Each.MisdirectsStarts) {
+    if (Target.Incarnation != Each.Incarnation || !Each.TellsIncarnation ||
+        Each.MisdirectsStarts) {
       later(Each.AnswerDelay, [Done] {
         Done({shard::OrderOutcome::WrongIncarnation, 0, {}});
       });
@@ -221,7 +223,7 @@
     shard::RenewReply Reply;
     Reply.Outcome = shard::OrderOutcome::Accepted;
     Reply.WorkerClockMs = clockMs(Each);
-    Reply.Incarnation = Each.Incarnation;
+    Reply.Incarnation = Each.TellsIncarnation ? Each.Incarnation : 0;
     Reply.Ended = Each.Ended;
     for (const auto &[RunId, Task] : Each.Running)
       Reply.Running.push_back({RunId, {}, 50});
--- a/Tests/Shard/WorkerReachabilityTest.cpp
+++ b/Tests/Shard/WorkerReachabilityTest.cpp
@@ -103,6 +103,21 @@
   EXPECT_EQ(Workers.runningCopiesOf("a"), 1U);
 }
 
+// Guards against runs that are placed and lost hundreds of times, and against a
+// flood of calls: the worker's entry tells its incarnation, its replies do not,
+// so that no start can be sent.
+TEST_F(WorkerReachabilityTest, workerThatDoesNotTellItsProcessGetsNoRuns) {
+  Registry.add("w1");
+  Workers["w1"].TellsIncarnation = false;
+  startOwner();
+  runFor(Milliseconds(30));
+  submit(job("a"));
+  runFor(Milliseconds(1500));
+  EXPECT_EQ(Owner->scheduler().job("a")->Progress.Steps[0][0].LastRunNumber,
+            0U);
+  EXPECT_LE(Workers.orderCount(), 10U);
+}
+
 // Guards against a flood of calls to workers that cannot be reached.
 TEST_F(WorkerReachabilityTest, probesOfAWorkerThatCannotBeReachedAreFew) {
   Settings.RenewReplyMargin = Milliseconds(10);
