--- a/Source/Shard/WorkerLife.h
+++ b/Source/Shard/WorkerLife.h
@@ -109,7 +109,8 @@
   /// Returns whether the worker has answered this owner, so that the runs that
   /// an earlier owner started on it are known.
   auto hasAnswered() const -> bool { return AnsweredBefore; }
-  /// Returns whether tasks may be placed on the worker.
+  /// Returns whether tasks may be placed on the worker. The scheduler knows by
+  /// itself whether the worker is registered and is told whether it answers.
   auto mayReceiveTasks() const -> bool { return Registered && answers(); }
   /// Returns whether the process may get leases and acknowledgements. While it
   /// is silent, its leases must be able to expire.
--- a/Source/Shard/WorkerLink.cpp
+++ b/Source/Shard/WorkerLink.cpp
@@ -9,6 +9,14 @@
 
 namespace jayramp::shard {
 
+namespace {
+
+/// Clocks are read in whole milliseconds and may be ahead by a few. Far below
+/// the margin that leases have.
+constexpr Milliseconds ClockReadingTolerance{100};
+
+} // namespace
+
 using scheduling::RunId;
 using namespace life_event;
 
@@ -94,7 +102,8 @@
 
 auto WorkerLink::reportOtherProcess(const RunId &Id, std::int64_t LeastClockMs,
                                     const OrderReply &Reply) const -> void {
-  if (Reply.WorkerClockMs <= 0 || Reply.WorkerClockMs >= LeastClockMs)
+  if (Reply.WorkerClockMs <= 0 ||
+      Reply.WorkerClockMs + ClockReadingTolerance.count() >= LeastClockMs)
     return;
   logEvent(LogLevel::Warning, "start-answered-by-other-process",
            {{"run", toString(Id)},
