--- a/Tests/Shard/ShardFixture.h
+++ b/Tests/Shard/ShardFixture.h
@@ -160,6 +160,18 @@
     ASSERT_TRUE(runUntil([&] { return Workers.startsOf("a") == 1; }));
   }
 
+  /// Does the same with a worker that restarts, unnoticed, before the job is
+  /// submitted.
+  auto startOwnerWithLongRunAfterARestart() -> void {
+    Registry.add("w1");
+    startOwner();
+    runFor(Milliseconds(30));
+    Workers.restart("w1");
+    Workers["w1"].WorkTime = Milliseconds(60000);
+    submit(job("a"));
+    ASSERT_TRUE(runUntil([&] { return Workers["w1"].Started.size() == 1; }));
+  }
+
   auto stateOf(const std::string &Id) -> scheduling::JobState {
     for (const auto &Journal : Rows.journalPartitions())
       if (const auto *Row = Store.row(Rows.progressKey(Journal, Id)))
--- a/Tests/Shard/WorkerDepartureTest.cpp
+++ b/Tests/Shard/WorkerDepartureTest.cpp
@@ -62,13 +62,7 @@
 // cannot be reached.
 TEST_F(WorkerDepartureTest, departureOfTheFormerProcessEndsNoRunOfTheNext) {
   Settings.LeaseDuration = Milliseconds(4000);
-  Registry.add("w1");
-  startOwner();
-  runFor(Milliseconds(30));
-  Workers.restart("w1");
-  Workers["w1"].WorkTime = Milliseconds(60000);
-  submit(job("a"));
-  ASSERT_TRUE(runUntil([&] { return Workers["w1"].Started.size() == 1; }));
+  ASSERT_NO_FATAL_FAILURE(startOwnerWithLongRunAfterARestart());
   runFor(Milliseconds(30));
   Registry.add("w2");
   Workers["w2"].WorkTime = Milliseconds(60000);
@@ -86,13 +80,7 @@
 // started the task on the next process.
 TEST_F(WorkerDepartureTest, lateDepartureAfterATakeoverEndsNoRun) {
   Settings.LeaseDuration = Milliseconds(4000);
-  Registry.add("w1");
-  startOwner();
-  runFor(Milliseconds(30));
-  Workers.restart("w1");
-  Workers["w1"].WorkTime = Milliseconds(60000);
-  submit(job("a"));
-  ASSERT_TRUE(runUntil([&] { return Workers["w1"].Started.size() == 1; }));
+  ASSERT_NO_FATAL_FAILURE(startOwnerWithLongRunAfterARestart());
   runFor(Milliseconds(30));
   Owner.reset();
   Workers["w1"].Unresponsive = true;
--- a/Tests/Shard/WorkerRestartTest.cpp
+++ b/Tests/Shard/WorkerRestartTest.cpp
@@ -33,13 +33,7 @@
 // process has restarted unnoticed is computed with the clock of its former
 // process, so the worker shortens it only to the longest lease it grants.
 TEST_F(WorkerRestartTest, leaseByTheClockOfTheFormerProcessIsWaitedFor) {
-  Registry.add("w1");
-  startOwner();
-  runFor(Milliseconds(30));
-  Workers.restart("w1");
-  Workers["w1"].WorkTime = Milliseconds(60000);
-  submit(job("a"));
-  ASSERT_TRUE(runUntil([&] { return Workers["w1"].Started.size() == 1; }));
+  ASSERT_NO_FATAL_FAILURE(startOwnerWithLongRunAfterARestart());
   runFor(Milliseconds(100));
   Workers["w1"].Unresponsive = true;
   expectOneCopyOnceItRunsOn("w2");
@@ -50,13 +44,7 @@
 // before any answer tells that it is another process.
 TEST_F(WorkerRestartTest, startTakenByTheNextProcessIsNotGivenUpTooEarly) {
   Settings.RenewWait = Milliseconds(1000);
-  Registry.add("w1");
-  startOwner();
-  runFor(Milliseconds(30));
-  Workers.restart("w1");
-  Workers["w1"].WorkTime = Milliseconds(60000);
-  submit(job("a"));
-  ASSERT_TRUE(runUntil([&] { return Workers["w1"].Started.size() == 1; }));
+  ASSERT_NO_FATAL_FAILURE(startOwnerWithLongRunAfterARestart());
   runFor(Milliseconds(10));
   Workers["w1"].Unresponsive = true;
   expectOneCopyOnceItRunsOn("w2");
