test: a stand-in worker ends a task before its lease if that comes first

FakeWorkers looked at its tasks only when it was called, and took a task that had ended in time for one whose lease had expired. So ShardOwnerTest.withholdsTheLateEndOfARunThatWasReplaced passed without any end that was withheld: the log of the test shows the end as lapsed. Now the earlier of the two times decides.

--- a/Tests/Shard/FakeWorkers.h
+++ b/Tests/Shard/FakeWorkers.h
@@ -230,15 +230,18 @@
     later(Each.AnswerDelay, [Done, Reply] { Done(Reply); });
   }
 
+  /// Ends the tasks that have ended since the last call: by themselves, or with
+  /// the lease if that came first.
   auto updateTasks(Worker &Each) -> void {
+    const auto Now = Clock::now();
     std::vector<std::pair<scheduling::RunId, scheduling::RunOutcome>> Finished;
     for (const auto &[Id, Task] : Each.Running) {
-      if (Clock::now() >= Each.LeaseUntil)
-        Finished.emplace_back(Id, scheduling::RunOutcome::LeaseExpired);
-      else if (Clock::now() >= Task.EndsAt)
+      if (Now >= Task.EndsAt && Task.EndsAt < Each.LeaseUntil)
         Finished.emplace_back(Id, Each.FailsTasks
                                       ? scheduling::RunOutcome::Failed
                                       : scheduling::RunOutcome::Succeeded);
+      else if (Now >= Each.LeaseUntil)
+        Finished.emplace_back(Id, scheduling::RunOutcome::LeaseExpired);
     }
     for (const auto &[Id, How] : Finished)
       end(Each, Id, How);
