shard: the log tells confirmed room and withheld ends from others

A job that waited beside free workers was logged with reason=room and pool-use=0.61: one figure for work and for runs that no worker has. tasks-waiting and jayramp_confirmed_pool_use now give the part whose runs have started and are not being stopped. end-released says for how long an end was withheld and why it no longer is; jayramp_workers_with_withheld_end counts the workers that get no tasks for it.

--- a/Source/Scheduling/PoolUse.h
+++ b/Source/Scheduling/PoolUse.h
@@ -13,4 +13,10 @@
 auto poolUse(const std::map<std::string, WorkerEntry> &Workers,
              const std::string &Service) -> double;
 
+/// Returns the same for the runs whose start their workers have confirmed and
+/// that are not being stopped. If it stays far below poolUse(), the owner may
+/// take room for used that is free.
+auto confirmedPoolUse(const std::map<std::string, WorkerEntry> &Workers,
+                      const std::string &Service) -> double;
+
 } // namespace jayramp::scheduling
--- a/Source/Scheduling/WaitDiagnosis.cpp
+++ b/Source/Scheduling/WaitDiagnosis.cpp
@@ -75,6 +75,7 @@
     Reports.push_back(
         {Job.Spec.Id, Group->Step, Job.waitingTasks(Group->Step), Reason,
          RoomFor, poolUse(Scheduler.workers(), Job.Spec.Service),
+         confirmedPoolUse(Scheduler.workers(), Job.Spec.Service),
          std::chrono::duration<double>(Now - Order.second).count()});
   }
   return Reports;
--- a/Source/Scheduling/WaitReason.h
+++ b/Source/Scheduling/WaitReason.h
@@ -45,7 +45,9 @@
   WaitReason Reason = WaitReason::Room;
   std::uint32_t RoomFor = 0; ///< Number of such tasks that fit in any racks.
   double PoolUse = 0;        ///< Share of the pool's capacity that is in use.
-  double WaitedSeconds = 0;  ///< Since the step's turn came.
+  /// The part of PoolUse whose runs have started and are not being stopped.
+  double ConfirmedUse = 0;
+  double WaitedSeconds = 0; ///< Since the step's turn came.
 
   auto operator==(const WaitReport &) const -> bool = default;
 };
--- a/Source/Shard/DecisionLog.cpp
+++ b/Source/Shard/DecisionLog.cpp
@@ -49,6 +49,7 @@
               {"reason", std::string(toString(Wait.Reason))},
               {"room-for", std::to_string(Wait.RoomFor)},
               {"pool-use", std::to_string(Wait.PoolUse)},
+              {"confirmed-use", std::to_string(Wait.ConfirmedUse)},
               {"waited-s", std::to_string(Wait.WaitedSeconds)}});
   }
 }
--- a/Source/Shard/EndRecorder.cpp
+++ b/Source/Shard/EndRecorder.cpp
@@ -42,12 +42,16 @@
 }
 
 auto EndRecorder::onNewIncarnation() -> void {
+  if (Ends.withheldEnd())
+    logRelease("restarted");
   Ends = EndAcknowledgement(SharedContext.Journal);
 }
 
 auto EndRecorder::withhold(const ReportedEnd &End) -> void {
   logEvent(LogLevel::Warning, "end-withheld",
            {{"run", toString(End.Run)}, {"worker", Worker}});
+  if (!Ends.withheldEnd())
+    WithheldSince = Clock::now();
   Ends.withhold({End.Number, End.Run.Job});
 }
 
@@ -64,6 +68,7 @@
                End.Outcome == scheduling::RunOutcome::LeaseExpired;
       });
   if (LeasesExpiredSince || !SharedContext.Scheduler.job(Withheld->Job)) {
+    logRelease(LeasesExpiredSince ? "lease-expired" : "job-forgotten");
     Ends.release();
     return;
   }
@@ -71,4 +76,13 @@
                                                        WithheldEndQuarantine);
 }
 
+auto EndRecorder::logRelease(std::string_view Reason) const -> void {
+  const auto Withheld =
+      std::chrono::duration_cast<Milliseconds>(Clock::now() - WithheldSince);
+  logEvent(LogLevel::Info, "end-released",
+           {{"worker", Worker},
+            {"reason", std::string(Reason)},
+            {"withheld-ms", std::to_string(Withheld.count())}});
+}
+
 } // namespace jayramp::shard
--- a/Source/Shard/EndRecorder.h
+++ b/Source/Shard/EndRecorder.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "Base/Clock.h"
 #include "Shard/EndAcknowledgement.h"
 #include "Shard/WorkerTransport.h"
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace jayramp::shard {
@@ -38,10 +40,13 @@
   auto withhold(const ReportedEnd &End) -> void;
   /// Acknowledges ends again if there is no reason to withhold them any more.
   auto releaseWithheld(const std::vector<ReportedEnd> &Ended) -> void;
+  /// Logs why an end is no longer withheld, and for how long it was.
+  auto logRelease(std::string_view Reason) const -> void;
 
   SessionContext &SharedContext;
   std::string Worker;
   EndAcknowledgement Ends; ///< Of the present incarnation.
+  TimePoint WithheldSince; ///< If an end is withheld.
 };
 
 } // namespace jayramp::shard
--- a/Source/Shard/OwnerGauges.cpp
+++ b/Source/Shard/OwnerGauges.cpp
@@ -64,6 +64,8 @@
                static_cast<double>(Known.NotAnswering));
   Target.gauge("jayramp_workers_not_asked", shardLabel(Shard),
                static_cast<double>(Known.NotAsked));
+  Target.gauge("jayramp_workers_with_withheld_end", shardLabel(Shard),
+               static_cast<double>(Known.WithWithheldEnd));
 }
 
 } // namespace
@@ -91,6 +93,10 @@
                Owner.isRecovering()
                    ? 0
                    : scheduling::poolUse(Scheduler.workers(), Shard));
+  Target.gauge("jayramp_confirmed_pool_use", shardLabel(Shard),
+               Owner.isRecovering()
+                   ? 0
+                   : scheduling::confirmedPoolUse(Scheduler.workers(), Shard));
   publishCompetition(Target, Shard, Scheduler.accountsCompete(),
                      Scheduler.accountShares().largestShare());
   Target.gauge(
@@ -152,6 +158,7 @@
 auto OwnerGauges::clear(const std::string &Shard) -> void {
   publishAllWaits(Target, Shard, {});
   Target.gauge("jayramp_pool_use", shardLabel(Shard), 0);
+  Target.gauge("jayramp_confirmed_pool_use", shardLabel(Shard), 0);
   publishCompetition(Target, Shard, false, 0);
   Target.gauge("jayramp_gangs_with_held_room", shardLabel(Shard), 0);
   Target.gauge("jayramp_owner_recovering", shardLabel(Shard), 0);
--- a/Source/Shard/ShardOwner.cpp
+++ b/Source/Shard/ShardOwner.cpp
@@ -430,6 +430,8 @@
 auto ShardOwner::workerContacts() const -> WorkerContacts {
   WorkerContacts Known;
   for (const auto &[Id, Session] : Sessions) {
+    if (Session->withholdsEnd())
+      ++Known.WithWithheldEnd;
     if (!Session->lacksAnswer())
       continue;
     ++Known.NotAnswering;
--- a/Source/Shard/WorkerContacts.h
+++ b/Source/Shard/WorkerContacts.h
@@ -13,6 +13,8 @@
   /// Of those without an answer, the ones that have not been asked for long.
   std::size_t NotAsked = 0;
   std::string FirstNotAsked; ///< Id of one of them.
+  /// Get no tasks because the acknowledgement of one of their ends is withheld.
+  std::size_t WithWithheldEnd = 0;
 
   auto operator==(const WorkerContacts &) const -> bool = default;
 };
--- a/Source/Shard/WorkerSession.h
+++ b/Source/Shard/WorkerSession.h
@@ -52,6 +52,10 @@
   auto nextDue() const -> TimePoint;
   /// Returns whether the worker is registered and did not answer the last call.
   auto lacksAnswer() const -> bool { return Link.life().mustBeAsked(); }
+  /// Returns whether the acknowledgement of an end of the worker is withheld.
+  auto withholdsEnd() const -> bool {
+    return Ends.acknowledgement().withheldEnd().has_value();
+  }
   /// Returns when the worker was last asked; when the session began before.
   auto lastAsked() const -> TimePoint { return LastAsked; }
   /// Returns the ids of the jobs whose commit permits further orders.
--- a/Tests/Shard/OwnerGaugesTest.cpp
+++ b/Tests/Shard/OwnerGaugesTest.cpp
@@ -59,6 +59,31 @@
   EXPECT_EQ(value("jayramp_workers_not_answering{shard=\"pool\"}"), 0);
 }
 
+// Guards against workers that get no tasks because an end of theirs must not be
+// acknowledged, without a trace on the metrics page.
+TEST_F(OwnerGaugesTest, showsWorkersWithAWithheldEnd) {
+  const std::string Series =
+      "jayramp_workers_with_withheld_end{shard=\"pool\"}";
+  Registry.add("w1");
+  Workers["w1"].WorkTime = Milliseconds(50);
+  startOwner();
+  submit(job("a"));
+  ASSERT_TRUE(runUntil([&] { return Workers.startsOf("a") == 1; }));
+  update();
+  EXPECT_EQ(value(Series), 0);
+  Workers["w1"].Unresponsive = true;
+  Registry.add("w2");
+  ASSERT_TRUE(runUntil([&] { return Workers["w2"].Started.size() == 1; }));
+  Workers["w1"].Unresponsive = false;
+  EXPECT_TRUE(runUntil([&] {
+    update();
+    return value(Series) == 1;
+  }));
+  Owner.reset();
+  update();
+  EXPECT_EQ(value(Series), 0);
+}
+
 // Guards against a metrics page that does not tell tasks that wait for room
 // from an owner that does not act.
 TEST_F(OwnerGaugesTest, showsWaitingTasksByReasonAndTheUseOfThePool) {
@@ -78,6 +103,8 @@
   EXPECT_GT(value(series("jayramp_longest_wait_seconds", "room")), 1.0);
   EXPECT_EQ(value(series("jayramp_waiting_tasks", "rack")), 0);
   EXPECT_GT(value("jayramp_pool_use{shard=\"pool\"}"), 0.0);
+  EXPECT_EQ(value("jayramp_confirmed_pool_use{shard=\"pool\"}"),
+            value("jayramp_pool_use{shard=\"pool\"}"));
   EXPECT_EQ(value("jayramp_owner_recovering{shard=\"pool\"}"), 0);
 }
 
--- a/Tests/Shard/WaitDiagnosisTest.cpp
+++ b/Tests/Shard/WaitDiagnosisTest.cpp
@@ -56,6 +56,26 @@
   EXPECT_DOUBLE_EQ(Report->WaitedSeconds, 1.25);
 }
 
+// Guards against a pool that looks full of work while no worker has confirmed
+// the runs that fill it.
+TEST_F(WaitDiagnosisTest, tellsConfirmedRunsFromOthersThatTakeRoom) {
+  addWorkers(1, 2);
+  addJob("long", {1, 2, 8});
+  Scheduler.schedule(at(0));
+  Scheduler.runStarted(runsOf("long").at(0).Id, at(10));
+  addJob("next", {1, 1, 8}, 100);
+  auto Report = reportOf("next", 1350);
+  ASSERT_TRUE(Report);
+  EXPECT_NEAR(Report->PoolUse, 130.0 / 256.0, 0.001);
+  EXPECT_NEAR(Report->ConfirmedUse, 65.0 / 256.0, 0.001);
+  Scheduler.runStarted(runsOf("long").at(1).Id, at(1400));
+  Scheduler.stopRun(runsOf("long").at(0).Id, StopReason::Preempted);
+  Report = reportOf("next", 3400);
+  ASSERT_TRUE(Report);
+  EXPECT_NEAR(Report->PoolUse, 130.0 / 256.0, 0.001);
+  EXPECT_NEAR(Report->ConfirmedUse, 65.0 / 256.0, 0.001);
+}
+
 // Guards against taking a gang that waits for a rack for one without room.
 TEST_F(WaitDiagnosisTest, tellsARackFromRoom) {
   addWorkers(2, 2);
