shard: a success that is listed after a lapse is acknowledged

Cause: a success that is listed after its task was started again was never acknowledged, and its worker got tasks only in the gaps of a quarantine that each reply renewed, until a later run on it lapsed or the job was forgotten. The reason to withhold the end, that the task was started again after a success that counts as known, does not hold once the worker's lease has expired since; and it has in almost all cases, since an expired lease is why the run was taken for over.

Change: such an end is acknowledged if no lease on the worker can be valid. If one can (the worker was thought to have left after a drain, or an earlier owner may have granted one), it is withheld until that time; the worker is asked meanwhile and gets no tasks from the first reply on, not from the second. A session stays until its leases are over, as a later one would not know of them.

--- a/Source/Shard/EndRecorder.cpp
+++ b/Source/Shard/EndRecorder.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 /// A worker with an end that must not be acknowledged gets no new tasks, so
-/// that its list of ends stays short; renewed at each reply.
-constexpr Milliseconds WithheldEndQuarantine{2000};
+/// that its leases expire; renewed at each reply, which comes earlier.
+constexpr Milliseconds WithheldEndQuarantine{1000};
 
 } // namespace
 
@@ -20,8 +20,9 @@
     : SharedContext(SharedContext), Worker(std::move(Worker)),
       Ends(SharedContext.Journal) {}
 
-auto EndRecorder::record(const std::vector<ReportedEnd> &Ended) -> bool {
-  releaseWithheld(Ended);
+auto EndRecorder::record(const std::vector<ReportedEnd> &Ended, bool LeasesOver)
+    -> bool {
+  releaseWithheld(Ended, LeasesOver);
   bool HasNewEnds = false;
   for (const auto &End : Ended) {
     if (Ends.isRecorded(End.Number)) {
@@ -29,8 +30,9 @@
       continue;
     }
     HasNewEnds = true;
-    if (!SharedContext.Scheduler.runEnded(End.Run, End.Outcome, End.Checkpoint,
-                                          Clock::now()))
+    const bool MayBeAcknowledged = SharedContext.Scheduler.runEnded(
+        End.Run, End.Outcome, End.Checkpoint, Clock::now());
+    if (!MayBeAcknowledged && !LeasesOver)
       withhold(End);
     logEvent(LogLevel::Info, "task-ended",
              {{"run", toString(End.Run)},
@@ -53,16 +55,18 @@
   if (!Ends.withheldEnd())
     WithheldSince = Clock::now();
   Ends.withhold({End.Number, End.Run.Job});
+  quarantine();
 }
 
-auto EndRecorder::releaseWithheld(const std::vector<ReportedEnd> &Ended)
-    -> void {
+auto EndRecorder::releaseWithheld(const std::vector<ReportedEnd> &Ended,
+                                  bool LeasesOver) -> void {
   const auto &Withheld = Ends.withheldEnd();
   if (!Withheld)
     return;
   // An end that precedes the expiry of the worker's leases does not count as
   // known. A job that was forgotten is not shown to anyone any more.
   const bool LeasesExpiredSince =
+      LeasesOver ||
       std::any_of(Ended.begin(), Ended.end(), [&](const ReportedEnd &End) {
         return End.Number > Withheld->Number &&
                End.Outcome == scheduling::RunOutcome::LeaseExpired;
@@ -72,6 +76,10 @@
     Ends.release();
     return;
   }
+  quarantine();
+}
+
+auto EndRecorder::quarantine() const -> void {
   SharedContext.Scheduler.quarantineWorker(Worker, Clock::now() +
                                                        WithheldEndQuarantine);
 }
--- a/Source/Shard/EndRecorder.h
+++ b/Source/Shard/EndRecorder.h
@@ -21,8 +21,8 @@
   // Commands.
 
   /// Records the ends that were not reported before. Returns whether there are
-  /// any.
-  auto record(const std::vector<ReportedEnd> &Ended) -> bool;
+  /// any. \p LeasesOver tells whether no lease on the worker can be valid.
+  auto record(const std::vector<ReportedEnd> &Ended, bool LeasesOver) -> bool;
   /// Forgets the ends of the worker's former process, whose numbers mean
   /// nothing to the present one.
   auto onNewIncarnation() -> void;
@@ -34,12 +34,16 @@
 
 private:
   /// Withholds the acknowledgement of the success of a run whose task was
-  /// started again, because the run had been taken for lost. If it were
-  /// acknowledged, the task would count as one that was started after its
-  /// success was known.
+  /// started again, because the run had been taken for over. If it were
+  /// acknowledged before the worker's lease has expired, the task would count
+  /// as one that was started after its success was known.
   auto withhold(const ReportedEnd &End) -> void;
   /// Acknowledges ends again if there is no reason to withhold them any more.
-  auto releaseWithheld(const std::vector<ReportedEnd> &Ended) -> void;
+  auto releaseWithheld(const std::vector<ReportedEnd> &Ended, bool LeasesOver)
+      -> void;
+  /// Keeps tasks off the worker until the next reply, so that its leases can
+  /// expire.
+  auto quarantine() const -> void;
   /// Logs why an end is no longer withheld, and for how long it was.
   auto logRelease(std::string_view Reason) const -> void;
 
--- a/Source/Shard/SessionContext.h
+++ b/Source/Shard/SessionContext.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/Clock.h"
 #include "Net/EventLoop.h"
 #include "Scheduling/ShardScheduler.h"
 #include "Shard/FreshnessGuard.h"
@@ -24,6 +25,8 @@
   ProgressJournal &Journal;
   const FreshnessGuard &Freshness;
   std::uint64_t FencingToken = 0;
+  /// Time from which no lease that an earlier owner granted can be valid.
+  TimePoint PredecessorLeasesExpireAt;
   /// Number of the session that was created last.
   std::uint64_t LastSessionNumber = 0;
   /// Returns false once leases must not be granted or renewed any more.
--- a/Source/Shard/ShardOwner.cpp
+++ b/Source/Shard/ShardOwner.cpp
@@ -51,8 +51,8 @@
                                           Deps.Settings,
                                           Journal,
                                           Freshness,
-                                          CurrentOwnership.Owner.FencingToken},
-      OwnershipTakenAt(Clock::now()) {
+                                          CurrentOwnership.Owner.FencingToken} {
+  recordOwnershipTaken();
   Cleaner = std::make_shared<RowCleaner>(Deps.Loop, Deps.Store, Deps.Settings);
   Heartbeat = std::make_shared<OwnerHeartbeat>(
       Deps.Loop, Deps.Store, Rows, Deps.Settings, CurrentOwnership,
@@ -122,7 +122,7 @@
 
 auto ShardOwner::onJournalOpened(ProgressJournal::RecoveredRows Found) -> void {
   // From now on no earlier owner can write progress.
-  OwnershipTakenAt = Clock::now();
+  recordOwnershipTaken();
   RecoveredProgress = std::move(Found);
   // The job table is read after the progress, so that a job accepted in between
   // is found too; it starts with empty progress.
@@ -264,6 +264,14 @@
   sessionFor(Change.Id).onReport(Change);
 }
 
+auto ShardOwner::recordOwnershipTaken() -> void {
+  const auto &Settings = Deps.Settings;
+  OwnershipTakenAt = Clock::now();
+  SharedContext.PredecessorLeasesExpireAt =
+      OwnershipTakenAt + Settings.OwnershipTimeout +
+      WorkerClock::maxLeaseDuration(Settings.LeaseDuration);
+}
+
 auto ShardOwner::sessionFor(const std::string &Worker) -> WorkerSession & {
   auto &Session = Sessions[Worker];
   if (!Session) {
@@ -273,8 +281,7 @@
     std::optional<TimePoint> PredecessorLeases;
     if (Clock::now() - OwnershipTakenAt < Settings.TakeoverTimeout ||
         Scheduler.worker(Worker)->Runs.size() > 0)
-      PredecessorLeases = OwnershipTakenAt + Settings.OwnershipTimeout +
-                          WorkerClock::maxLeaseDuration(Settings.LeaseDuration);
+      PredecessorLeases = SharedContext.PredecessorLeasesExpireAt;
     Session = std::make_shared<WorkerSession>(SharedContext, Worker,
                                               PredecessorLeases);
   }
--- a/Source/Shard/ShardOwner.h
+++ b/Source/Shard/ShardOwner.h
@@ -79,6 +79,7 @@
   auto onCommitted(const std::vector<std::string> &Jobs) -> void;
   auto onWorkerChanges(const std::vector<WorkerChange> &Changes) -> void;
   auto onWorkerChange(const WorkerChange &Change) -> void;
+  auto recordOwnershipTaken() -> void;
   auto sessionFor(const std::string &Worker) -> WorkerSession &;
   /// Makes a decision soon if the scheduler needs one.
   auto scheduleDecision() -> void;
--- a/Source/Shard/WorkerLink.cpp
+++ b/Source/Shard/WorkerLink.cpp
@@ -5,6 +5,7 @@
 #include "Shard/SessionContext.h"
 #include "Shard/WorkerRegistry.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace jayramp::shard {
@@ -123,6 +124,11 @@
   return Life.mayBeGranted() && SharedContext.MayGrantLeases();
 }
 
+auto WorkerLink::areLeasesOver() const -> bool {
+  return Clock::now() >
+         std::max(Leases.expireAt(), SharedContext.PredecessorLeasesExpireAt);
+}
+
 auto WorkerLink::evidenceAgainstRuns() const -> std::optional<RunOverEvidence> {
   return Life.evidenceAgainstRuns(Clock::now() > Leases.expireAt());
 }
--- a/Source/Shard/WorkerLink.h
+++ b/Source/Shard/WorkerLink.h
@@ -66,6 +66,9 @@
   /// acknowledgements, if there is one.
   auto target() const -> WorkerTarget;
   auto mayGrantLeases() const -> bool;
+  /// Returns whether no lease on the worker can be valid, so that its lease has
+  /// expired since any of its runs ended.
+  auto areLeasesOver() const -> bool;
   /// Returns what shows that no run is alive on the worker, if anything does.
   auto evidenceAgainstRuns() const -> std::optional<RunOverEvidence>;
 
--- a/Source/Shard/WorkerSession.cpp
+++ b/Source/Shard/WorkerSession.cpp
@@ -55,7 +55,7 @@
 
 auto WorkerSession::isIdle() const -> bool {
   return !Link.life().isRegistered() && Orders.isEmpty() &&
-         CallsInFlight == 0 &&
+         CallsInFlight == 0 && now() > Link.leases().expireAt() &&
          (!Link.life().answers() || !Ends.acknowledgement().isOutstanding());
 }
 
@@ -82,7 +82,14 @@
 }
 
 auto WorkerSession::nextDue() const -> TimePoint {
-  return std::min(nextRenewal(), Orders.nextDue());
+  return std::min({nextRenewal(), Orders.nextDue(), idleFrom()});
+}
+
+auto WorkerSession::idleFrom() const -> TimePoint {
+  const auto LeasesExpireAt = Link.leases().expireAt();
+  const bool AwaitsOnlyThat = !Link.life().isRegistered() && Orders.isEmpty() &&
+                              CallsInFlight == 0 && now() <= LeasesExpireAt;
+  return AwaitsOnlyThat ? LeasesExpireAt + Milliseconds(1) : TimePoint::max();
 }
 
 auto WorkerSession::awaitedJobs() const -> std::set<std::string> {
@@ -102,8 +109,10 @@
 }
 
 auto WorkerSession::needsRenewal() const -> bool {
+  // A withheld end is released only with a reply.
   return !Orders.isEmpty() || Link.life().mustBeAsked() ||
-         Ends.acknowledgement().isOutstanding();
+         Ends.acknowledgement().isOutstanding() ||
+         (withholdsEnd() && Link.life().answers());
 }
 
 auto WorkerSession::renewIfDue() -> void {
@@ -166,7 +175,7 @@
   if (Result.FormerEnded)
     Orders.onFormerEnded(Reply);
   Link.recordClock(Link.life().incarnation(), Reply.WorkerClockMs);
-  const bool HasNewEnds = Ends.record(Reply.Ended);
+  const bool HasNewEnds = Ends.record(Reply.Ended, Link.areLeasesOver());
   Orders.recordListing(SentAt, Reply);
   if (Ends.acknowledgement().withheldEnd())
     NextRenew = now() + WithheldEndRenewInterval;
--- a/Source/Shard/WorkerSession.h
+++ b/Source/Shard/WorkerSession.h
@@ -43,12 +43,13 @@
 
   auto worker() const -> const std::string & { return Link.worker(); }
   /// Returns true if the session can be removed: the worker is unregistered and
-  /// has no runs, no call to it is in flight, and no end remains to be
-  /// acknowledged unless the worker does not answer. A call must not outlive
-  /// its session, since a later session does not know what the call may do.
+  /// has no runs, no call to it is in flight, no lease on it can be valid, and
+  /// no end remains to be acknowledged unless the worker does not answer. Calls
+  /// and leases must not outlive their session, since a later one does not know
+  /// of them.
   auto isIdle() const -> bool;
   /// Returns when the next orders are due, apart from those that wait for a
-  /// reply, a commit or a decision.
+  /// reply, a commit or a decision, or when the session may become idle.
   auto nextDue() const -> TimePoint;
   /// Returns whether the worker is registered and did not answer the last call.
   auto lacksAnswer() const -> bool { return Link.life().mustBeAsked(); }
@@ -72,6 +73,9 @@
   auto needsRenewal() const -> bool;
   /// Returns when a renewal is due; the latest possible time if none is needed.
   auto nextRenewal() const -> TimePoint;
+  /// Returns when the session may become idle if it only waits for the end of
+  /// leases; otherwise the latest possible time.
+  auto idleFrom() const -> TimePoint;
   /// Returns how long the worker may delay the reply to the next renewal.
   auto renewWait() const -> Milliseconds;
   auto sendRenewal(Milliseconds Wait) -> void;
--- a/Tests/Shard/FakeWorkers.h
+++ b/Tests/Shard/FakeWorkers.h
@@ -39,6 +39,8 @@
     std::vector<shard::ReportedEnd> Ended;
     std::set<scheduling::RunId> StoppedOrEnded; ///< May not start again.
     std::vector<scheduling::RunId> Started;     ///< All started runs, in order.
+    TimePoint LastLapse; ///< When the lease of the worker last expired.
+    std::map<std::uint64_t, TimePoint> EndTimes; ///< By number of the end.
     unsigned RenewalsInFlight = 0;
     unsigned MaxRenewalsInFlight = 0;
   };
@@ -67,6 +69,19 @@
     }
     return Count;
   }
+  /// Returns how many runs were started after their task had succeeded in a run
+  /// whose end was acknowledged, then or later, without an expiry of the
+  /// worker's lease in between.
+  auto startsAfterKnownSuccess() const -> std::size_t {
+    return static_cast<std::size_t>(
+        std::count_if(Starts.begin(), Starts.end(), [this](const auto &Start) {
+          return std::any_of(KnownSuccesses.begin(), KnownSuccesses.end(),
+                             [&](const auto &Known) {
+                               return isSameTask(Start.first, Known.first) &&
+                                      Start.second > Known.second;
+                             });
+        }));
+  }
   /// Returns the number of orders of any kind that were received.
   auto orderCount() const -> std::size_t { return Orders; }
   /// Restarts the worker's process, which loses all its state. Its clock starts
@@ -108,6 +123,7 @@
     else if (!Each.Running.contains(Order.Run)) {
       Each.HighestToken = Order.FencingToken;
       Each.Started.push_back(Order.Run);
+      Starts.emplace_back(Order.Run, Clock::now());
       Each.Running[Order.Run] = {Order.Run, Clock::now() + Each.WorkTime,
                                  Order.Checkpoint};
     }
@@ -169,6 +185,7 @@
     if (IsIntended) {
       extendLease(Each, Order.LeaseExpiresAtMs);
       Each.LastSeenEnd = std::max(Each.LastSeenEnd, Order.LastSeenEnd);
+      recordAcknowledged(Each, Order.LastSeenEnd);
       std::erase_if(Each.Ended, [&](const auto &End) {
         return End.Number <= Order.LastSeenEnd;
       });
@@ -230,6 +247,22 @@
     later(Each.AnswerDelay, [Done, Reply] { Done(Reply); });
   }
 
+  static auto isSameTask(const scheduling::RunId &Left,
+                         const scheduling::RunId &Right) -> bool {
+    return Left.Job == Right.Job && Left.Step == Right.Step &&
+           Left.Index == Right.Index;
+  }
+
+  auto recordAcknowledged(const Worker &Each, std::uint64_t LastSeenEnd)
+      -> void {
+    for (const auto &End : Each.Ended) {
+      const auto EndedAt = Each.EndTimes.at(End.Number);
+      if (End.Number <= LastSeenEnd && Each.LastLapse < EndedAt &&
+          End.Outcome == scheduling::RunOutcome::Succeeded)
+        KnownSuccesses.emplace_back(End.Run, EndedAt);
+    }
+  }
+
   /// Ends the tasks that have ended since the last call: by themselves, or with
   /// the lease if that came first.
   auto updateTasks(Worker &Each) -> void {
@@ -245,11 +278,15 @@
     }
     for (const auto &[Id, How] : Finished)
       end(Each, Id, How);
+    if (Now >= Each.LeaseUntil)
+      Each.LastLapse = Each.LeaseUntil;
   }
 
   auto end(Worker &Each, const scheduling::RunId &Id,
            scheduling::RunOutcome How) -> void {
-    Each.Running.erase(Id);
+    const auto Running = Each.Running.extract(Id);
+    Each.EndTimes[Each.NextEnd] =
+        std::min(Running.mapped().EndsAt, Clock::now());
     Each.StoppedOrEnded.insert(Id);
     Each.Ended.push_back({Each.NextEnd++, Id, How, {}});
   }
@@ -261,6 +298,9 @@
   net::EventLoop &Loop;
   std::map<std::string, Worker> WorkersById;
   std::size_t Orders = 0;
+  std::vector<std::pair<scheduling::RunId, TimePoint>> Starts;
+  /// Runs whose success was acknowledged, with the times of their ends.
+  std::vector<std::pair<scheduling::RunId, TimePoint>> KnownSuccesses;
   std::vector<net::EventLoop::TimerHandle> Timers;
 };
 
--- a/Tests/Shard/OwnerGaugesTest.cpp
+++ b/Tests/Shard/OwnerGaugesTest.cpp
@@ -66,15 +66,20 @@
       "jayramp_workers_with_withheld_end{shard=\"pool\"}";
   Registry.add("w1");
   Workers["w1"].WorkTime = Milliseconds(50);
+  Settings.LeaseDuration = Milliseconds(2000);
   startOwner();
   submit(job("a"));
   ASSERT_TRUE(runUntil([&] { return Workers.startsOf("a") == 1; }));
   update();
   EXPECT_EQ(value(Series), 0);
   Workers["w1"].Unresponsive = true;
+  runFor(Milliseconds(300));
+  Registry.drain("w1");
+  Registry.remove("w1");
   Registry.add("w2");
   ASSERT_TRUE(runUntil([&] { return Workers["w2"].Started.size() == 1; }));
   Workers["w1"].Unresponsive = false;
+  Registry.add("w1");
   EXPECT_TRUE(runUntil([&] {
     update();
     return value(Series) == 1;
