shard: orders are awaited for as long as workers take to answer

Cause: the first start of a run had 400 ms, for a connection, a query and the start itself. Where answers take longer, each start was given up and sent again, the more so since a start may need a query. That filled the link further; members of gangs did not start within 0.7 s of the others, so that gangs broke, preempted other runs anew and broke again. Class: fixed time limits of retries under congestion.

Change: AnswerTimes estimates from the answers, and from the orders without one, how long orders have to be awaited, between 400 ms and the 1.2 s that third starts had already. Starts, stops and the limit for members of gangs follow it. A start that may be sent later needs a more recent list of workers, so that none is sent to a draining worker; until now second and third starts did not allow for that. start-not-accepted and jayramp_worker_answer_timeout_seconds show the estimate.

--- a/Source/Scheduling/RunSupervision.cpp
+++ b/Source/Scheduling/RunSupervision.cpp
@@ -123,7 +123,8 @@
   // write to the store delays the starts of all members.
   const auto LatestStart =
       *std::max_element(StartTimes.begin(), StartTimes.end());
-  return Now - LatestStart >= Scheduler.Policy.GangMemberStartTimeout;
+  return Now - LatestStart >=
+         Scheduler.AnswerTimeout + Scheduler.Policy.GangMemberStartMargin;
 }
 
 auto RunSupervision::lagsBehindGang(const Run &LiveRun,
--- a/Source/Scheduling/SchedulingPolicy.h
+++ b/Source/Scheduling/SchedulingPolicy.h
@@ -81,8 +81,9 @@
   /// other members make progress.
   Milliseconds GangMemberStallTimeout{230};
   /// A member of a gang is restarted elsewhere if its start is not confirmed
-  /// this long after the latest start of the others.
-  Milliseconds GangMemberStartTimeout{700};
+  /// this much later after the latest start of the others than a worker may
+  /// take to answer.
+  Milliseconds GangMemberStartMargin{300};
   /// A member of a gang counts as behind the others only if at least half of
   /// them are ahead of it by this much.
   std::uint32_t StalledMemberLagPercent = 15;
--- a/Source/Scheduling/ShardScheduler.h
+++ b/Source/Scheduling/ShardScheduler.h
@@ -56,6 +56,10 @@
   /// Sets the availability zones whose workers get no new runs. Runs that have
   /// started there go on.
   auto setClosedZones(std::set<std::string> Zones) -> void;
+  /// Sets how long a worker may take to answer a start.
+  auto setAnswerTimeout(Milliseconds Timeout) -> void {
+    AnswerTimeout = Timeout;
+  }
   auto updateWorker(const WorkerReport &Report, TimePoint Now) -> void;
   /// Marks a worker as no longer listed. It is removed once all of its runs
   /// have ended.
@@ -233,6 +237,7 @@
   std::map<std::string, std::int64_t> Guarantees;
   std::deque<std::string> ChangedJobs;
   std::set<std::string> ChangedJobSet;
+  Milliseconds AnswerTimeout{400};
   UrgentReserve Reserve;
   AccountShares Shares;
   GangRoom RoomForGangs;
--- a/Source/Shard/FreshnessGuard.cpp
+++ b/Source/Shard/FreshnessGuard.cpp
@@ -9,9 +9,11 @@
 
 namespace jayramp::shard {
 
-auto FreshnessGuard::isWorkerListFresh() const -> bool {
-  return suspendAwareNow() - Registry.completeAsOf() <=
-         Settings.MaxWorkerListAge;
+auto FreshnessGuard::isWorkerListFresh(Milliseconds StartTimeout) const
+    -> bool {
+  const auto Age = suspendAwareNow() - Registry.completeAsOf();
+  return Age + StartTimeout <=
+         Settings.MaxWorkerListAge + Settings.OrderTimeout;
 }
 
 auto FreshnessGuard::areClosedZonesFresh() const -> bool {
@@ -20,7 +22,7 @@
 }
 
 auto FreshnessGuard::logChanges() -> void {
-  const bool IsListFresh = isWorkerListFresh();
+  const bool IsListFresh = isWorkerListFresh(Settings.OrderTimeout);
   if (std::exchange(WorkerListWasFresh, IsListFresh) != IsListFresh) {
     const auto *Event = IsListFresh ? "worker-list-fresh" : "worker-list-old";
     logChange(IsListFresh, Event);
--- a/Source/Shard/FreshnessGuard.h
+++ b/Source/Shard/FreshnessGuard.h
@@ -25,10 +25,12 @@
   /// Logs what has become old, or fresh again, since the last call.
   auto logChanges() -> void;
 
-  auto isWorkerListFresh() const -> bool;
+  /// Returns whether the list of workers is recent enough for a start that is
+  /// given up, if it was not sent, after \p StartTimeout.
+  auto isWorkerListFresh(Milliseconds StartTimeout) const -> bool;
   auto areClosedZonesFresh() const -> bool;
-  auto maySendStarts() const -> bool {
-    return isWorkerListFresh() && areClosedZonesFresh();
+  auto maySendStarts(Milliseconds StartTimeout) const -> bool {
+    return isWorkerListFresh(StartTimeout) && areClosedZonesFresh();
   }
 
 private:
--- a/Source/Shard/OwnerGauges.cpp
+++ b/Source/Shard/OwnerGauges.cpp
@@ -20,6 +20,10 @@
 /// Zones come from the entries of workers; their number bounds that of gauges.
 constexpr std::size_t MaxZonesPerShard = 64;
 
+auto seconds(Milliseconds Duration) -> double {
+  return std::chrono::duration<double>(Duration).count();
+}
+
 auto shardLabel(const std::string &Shard) -> std::string {
   return "shard=\"" + Shard + "\"";
 }
@@ -105,6 +109,8 @@
   Target.gauge("jayramp_owner_recovering", shardLabel(Shard),
                Owner.isRecovering() ? 1 : 0);
   publishContacts(Target, Shard, Owner.workerContacts());
+  Target.gauge("jayramp_worker_answer_timeout_seconds", shardLabel(Shard),
+               seconds(Owner.answerTimeout()));
   publishSpeeds(Shard, Owner);
   publishClosedZones(Shard, &Scheduler);
 }
@@ -163,6 +169,7 @@
   Target.gauge("jayramp_gangs_with_held_room", shardLabel(Shard), 0);
   Target.gauge("jayramp_owner_recovering", shardLabel(Shard), 0);
   publishContacts(Target, Shard, {});
+  Target.gauge("jayramp_worker_answer_timeout_seconds", shardLabel(Shard), 0);
   for (const auto &Zone : PublishedZones[Shard])
     Target.gauge("jayramp_zone_time_factor", zoneLabels(Shard, Zone), 0);
   Target.gauge("jayramp_worker_speeds_differ", shardLabel(Shard), 0);
--- a/Source/Shard/SessionContext.h
+++ b/Source/Shard/SessionContext.h
@@ -3,6 +3,7 @@
 #include "Base/Clock.h"
 #include "Net/EventLoop.h"
 #include "Scheduling/ShardScheduler.h"
+#include "Shard/AnswerTimes.h"
 #include "Shard/FreshnessGuard.h"
 #include "Shard/ProgressJournal.h"
 #include "Shard/ShardSettings.h"
@@ -40,6 +41,8 @@
   /// Called when a worker has seen a higher fencing token.
   std::function<void()> OnFenced;
   StartDelayLog StartDelays;
+  /// Of starts and stops.
+  AnswerTimes Answers{Settings.OrderTimeout, Settings.longestStartTimeout()};
 };
 
 } // namespace jayramp::shard
--- a/Source/Shard/ShardOwner.cpp
+++ b/Source/Shard/ShardOwner.cpp
@@ -303,6 +303,7 @@
   if (OwnershipLost)
     return;
   const auto Begin = Clock::now();
+  Scheduler.setAnswerTimeout(SharedContext.Answers.timeout());
   Scheduler.schedule(Begin);
   logDecisions(Scheduler);
   LoadLog.report(Scheduler, Begin);
@@ -387,7 +388,7 @@
     return;
   Freshness.logChanges();
   // The workers of a zone are counted once they are known.
-  if (!Recovering && Freshness.isWorkerListFresh())
+  if (!Recovering && Freshness.isWorkerListFresh(Deps.Settings.OrderTimeout))
     ZoneLog.update(Scheduler);
   if (ContactLog.isDue(Clock::now()))
     ContactLog.report(workerContacts(), Clock::now());
--- a/Source/Shard/ShardOwner.h
+++ b/Source/Shard/ShardOwner.h
@@ -65,6 +65,10 @@
   }
   /// Returns which registered workers the owner is not in contact with.
   auto workerContacts() const -> WorkerContacts;
+  /// Returns how long the answers of workers are awaited at least.
+  auto answerTimeout() const -> Milliseconds {
+    return SharedContext.Answers.timeout();
+  }
   /// Returns true until the stored state has been read; no decisions are made
   /// before.
   auto isRecovering() const -> bool { return Recovering; }
--- a/Source/Shard/ShardSettings.h
+++ b/Source/Shard/ShardSettings.h
@@ -38,8 +38,9 @@
     }
     return RenewWait;
   }
-  /// No run is started while the list of workers is older than this, because a
-  /// worker may have begun to drain since, and must get no new runs then.
+  /// No run is started with the shortest timeout while the list of workers is
+  /// older than this, because a worker may have begun to drain since, and must
+  /// get no new runs then. The limit is lower by what a timeout is longer.
   Milliseconds MaxWorkerListAge{1600};
   /// No run is started while the set of closed availability zones is older than
   /// this, because a zone may have been closed since. Absent if the deployment
@@ -49,12 +50,13 @@
   /// the worker has written it. If an entry is removed earlier, the worker has
   /// left.
   Milliseconds MinEntryLifetime{3000};
-  /// Timeout of a stop and of the first start of a run.
+  /// Shortest timeout of an order; longer if workers take longer to answer.
   Milliseconds OrderTimeout{400};
-  /// Later starts of a run have longer timeouts, up to this multiple.
+  /// Later starts of a run have longer timeouts. No order has more than this
+  /// multiple.
   unsigned MaxStartTimeoutFactor = 3;
-  /// Returns the timeout of a start; \p Attempt counts the starts of the run,
-  /// from 1.
+  /// Returns the shortest timeout of a start; \p Attempt counts the starts of
+  /// the run, from 1.
   auto startTimeout(unsigned Attempt) const -> Milliseconds {
     return OrderTimeout *
            static_cast<int>(std::min(Attempt, MaxStartTimeoutFactor));
--- a/Source/Shard/WorkerOrders.cpp
+++ b/Source/Shard/WorkerOrders.cpp
@@ -134,7 +134,13 @@
   return areEarlierStartsKnown(State) && Link.leases().canGrant() &&
          !State.StartInFlight && now() >= State.NextStart &&
          SharedContext.Journal.isDurable(State.Assignment) &&
-         Link.mayGrantLeases() && SharedContext.Freshness.maySendStarts();
+         Link.mayGrantLeases() &&
+         SharedContext.Freshness.maySendStarts(startTimeout(State));
+}
+
+auto WorkerOrders::startTimeout(const RunOrders &State) const -> Milliseconds {
+  return std::max(SharedContext.Settings.startTimeout(State.StartAttempts + 1),
+                  SharedContext.Answers.timeout());
 }
 
 auto WorkerOrders::areEarlierStartsKnown(const RunOrders &State) const -> bool {
@@ -159,7 +165,8 @@
   Conditions.AnswerPending = State.StartInFlight;
   Conditions.RetryDue = now() >= State.NextStart;
   Conditions.Durable = SharedContext.Journal.isDurable(State.Assignment);
-  Conditions.WorkerListFresh = SharedContext.Freshness.isWorkerListFresh();
+  Conditions.WorkerListFresh =
+      SharedContext.Freshness.isWorkerListFresh(startTimeout(State));
   Conditions.ClosedZonesFresh = SharedContext.Freshness.areClosedZonesFresh();
   Conditions.LeasesPermitted = SharedContext.MayGrantLeases();
   Conditions.ClockKnown = Link.leases().canGrant();
@@ -210,23 +217,36 @@
   Order.Checkpoint = Tasks[Step.Gang ? 0 : ActiveRun.Id.Index].Checkpoint;
   Order.LeaseExpiresAtMs = Link.grantLease();
   Order.FencingToken = SharedContext.FencingToken;
+  const auto Timeout = startTimeout(State);
   State.StartInFlight = true;
   ++State.StartsSent;
   ++State.StartAttempts;
   SharedContext.Scheduler.runStartSent(ActiveRun.Id);
   SharedContext.Transport.start(
-      Link.target(), Order,
-      SharedContext.Settings.startTimeout(State.StartAttempts),
+      Link.target(), Order, Timeout,
       Session.ExpectReply(
           [this, Id = ActiveRun.Id, SentTo = Link.life().incarnation(),
+           SentAt = now(), Timeout,
            LeastClockMs =
                Link.leases().clock().lowerBound(now())](const auto &Reply) {
             Link.reportOtherProcess(Id, LeastClockMs, Reply);
             Link.recordClock(SentTo, Reply.WorkerClockMs);
+            recordAnswerTime(SentAt, Timeout, Reply);
             onStartReply(Id, Reply);
           }));
 }
 
+auto WorkerOrders::recordAnswerTime(TimePoint SentAt, Milliseconds Timeout,
+                                    const OrderReply &Reply) -> void {
+  const auto Elapsed = now() - SentAt;
+  // Only answers of workers show their clock. A silent worker tells nothing of
+  // how long the others take.
+  if (Reply.WorkerClockMs > 0)
+    SharedContext.Answers.recordAnswer(Elapsed);
+  else if (Elapsed >= Timeout && Link.life().answers())
+    SharedContext.Answers.recordTimeout(Elapsed);
+}
+
 auto WorkerOrders::onStartReply(const RunId &Id, const OrderReply &Reply)
     -> void {
   const auto Found = OrdersByRun.find(Id);
@@ -268,7 +288,9 @@
              {{"run", toString(Id)},
               {"worker", Link.worker()},
               {"outcome", std::to_string(static_cast<int>(Reply.Outcome))},
-              {"detail", Reply.Detail}});
+              {"detail", Reply.Detail},
+              {"answer-timeout-ms",
+               std::to_string(SharedContext.Answers.timeout().count())}});
   SharedContext.OnStateChanged();
 }
 
@@ -292,12 +314,15 @@
 
 auto WorkerOrders::sendStop(const RunId &Id) -> void {
   auto &State = OrdersByRun.at(Id);
+  const auto Timeout = SharedContext.Answers.timeout();
   State.StopInFlight = true;
   SharedContext.Transport.stop(
-      Link.target(), {Id, SharedContext.FencingToken},
-      SharedContext.Settings.OrderTimeout,
+      Link.target(), {Id, SharedContext.FencingToken}, Timeout,
       Session.ExpectReply(
-          [this, Id](const auto &Reply) { onStopReply(Id, Reply); }));
+          [this, Id, SentAt = now(), Timeout](const auto &Reply) {
+            recordAnswerTime(SentAt, Timeout, Reply);
+            onStopReply(Id, Reply);
+          }));
 }
 
 auto WorkerOrders::onStopReply(const RunId &Id, const OrderReply &Reply)
@@ -339,7 +364,7 @@
              {{"run", toString(Each.Run)}, {"worker", Link.worker()}});
     SharedContext.Transport.stop(
         Link.target(), {Each.Run, SharedContext.FencingToken},
-        SharedContext.Settings.OrderTimeout, [](const OrderReply &) {});
+        SharedContext.Answers.timeout(), [](const OrderReply &) {});
   }
 }
 
--- a/Source/Shard/WorkerOrders.h
+++ b/Source/Shard/WorkerOrders.h
@@ -64,6 +64,8 @@
   auto sync() -> void;
   auto sendOrder(const scheduling::Run &ActiveRun, RunOrders &State) -> void;
   auto maySendStart(const RunOrders &State) const -> bool;
+  /// Returns the timeout of the next start of a run.
+  auto startTimeout(const RunOrders &State) const -> Milliseconds;
   auto reportStartDelay(const scheduling::RunId &Id, const RunOrders &State)
       -> void;
   auto startConditions(const RunOrders &State) const -> StartConditions;
@@ -79,6 +81,9 @@
   auto dropUnsent(const scheduling::RunId &Id, RunOverEvidence Evidence)
       -> void;
   auto sendStart(const scheduling::Run &ActiveRun, RunOrders &State) -> void;
+  /// Records how long the answer to an order took that was sent at \p SentAt.
+  auto recordAnswerTime(TimePoint SentAt, Milliseconds Timeout,
+                        const OrderReply &Reply) -> void;
   auto onStartReply(const scheduling::RunId &Id, const OrderReply &Reply)
       -> void;
   auto abandonStart(const scheduling::RunId &Id, const RunOrders &State,
--- a/Tests/Shard/FakeWorkers.h
+++ b/Tests/Shard/FakeWorkers.h
@@ -28,11 +28,15 @@
     std::uint64_t HighestToken = 0;
     std::uint64_t LastSeenEnd = 0; ///< Highest end that was acknowledged.
     std::uint64_t NextEnd = 1;
-    Milliseconds WorkTime{30};     ///< Run time of each task.
-    Milliseconds AnswerDelay{0};   ///< Delay of each reply.
+    Milliseconds WorkTime{30}; ///< Run time of each task.
+    /// Delay of each reply. The caller stops waiting at its timeout.
+    Milliseconds AnswerDelay{0};
     bool TellsIncarnation = true;  ///< In its replies.
     bool Unresponsive = false;     ///< Ignores all orders.
     unsigned UnansweredStarts = 0; ///< Next starts that get no reply.
+    /// A start is sent only after the answer to a query, as on a new
+    /// connection.
+    bool QueriedBeforeStarts = false;
     bool MisdirectsStarts = false; ///< Starts, not queries, reach another one.
     bool FailsTasks = false;       ///< All tasks fail.
     std::map<scheduling::RunId, Task> Running;
@@ -102,6 +106,17 @@
              Milliseconds Timeout, std::function<void(shard::OrderReply)> Done)
       -> void override {
     auto &Each = WorkersById[Target.Id];
+    if (Each.QueriedBeforeStarts && !Each.Unresponsive) {
+      startAfterQuery(Target, Order, Timeout, std::move(Done));
+      return;
+    }
+    startNow(Target, Order, Timeout, std::move(Done));
+  }
+
+  auto startNow(const shard::WorkerTarget &Target,
+                const shard::StartOrder &Order, Milliseconds Timeout,
+                std::function<void(shard::OrderReply)> Done) -> void {
+    auto &Each = WorkersById[Target.Id];
     ++Orders;
     if (Each.Unresponsive) {
       later(Timeout, [Done] { Done({}); });
@@ -111,9 +126,8 @@
     updateTasks(Each);
     if (Target.Incarnation != Each.Incarnation || !Each.TellsIncarnation ||
         Each.MisdirectsStarts) {
-      later(Each.AnswerDelay, [Done] {
-        Done({shard::OrderOutcome::WrongIncarnation, 0, {}});
-      });
+      answer(Each, Timeout, Done,
+             shard::OrderReply{shard::OrderOutcome::WrongIncarnation, 0, {}});
       return;
     }
     if (Order.FencingToken < Each.HighestToken)
@@ -134,8 +148,7 @@
       later(Timeout, [Done] { Done({}); });
       return;
     }
-    const shard::OrderReply Reply{Outcome, clockMs(Each), {}};
-    later(Each.AnswerDelay, [Done, Reply] { Done(Reply); });
+    answer(Each, Timeout, Done, shard::OrderReply{Outcome, clockMs(Each), {}});
   }
 
   auto stop(const shard::WorkerTarget &Target, const shard::StopOrder &Order,
@@ -151,9 +164,8 @@
     if (Each.Running.contains(Order.Run))
       end(Each, Order.Run, scheduling::RunOutcome::Stopped);
     Each.StoppedOrEnded.insert(Order.Run);
-    const shard::OrderReply Reply{
-        shard::OrderOutcome::Accepted, clockMs(Each), {}};
-    later(Each.AnswerDelay, [Done, Reply] { Done(Reply); });
+    answer(Each, Timeout, Done,
+           shard::OrderReply{shard::OrderOutcome::Accepted, clockMs(Each), {}});
   }
 
   auto renewLeases(const shard::WorkerTarget &Target,
@@ -177,7 +189,7 @@
     if (Order.FencingToken < Each.HighestToken) {
       shard::RenewReply Reply;
       Reply.Outcome = shard::OrderOutcome::Fenced;
-      later(Each.AnswerDelay, [Done, Reply] { Done(Reply); });
+      answer(Each, Timeout, Done, Reply);
       return;
     }
     Each.HighestToken = Order.FencingToken;
@@ -197,6 +209,18 @@
 private:
   static constexpr Milliseconds PollInterval{2};
 
+  auto startAfterQuery(const shard::WorkerTarget &Target,
+                       const shard::StartOrder &Order, Milliseconds Timeout,
+                       std::function<void(shard::OrderReply)> Done) -> void {
+    const auto Delay = WorkersById[Target.Id].AnswerDelay;
+    if (Delay < Timeout)
+      later(Delay, [this, Target, Order, Left = Timeout - Delay, Done] {
+        startNow(Target, Order, Left, Done);
+      });
+    else
+      later(Timeout, [Done] { Done({shard::OrderOutcome::NotSent, 0, {}}); });
+  }
+
   static auto clockMs(const Worker &Each) -> std::int64_t {
     return (std::chrono::duration_cast<Milliseconds>(
                 Clock::now().time_since_epoch()) +
@@ -244,7 +268,9 @@
     Reply.Ended = Each.Ended;
     for (const auto &[RunId, Task] : Each.Running)
       Reply.Running.push_back({RunId, {}, 50});
-    later(Each.AnswerDelay, [Done, Reply] { Done(Reply); });
+    answer(Each,
+           std::chrono::ceil<Milliseconds>(Received.TimesOutAt - Clock::now()),
+           Done, Reply);
   }
 
   static auto isSameTask(const scheduling::RunId &Left,
@@ -291,6 +317,16 @@
     Each.Ended.push_back({Each.NextEnd++, Id, How, {}});
   }
 
+  /// Passes \p Reply on after the worker's delay, or none at the timeout.
+  template <typename Handler, typename Reply>
+  auto answer(const Worker &Each, Milliseconds Timeout, Handler Done,
+              Reply Answer) -> void {
+    if (Each.AnswerDelay < Timeout)
+      later(Each.AnswerDelay, [Done, Answer] { Done(Answer); });
+    else
+      later(std::max(Timeout, Milliseconds(0)), [Done] { Done(Reply{}); });
+  }
+
   auto later(Milliseconds Delay, std::function<void()> Action) -> void {
     Timers.push_back(Loop.after(Delay, std::move(Action)));
   }
--- a/Tests/Shard/RunSupervisionTest.cpp
+++ b/Tests/Shard/RunSupervisionTest.cpp
@@ -115,6 +115,22 @@
         << Name;
 }
 
+// Guards against breaking a gang because the workers' answers take long, for
+// example on a full link.
+TEST_F(RunSupervisionTest, awaitsTheStartOfAMemberForAsLongAsAnAnswerMayTake) {
+  addWorkers(4, 4);
+  addJob("gang", {0, 4, 8, true, false, Milliseconds(2100)});
+  Scheduler.setAnswerTimeout(Milliseconds(1200));
+  Scheduler.schedule(at(0));
+  for (const auto &LiveRun : runsOf("gang"))
+    if (LiveRun.Id.Index != 3)
+      Scheduler.runStarted(LiveRun.Id, at(20));
+  Scheduler.schedule(at(1500));
+  EXPECT_TRUE(takeStalledIndices().empty());
+  Scheduler.schedule(at(1600));
+  EXPECT_EQ(takeStalledIndices(), std::set<std::uint32_t>{3});
+}
+
 // Guards against stopping a gang because the store write that precedes the
 // start orders takes long.
 TEST_F(RunSupervisionTest, keepsAGangOfWhichNoMemberHasStarted) {
