store: tables are read in pages sized by the time that they take

Cause: a new owner read the job table in pages of up to 500 rows, twelve partitions at once, with 1.5 s for each, and read all of it again when one failed. Over a slow link no page arrived in time, so that the recovery never ended; its reads also kept the answers to its heartbeats waiting, so that hosts took the shard from each other.

Change: PagedRead reads a partition page by page, from 8 rows up, and sizes each page by the time that the last one took (0.2 s), halves the largest size after a page without an answer and keeps the rows that it has. TableFollower and JournalPartition use it, which had the paging twice. Ranges have a limit of rows, also through relays.

Evidence: PagedReadTest; ShardOwnerTest.newOwnerBehindASlowLinkRecovers was red before (not recovered after 10 s).

--- a/Source/Relay/RelayCodec.cpp
+++ b/Source/Relay/RelayCodec.cpp
@@ -90,6 +90,7 @@
                           Range.set_partition(Query.Partition);
                           Range.set_from(Query.From);
                           Range.set_to(Query.To);
+                          Range.set_max_rows(Query.MaxRows);
                         },
                         [&](const ChangesQuery &Query) {
                           auto &Changes = *Message.mutable_changes();
@@ -114,7 +115,8 @@
   case wire::Call::kRange:
     Call.Operation =
         store::RangeQuery{Message.range().table(), Message.range().partition(),
-                          Message.range().from(), Message.range().to()};
+                          Message.range().from(), Message.range().to(),
+                          Message.range().max_rows()};
     return Call;
   case wire::Call::kChanges:
     Call.Operation =
--- a/Source/Shard/JournalPartition.cpp
+++ b/Source/Shard/JournalPartition.cpp
@@ -54,7 +54,7 @@
   ClaimVersion = Outcome.Version;
   Claimed = true;
   LastConfirmedAt = SentAt;
-  readRows({});
+  readRows();
 }
 
 auto JournalPartition::onClaim(const store::TransactionConflict &Outcome)
@@ -93,32 +93,17 @@
                                    [this] { claim(AttemptedClaimVersion); });
 }
 
-auto JournalPartition::readRows(std::string From) -> void {
-  SharedContext.Store.read(
-      {ShardRows::ProgressTable, Name, From, {}},
-      SharedContext.Settings.StoreTimeout,
-      [Self = shared_from_this(), From](store::ReadOutcome Outcome) {
-        if (Self->Closed)
-          return;
-        auto *Page = std::get_if<store::RowPage>(&Outcome);
-        if (!Page) {
-          Self->Retry = Self->SharedContext.Loop.after(
-              Self->SharedContext.Settings.RetryDelay,
-              [Self, From] { Self->readRows(From); });
-          return;
-        }
-        const auto Last = Page->Rows.empty() ? "" : Page->Rows.back().Key.Key;
-        for (auto &Each : Page->Rows)
-          Self->RowsRead.push_back(std::move(Each));
-        if (Page->More && !Last.empty()) {
-          Self->readRows(Last + store::KeySuccessorSuffix);
-          return;
-        }
-        Self->Failures = 0;
-        Self->Retry.reset();
-        std::exchange(Self->OpenDone,
-                      nullptr)(std::exchange(Self->RowsRead, {}));
-      });
+auto JournalPartition::readRows() -> void {
+  const auto &Settings = SharedContext.Settings;
+  Reading = std::make_unique<store::PagedRead>(
+      SharedContext.Loop, SharedContext.Store, ShardRows::ProgressTable, Name,
+      store::PagedReadTiming{Settings.StoreTimeout, Settings.RetryDelay},
+      store::PagedRead::Observer{[this](store::PagedRead::Contents Found) {
+        const auto Self = shared_from_this(); // Done may end this object's use.
+        Failures = 0;
+        const auto Done = std::exchange(OpenDone, nullptr);
+        Done(std::move(Found.Rows));
+      }});
 }
 
 auto JournalPartition::setRowVersion(const std::string &Job,
@@ -160,6 +145,7 @@
 
 auto JournalPartition::close() -> void {
   Closed = true;
+  Reading.reset();
   Retry.reset();
   BatchTimer.reset();
 }
--- a/Source/Shard/JournalPartition.h
+++ b/Source/Shard/JournalPartition.h
@@ -5,6 +5,7 @@
 #include "Shard/Ownership.h"
 #include "Shard/ShardRows.h"
 #include "Shard/ShardSettings.h"
+#include "Store/PagedRead.h"
 #include "Store/RowStore.h"
 
 #include <deque>
@@ -94,7 +95,7 @@
   auto onClaim(const store::StoreRefusal &Outcome) -> void;
   auto onClaim(const store::StoreNoAnswer &Outcome) -> void;
   auto retryClaim(unsigned Weight, const std::string &Reason) -> void;
-  auto readRows(std::string From) -> void;
+  auto readRows() -> void;
   /// Returns whether the queued changes should wait for further ones.
   auto shouldWaitForMore() -> bool;
   auto prepareWrite() -> bool;
@@ -111,9 +112,9 @@
   const Context &SharedContext;
   std::string Name;
   OnOpened OpenDone;
-  std::vector<store::Row> RowsRead;
-  std::uint64_t AttemptedClaimVersion = 0; ///< Expected version of the claim
-                                           ///< row in the last attempt.
+  std::unique_ptr<store::PagedRead> Reading; ///< Of the progress rows.
+  std::uint64_t AttemptedClaimVersion = 0;   ///< Expected version of the claim
+                                             ///< row in the last attempt.
   std::uint64_t ClaimVersion = 0;
   bool Claimed = false;
   std::map<std::string, JobRow> JobRows;
--- a/Source/Store/RowStore.h
+++ b/Source/Store/RowStore.h
@@ -2,6 +2,7 @@
 
 #include "Base/Clock.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -97,6 +98,10 @@
   std::string Partition;
   std::string From;
   std::string To;
+  /// Largest number of rows in the answer; 0 for as many as the store gives.
+  std::size_t MaxRows = 0;
+
+  auto operator==(const RangeQuery &) const -> bool = default;
 };
 
 struct RowPage {
--- a/Source/Store/TableFollower.cpp
+++ b/Source/Store/TableFollower.cpp
@@ -1,8 +1,10 @@
 #include "Store/TableFollower.h"
 
 #include "Base/SuspendAwareClock.h"
+#include "Store/PagedRead.h"
 
 #include <algorithm>
+#include <iterator>
 #include <optional>
 #include <utility>
 
@@ -24,11 +26,15 @@
   auto readSnapshot() -> void {
     SnapshotRows.clear();
     SnapshotVersion.reset();
-    ++Attempt;
     SentAt = suspendAwareNow();
     PendingPartitions = Partitions.size();
     for (const auto &Partition : Partitions)
-      readPage(Partition, {});
+      Reads.push_back(std::make_unique<PagedRead>(
+          Loop, Store, Table, Partition,
+          PagedReadTiming{SnapshotTimeout, Timing.RetryDelay},
+          PagedRead::Observer{
+              [this](PagedRead::Contents Found) { onPartition(Found); },
+              [this] { reportFailedCall(); }}));
   }
 
   auto setPauseAfterChanges(Milliseconds Pause) -> void {
@@ -38,37 +44,23 @@
   auto stop() -> void {
     Stopped = true;
     DelayTimer.reset();
+    Reads.clear();
   }
 
 private:
-  auto readPage(const std::string &Partition, std::string From) -> void {
-    Store.read({Table, Partition, std::move(From), {}}, SnapshotTimeout,
-               [Self = shared_from_this(), Partition,
-                ThisAttempt = Attempt](ReadOutcome Outcome) {
-                 if (Self->Stopped || ThisAttempt != Self->Attempt)
-                   return;
-                 if (auto *Page = std::get_if<RowPage>(&Outcome))
-                   Self->onPage(Partition, *Page);
-                 else
-                   Self->retrySnapshot();
-               });
-  }
-
-  auto onPage(const std::string &Partition, RowPage &Page) -> void {
-    // Changes made while the pages were read are reported again. This is
+  auto onPartition(PagedRead::Contents &Found) -> void {
+    const auto Self =
+        shared_from_this(); // A callback may destroy the follower.
+    // Changes made while the rows were read are reported again. This is
     // harmless because a change carries the whole row.
     SnapshotVersion =
-        std::min(SnapshotVersion.value_or(Page.Version), Page.Version);
-    const auto LastKey = Page.Rows.empty() ? "" : Page.Rows.back().Key.Key;
-    for (auto &PageRow : Page.Rows)
-      SnapshotRows.push_back(std::move(PageRow));
-    if (Page.More && !LastKey.empty()) {
-      readPage(Partition, LastKey + KeySuccessorSuffix);
-      return;
-    }
+        std::min(SnapshotVersion.value_or(Found.Version), Found.Version);
+    std::move(Found.Rows.begin(), Found.Rows.end(),
+              std::back_inserter(SnapshotRows));
     if (--PendingPartitions > 0)
       return;
     LastVersion = *SnapshotVersion;
+    Reads.clear();
     Callbacks.OnSnapshot(std::exchange(SnapshotRows, {}));
     if (Stopped)
       return;
@@ -78,17 +70,12 @@
   }
 
   auto reportFailedCall() -> void {
+    const auto Self = shared_from_this();
     LastCallFailed = true;
     if (Callbacks.OnCallFailed)
       Callbacks.OnCallFailed();
   }
 
-  auto retrySnapshot() -> void {
-    ++Attempt;
-    reportFailedCall();
-    DelayTimer = Loop.after(Timing.RetryDelay, [this] { readSnapshot(); });
-  }
-
   auto reportUpToDate(Milliseconds AsOf) -> void {
     reportComplete(AsOf);
     if (!Stopped)
@@ -154,9 +141,7 @@
   std::vector<Row> SnapshotRows;
   std::optional<std::uint64_t> SnapshotVersion; ///< Lowest version of any page.
   std::size_t PendingPartitions = 0;
-  /// Number of the current snapshot attempt; answers to earlier attempts are
-  /// ignored.
-  unsigned Attempt = 0;
+  std::vector<std::unique_ptr<PagedRead>> Reads; ///< Of a snapshot.
   std::uint64_t LastVersion = 0;
   /// When the last call or the snapshot was started, by suspendAwareNow().
   Milliseconds SentAt{0};
--- a/Tests/Shard/FakeRowStore.h
+++ b/Tests/Shard/FakeRowStore.h
@@ -3,6 +3,7 @@
 #include "Net/EventLoop.h"
 #include "Store/RowStore.h"
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -68,6 +69,19 @@
   /// Stops, or resumes, the delivery of changes.
   auto setFeedStale(bool Stale) -> void { FeedStale = Stale; }
   auto setLatency(Milliseconds Next) -> void { Latency = Next; }
+  /// Pages with more rows than this do not arrive in time, as over a slow link;
+  /// 0 for no limit.
+  auto setLargestPageInTime(std::size_t Rows) -> void {
+    LargestPageInTime = Rows;
+  }
+  /// Lets the answer to a read take this long for each row.
+  auto setTimePerRow(Milliseconds Next) -> void { TimePerRow = Next; }
+  /// Returns how many rows the largest page had that was read.
+  auto largestPage() const -> std::size_t { return LargestPage; }
+  /// Returns how many rows arrived in pages that were read.
+  auto rowsRead() const -> std::size_t { return RowsRead; }
+  /// Returns the number of reads of ranges.
+  auto readCount() const -> std::size_t { return Reads; }
   auto heldCount() const -> std::size_t { return HeldTransactions.size(); }
   auto transactionCount() const -> std::size_t { return Transactions; }
   auto dropHistory() -> void { HistoryFrom = Version + 1; }
@@ -116,6 +130,7 @@
 
   auto read(store::RangeQuery Query, Milliseconds Timeout,
             std::function<void(store::ReadOutcome)> Done) -> void override {
+    ++Reads;
     if (CurrentMode == Mode::Silent) {
       later(Timeout, [Done] { Done(store::StoreNoAnswer{"silent"}); });
       return;
@@ -126,13 +141,18 @@
       Loop.post([Done] { Done(store::StoreRefusal{"refused"}); });
       return;
     }
-    store::RowPage Page;
-    for (const auto &[Key, Row] : Rows)
-      if (Key.Table == Query.Table && Key.Partition == Query.Partition &&
-          Key.Key >= Query.From && (Query.To.empty() || Key.Key < Query.To))
-        Page.Rows.push_back(Row);
-    Page.Version = Version;
-    Loop.post([Done, Page] { Done(Page); });
+    auto Page = pageOf(Query);
+    if (LargestPageInTime > 0 && Page.Rows.size() > LargestPageInTime) {
+      later(Timeout, [Done] { Done(store::StoreNoAnswer{"slow link"}); });
+      return;
+    }
+    RowsRead += Page.Rows.size();
+    LargestPage = std::max(LargestPage, Page.Rows.size());
+    const auto Duration = TimePerRow * static_cast<int>(Page.Rows.size());
+    if (Duration.count() > 0)
+      later(Duration, [Done, Page] { Done(Page); });
+    else
+      Loop.post([Done, Page] { Done(Page); });
   }
 
   auto changes(std::string Table, std::uint64_t After, Milliseconds Wait,
@@ -166,6 +186,22 @@
   }
 
 private:
+  auto pageOf(const store::RangeQuery &Query) const -> store::RowPage {
+    store::RowPage Page;
+    Page.Version = Version;
+    for (const auto &[Key, Row] : Rows) {
+      if (Key.Table != Query.Table || Key.Partition != Query.Partition ||
+          Key.Key < Query.From || (!Query.To.empty() && Key.Key >= Query.To))
+        continue;
+      if (Query.MaxRows > 0 && Page.Rows.size() >= Query.MaxRows) {
+        Page.More = true;
+        break;
+      }
+      Page.Rows.push_back(Row);
+    }
+    return Page;
+  }
+
   static constexpr Milliseconds PollInterval{2};
 
   auto later(Milliseconds Delay, std::function<void()> Action) -> void {
@@ -209,6 +245,11 @@
         ChangeLog.push_back({Key, {}, Version, true});
   }
 
+  std::size_t LargestPageInTime = 0;
+  Milliseconds TimePerRow{0};
+  std::size_t LargestPage = 0;
+  std::size_t RowsRead = 0;
+  std::size_t Reads = 0;
   net::EventLoop &Loop;
   Mode CurrentMode = Mode::Serving;
   std::set<std::string> DownPartitions;
--- a/Tests/Shard/RelayCodecTest.cpp
+++ b/Tests/Shard/RelayCodecTest.cpp
@@ -45,6 +45,17 @@
   RC_ASSERT(Result.Removals == Change.Removals);
 }
 
+RC_GTEST_PROP(RelayCodecTest, rangeIsUnchangedByRoundTrip, ()) {
+  const auto Key = arbitraryKey();
+  const store::RangeQuery Query{Key.Table, Key.Partition, Key.Key,
+                                *rc::gen::arbitrary<std::string>(),
+                                *rc::gen::arbitrary<std::size_t>()};
+  const auto Decoded =
+      decodeRelayCall(encodeRelayCall({Query, Milliseconds(70)}));
+  RC_ASSERT(Decoded.has_value());
+  RC_ASSERT(std::get<store::RangeQuery>(Decoded.value().Operation) == Query);
+}
+
 RC_GTEST_PROP(RelayCodecTest, rowPageIsUnchangedByRoundTrip, ()) {
   store::RowPage Page;
   for (int Count = *rc::gen::inRange(0, 4); Count > 0; --Count)
--- a/Tests/Shard/ShardOwnerTest.cpp
+++ b/Tests/Shard/ShardOwnerTest.cpp
@@ -112,6 +112,25 @@
   EXPECT_EQ(Workers.startsOf("a"), 1U);
 }
 
+// Guards against jobs that nobody schedules: a new owner behind a slow link
+// asks for all rows at once, again and again, and no answer arrives in time.
+TEST_F(ShardOwnerTest, newOwnerBehindASlowLinkRecovers) {
+  constexpr int JobCount = 400;
+  startOwner();
+  for (int Job = 0; Job < JobCount; ++Job)
+    submit(job("job-" + std::to_string(Job)));
+  ASSERT_TRUE(
+      runUntil([&] { return Owner->scheduler().jobs().size() == JobCount; }));
+  Owner.reset();
+  Store.setLargestPageInTime(20);
+  Registry.add("w1");
+  startOwner(2);
+  EXPECT_TRUE(
+      runUntil([&] { return !Owner->isRecovering(); }, Milliseconds(10000)));
+  EXPECT_EQ(Owner->scheduler().jobs().size(), JobCount);
+  EXPECT_TRUE(runUntil([&] { return Workers.startsOf("job-0") == 1; }));
+}
+
 // Guards against a lost end: the new owner must still receive an end that the
 // previous owner did not record before it failed.
 TEST_F(ShardOwnerTest, newOwnerTakesOverRunsAndUnrecordedEnds) {
--- a/Tests/Shard/WireCodecTest.cpp
+++ b/Tests/Shard/WireCodecTest.cpp
@@ -122,6 +122,17 @@
 
 // Guards against the use of rows in the worker table that do not describe a
 // usable worker.
+// Guards against pages that are not limited, so that a slow link never passes
+// one.
+TEST(WireCodecTest, limitsTheRowsOfAPage) {
+  store::RangeQuery Query{"table", "part", "from", "to"};
+  EXPECT_EQ(rangeTarget(Query),
+            "/rows-get?table=table&part=part&from=from&to=to");
+  Query.MaxRows = 8;
+  EXPECT_EQ(rangeTarget(Query),
+            "/rows-get?table=table&part=part&from=from&to=to&limit=8");
+}
+
 TEST(WireCodecTest, rejectsMalformedWorkerEntries) {
   for (const auto *Entry :
        {"", "[]", "{}", R"({"service":"s","address":"a","state":"odd"})",
