tests: one main, one CMake function and one set of clients for Tests/Platform

Cause: the entry point stood in four tests, their CMake blocks were alike, and OutageTest and RestartTest each had the same loops of clients that submit random jobs.

Change: TestMain.cpp is the entry point of all four; jayramp_platform_test() adds a test, and their common sources are compiled once, as a library; StageTest runs clients and reads the length of the traffic. Which jobs a seed submits through which hosts is unchanged: the host is still drawn first, as the compiler did.

--- a/Tests/Platform/ConnectionLimitsTest.cpp
+++ b/Tests/Platform/ConnectionLimitsTest.cpp
@@ -255,11 +255,3 @@
 
 } // namespace
 } // namespace jayramp::platform_test
-
-auto main(int ArgumentCount, char **Arguments) -> int {
-  testing::InitGoogleTest(&ArgumentCount, Arguments);
-  const auto Result = RUN_ALL_TESTS();
-  std::cout.flush();
-  // The threads of the stand-ins still use objects of static lifetime.
-  std::_Exit(Result);
-}
--- a/Tests/Platform/HandoverTest.cpp
+++ b/Tests/Platform/HandoverTest.cpp
@@ -6,9 +6,7 @@
 
 #include <gtest/gtest.h>
 
-#include <cstdlib>
 #include <filesystem>
-#include <iostream>
 #include <unistd.h>
 
 namespace jayramp::platform_test {
@@ -58,11 +56,3 @@
 
 } // namespace
 } // namespace jayramp::platform_test
-
-auto main(int ArgumentCount, char **Arguments) -> int {
-  testing::InitGoogleTest(&ArgumentCount, Arguments);
-  const auto Result = RUN_ALL_TESTS();
-  std::cout.flush();
-  // The threads of the stand-ins still use objects of static lifetime.
-  std::_Exit(Result);
-}
--- a/Tests/Platform/OutageTest.cpp
+++ b/Tests/Platform/OutageTest.cpp
@@ -4,10 +4,8 @@
 
 #include <gtest/gtest.h>
 
-#include <atomic>
-#include <cstdlib>
+#include <algorithm>
 #include <iostream>
-#include <thread>
 
 namespace jayramp::platform_test {
 namespace {
@@ -44,27 +42,14 @@
     ASSERT_TRUE(IsAccepted);
   }
 
-  /// Submits random jobs through random hosts until \p Stop is set.
-  auto sendJobs(std::uint64_t Client, const std::atomic<bool> &Stop) -> void {
-    std::mt19937_64 Random(Seed << 32U | Client);
-    for (std::uint64_t Number = 1; !Stop; ++Number) {
-      Stage->jobs().submit(JobPlan::random(jobId(Client, Number), Random),
-                           Stage->callers(), Random() % FaultPlan::HostCount);
-      review::sleepMs(std::uniform_int_distribution(400, 1600)(Random));
-    }
-  }
-
   auto runTraffic(unsigned Round, std::int64_t DurationMs) -> void {
-    std::atomic<bool> Stop = false;
-    std::vector<std::jthread> Clients;
-    for (std::uint64_t Number = 1; Number <= ClientCount; ++Number) {
-      const auto Client = Round * ClientCount + Number;
-      Clients.emplace_back([this, Client, &Stop] { sendJobs(Client, Stop); });
-    }
-    Clients.emplace_back([this, &Stop] { askForStates(Stop); });
-    Stage->run(DurationMs);
-    Stop = true;
+    std::vector<Client> Clients;
+    for (std::uint64_t Number = 1; Number <= ClientCount; ++Number)
+      Clients.push_back(sender(Round * ClientCount + Number, RandomJobs));
+    runClients(Clients, [&] { Stage->run(DurationMs); });
   }
+
+  static constexpr Traffic RandomJobs{JobPlan::random, 400, 1600};
 };
 
 // Guards against a wide gang that starves for a rack beside idle workers when
@@ -85,9 +70,7 @@
 // twice when the store and hosts fail together.
 TEST_F(OutageTest, jobsAreLostOrStandStillAfterOutages) {
   std::mt19937_64 Random(Seed);
-  const auto TrafficMs =
-      static_cast<std::int64_t>(environmentNumber("JAYRAMP_SECONDS", 24)) *
-      1000;
+  const auto TrafficMs = trafficMs(24);
   const auto Plan = FaultPlan::random(Random, TrafficMs);
   for (const auto &Fault : Plan.HostFaults)
     std::cout << Fault.describe() << "\n";
@@ -135,11 +118,3 @@
 
 } // namespace
 } // namespace jayramp::platform_test
-
-auto main(int ArgumentCount, char **Arguments) -> int {
-  testing::InitGoogleTest(&ArgumentCount, Arguments);
-  const auto Result = RUN_ALL_TESTS();
-  std::cout.flush();
-  // The threads of the stand-ins still use objects of static lifetime.
-  std::_Exit(Result);
-}
--- a/Tests/Platform/RestartTest.cpp
+++ b/Tests/Platform/RestartTest.cpp
@@ -7,11 +7,9 @@
 
 #include <gtest/gtest.h>
 
-#include <atomic>
-#include <cstdlib>
+#include <algorithm>
 #include <iostream>
 #include <map>
-#include <thread>
 
 namespace jayramp::platform_test {
 namespace {
@@ -32,12 +30,6 @@
 
 class RestartTest : public StageTest {
 protected:
-  auto submitLongJob(std::uint64_t Client, std::uint64_t Number,
-                     std::mt19937_64 &Random) -> void {
-    Stage->jobs().submit(JobPlan::randomLong(jobId(Client, Number), Random),
-                         Stage->callers(), Random() % FaultPlan::HostCount);
-  }
-
   /// Gives each worker a task, so that the owner talks to all of them. They are
   /// given once: a worker has no room for two.
   auto loadAllWorkers() -> void {
@@ -55,15 +47,6 @@
       review::sleepMs(LeftMs);
   }
 
-  /// Submits long jobs through random hosts until \p Stop is set.
-  auto sendJobs(std::uint64_t Client, const std::atomic<bool> &Stop) -> void {
-    std::mt19937_64 Random(Seed << 32U | Client);
-    for (std::uint64_t Number = 1; !Stop; ++Number) {
-      submitLongJob(Client, Number, Random);
-      review::sleepMs(std::uniform_int_distribution(1000, 2500)(Random));
-    }
-  }
-
   /// Submits jobs around each return of workers, so that starts are sent to
   /// them then.
   auto sendBursts(std::uint64_t Client, const RestartPlan &Plan) -> void {
@@ -74,7 +57,7 @@
       sleepUntil(BeginMs + std::uniform_int_distribution(
                                Each.returnMs() - 150, Each.cutAtMs())(Random));
       for (unsigned Job = 0; Job < JobsPerBurst; ++Job)
-        submitLongJob(Client, ++Number, Random);
+        submitRandom(JobPlan::randomLong, jobId(Client, ++Number), Random);
     }
   }
 
@@ -84,20 +67,20 @@
     HostFaults.HostFaults = Plan.HostFaults;
     HostFaults.LooksForIdleRoom = false;
     RestartPlayer Player(Stage->platform(), Plan, Seed);
-    std::atomic<bool> Stop = false;
-    std::vector<std::jthread> Clients;
-    std::uint64_t Client = 0;
+    std::vector<Client> Clients;
+    std::uint64_t Number = 0;
+    while (Number < SteadyClientCount)
+      Clients.push_back(sender(++Number, LongJobs));
+    while (Number < SteadyClientCount + BurstClientCount)
+      Clients.emplace_back(
+          [&, Id = ++Number](const auto &) { sendBursts(Id, Plan); });
+    Clients.emplace_back([&](const auto &) { loadAllWorkers(); });
     Stage->beginFaults(HostFaults);
     Player.begin();
-    for (unsigned Number = 0; Number < SteadyClientCount; ++Number)
-      Clients.emplace_back([&, Id = ++Client] { sendJobs(Id, Stop); });
-    for (unsigned Number = 0; Number < BurstClientCount; ++Number)
-      Clients.emplace_back([&, Id = ++Client] { sendBursts(Id, Plan); });
-    Clients.emplace_back([&] { loadAllWorkers(); });
-    Clients.emplace_back([&] { askForStates(Stop); });
-    Stage->run(Plan.endMs());
-    Stage->runUntilCalm();
-    Stop = true;
+    runClients(Clients, [&] {
+      Stage->run(Plan.endMs());
+      Stage->runUntilCalm();
+    });
   }
 
   auto expectFewRunLosses() -> void {
@@ -113,6 +96,8 @@
     }
     std::cout << "runs lost at most " << Most << " times by one worker\n";
   }
+
+  static constexpr Traffic LongJobs{JobPlan::randomLong, 1000, 2500};
 };
 
 // Guards against a start that the next process of a worker takes although its
@@ -143,10 +128,7 @@
 // stand still when workers restart under their ids and are cut off soon after.
 TEST_F(RestartTest, tasksRunTwiceOnWorkersThatRestartAndAreCutOff) {
   std::mt19937_64 Random(Seed);
-  const auto TrafficMs =
-      static_cast<std::int64_t>(environmentNumber("JAYRAMP_SECONDS", 12)) *
-      1000;
-  const auto Plan = RestartPlan::random(Random, TrafficMs);
+  const auto Plan = RestartPlan::random(Random, trafficMs(12));
   for (const auto &Restart : Plan.Restarts)
     std::cout << Restart.describe() << "\n";
   for (const auto &Fault : Plan.HostFaults)
@@ -160,11 +142,3 @@
 
 } // namespace
 } // namespace jayramp::platform_test
-
-auto main(int ArgumentCount, char **Arguments) -> int {
-  testing::InitGoogleTest(&ArgumentCount, Arguments);
-  const auto Result = RUN_ALL_TESTS();
-  std::cout.flush();
-  // The threads of the stand-ins still use objects of static lifetime.
-  std::_Exit(Result);
-}
--- a/Tests/Platform/StageTest.cpp
+++ b/Tests/Platform/StageTest.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <iostream>
+#include <thread>
 
 namespace jayramp::platform_test {
 
@@ -59,6 +60,41 @@
   ASSERT_TRUE(Stage->jobs().submit(Plan, Stage->callers(), NextCaller++));
 }
 
+auto StageTest::submitRandom(RandomJob NextJob, const std::string &Id,
+                             std::mt19937_64 &Random) -> void {
+  // The order of the draws is part of what a seed repeats.
+  const auto Host = Random() % FaultPlan::HostCount;
+  Stage->jobs().submit(NextJob(Id, Random), Stage->callers(), Host);
+}
+
+auto StageTest::sender(std::uint64_t Number, const Traffic &Jobs) -> Client {
+  return [this, Number, Jobs](const std::atomic<bool> &Stop) {
+    std::mt19937_64 Random(Seed << 32U | Number);
+    for (std::uint64_t Job = 1; !Stop; ++Job) {
+      submitRandom(Jobs.NextJob, jobId(Number, Job), Random);
+      review::sleepMs(std::uniform_int_distribution(Jobs.MinPauseMs,
+                                                    Jobs.MaxPauseMs)(Random));
+    }
+  };
+}
+
+auto StageTest::runClients(const std::vector<Client> &Clients,
+                           const std::function<void()> &Play) -> void {
+  std::atomic<bool> Stop = false;
+  std::vector<std::jthread> Threads;
+  for (const auto &Each : Clients)
+    Threads.emplace_back([&] { Each(Stop); });
+  Threads.emplace_back([&] { askForStates(Stop); });
+  Play();
+  Stop = true;
+}
+
+auto StageTest::trafficMs(std::uint64_t DefaultSeconds) -> std::int64_t {
+  return static_cast<std::int64_t>(
+             environmentNumber("JAYRAMP_SECONDS", DefaultSeconds)) *
+         1000;
+}
+
 auto StageTest::askForStates(const std::atomic<bool> &Stop) -> void {
   std::mt19937_64 Random(Seed);
   while (!Stop) {
