tests: the stand-in of a worker ends expired runs before it carries a call out

Cause: the stand-in looked for expired leases every 10 ms, later on a busy machine. A call that arrived in between renewed a lease that had expired, and the runs went on, though the protocol has them killed. It also listed all ends in one reply, not 500.

Change: each call first ends what is due; a list has at most 500 ends.

--- a/review/standins/WorkerStandIn.cpp
+++ b/review/standins/WorkerStandIn.cpp
@@ -23,6 +23,7 @@
 constexpr milliseconds StopTime{800};
 /// bounds.gang-timeout-ms.
 constexpr milliseconds GangTimeout{3000};
+constexpr std::size_t MaxListedEnds = 500;
 constexpr std::int64_t CpuMillis = 64000;
 constexpr std::int64_t MemoryMb = 131072;
 constexpr std::int64_t GpuCount = 8;
@@ -90,7 +91,10 @@
   std::thread([this] {
     while (true) {
       writeEntryIfDue();
-      update();
+      {
+        std::lock_guard Lock(Mutex);
+        endDueRuns();
+      }
       std::this_thread::sleep_for(UpdateInterval);
     }
   }).detach();
@@ -225,6 +229,8 @@
                              std::unique_lock<std::mutex> &Lock)
     -> HttpResponse {
   const auto Order = json::parse(Request.Body, nullptr, false);
+  // No call renews a lease that has expired.
+  endDueRuns();
   if (Request.Target == "/run-start")
     return startRun(Order);
   if (Request.Target == "/run-stop")
@@ -310,8 +316,11 @@
                    return !Known.Ends.empty() || Process != ProcessNumber;
                  });
   json Listed = json::array();
-  for (const auto &Each : Known.Ends)
+  for (const auto &Each : Known.Ends) {
+    if (Listed.size() == MaxListedEnds)
+      break;
     Listed.push_back({Each.Number, Each.Task, Each.Run, Each.How, ""});
+  }
   return {200, json{{"clock-ms", clockMs()},
                     {"born", BornUnixMs},
                     {"running", runningRows()},
@@ -351,8 +360,7 @@
   Ended.notify_all();
 }
 
-auto WorkerStandIn::update() -> void {
-  std::lock_guard Lock(Mutex);
+auto WorkerStandIn::endDueRuns() -> void {
   const auto Now = Clock::now();
   std::vector<std::pair<std::string, std::string>> Ending;
   for (auto &[Task, Each] : Known.RunByTask) {
--- a/review/standins/WorkerStandIn.h
+++ b/review/standins/WorkerStandIn.h
@@ -114,7 +114,7 @@
   auto extendLease(const nlohmann::json &Order) -> void;
   auto endRun(const std::string &Task, const std::string &How) -> void;
   /// Ends the runs whose work is done or whose lease has expired.
-  auto update() -> void;
+  auto endDueRuns() -> void;
   auto clockMs() const -> std::int64_t;
   auto reply(const std::string &Reason) const -> HttpResponse;
   auto writeEntryIfDue() -> void;
