tests: RunRules finds runs that start after an end that is acknowledged later

Cause: by rule TWICE, a task runs twice also if it starts after a run has ended as done and that end is taken note of later. RunRules looked only at ends that were acknowledged before the start, so a host that acknowledges an end which it has to withhold passed.

Change: a start between an end as done and its acknowledgement is a finding, unless a run on the same worker ended by its lease in between. Whether a lease lapses on a worker that runs nothing is not clear from the rule; the check assumes that it does not.

--- a/Tests/Platform/RunRules.h
+++ b/Tests/Platform/RunRules.h
@@ -12,8 +12,10 @@
 class RunRules {
 public:
   /// Returns the pairs of runs of one task that overlap, where a run without an
-  /// end lasts until \p NowMs, and the runs that start although the worker of
-  /// an earlier run was told that its end as `done` is known.
+  /// end lasts until \p NowMs, and the runs that start after the end of an
+  /// earlier run as `done`, if its worker was told before or later that this
+  /// end is known. Not if the worker's lease lapsed in between; only a run that
+  /// ended so shows that.
   static auto findings(const std::vector<review::RunHistory::Entry> &Runs,
                        std::int64_t NowMs) -> std::vector<std::string>;
 };
