tests: the check on idle room counts the capacity of workers that run something

Cause: rule LOST asks whether there is capacity for the waiting tasks twice over. The check counted only workers that run nothing, so jobs that wait beside workers with one small task each did not count.

Change: the room is what the runs on each worker leave of its accelerators.

--- a/Tests/Platform/IdleRoomCheck.cpp
+++ b/Tests/Platform/IdleRoomCheck.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 struct IdleRoomCheck::PoolUse {
-  std::set<std::string> BusyWorkers;
+  std::map<std::string, unsigned> GpusByWorker; ///< That runs take.
   std::set<std::string> RunningJobs;
   /// Completed tasks of each step of a job.
   std::map<std::pair<std::string, std::size_t>, std::set<std::string>> Done;
@@ -70,24 +70,33 @@
         Use.Done[{Job, Step}].insert(Run.Task);
       continue;
     }
-    Use.BusyWorkers.insert(Run.Worker);
     Use.RunningJobs.insert(Job);
+    auto &OfWorker = Use.GpusByWorker[Run.Worker];
     // A run may begin before its job's acceptance has reached the client.
-    if (const auto Found = PlanById.find(Job); Found != PlanById.end())
-      Use.GpusInUse += Found->second->Steps.at(Step).GpusPerTask;
+    if (const auto Found = PlanById.find(Job); Found != PlanById.end()) {
+      const auto Gpus = Found->second->Steps.at(Step).GpusPerTask;
+      OfWorker += Gpus;
+      Use.GpusInUse += Gpus;
+    } else {
+      OfWorker = GpusPerWorker;
+    }
   }
   return Use;
 }
 
 auto IdleRoomCheck::roomFor(const JobPlan &Plan, const StepPlan &Step,
                             const PoolUse &Use) const -> unsigned {
-  const auto FreeWorkers = std::count_if(
-      RackByWorker.begin(), RackByWorker.end(), [&](const auto &Each) {
-        return !Use.BusyWorkers.contains(Each.first) &&
-               (Plan.RequiredRack.empty() || Plan.RequiredRack == Each.second);
-      });
-  return static_cast<unsigned>(FreeWorkers) *
-         (GpusPerWorker / Step.GpusPerTask);
+  unsigned Room = 0;
+  for (const auto &[Worker, Rack] : RackByWorker) {
+    if (!Plan.RequiredRack.empty() && Plan.RequiredRack != Rack)
+      continue;
+    const auto Found = Use.GpusByWorker.find(Worker);
+    const auto Used = Found == Use.GpusByWorker.end()
+                          ? 0
+                          : std::min(Found->second, GpusPerWorker);
+    Room += (GpusPerWorker - Used) / Step.GpusPerTask;
+  }
+  return Room;
 }
 
 auto IdleRoomCheck::look(std::int64_t NowMs,
--- a/Tests/Platform/IdleRoomCheck.h
+++ b/Tests/Platform/IdleRoomCheck.h
@@ -18,7 +18,7 @@
   std::int64_t SinceMs = 0;
   std::int64_t UntilMs = 0;
   unsigned WaitingTasks = 0;
-  unsigned Room = 0; ///< Tasks of the job that the free workers would hold.
+  unsigned Room = 0; ///< Tasks of the job for which there is capacity.
   unsigned GpusInUse = 0;
   unsigned GpusInAll = 0;
 
@@ -27,8 +27,8 @@
 };
 
 /// Finds accepted jobs that have nothing running for longer than 3 s while less
-/// than half of the pool is in use and the workers that run nothing would hold
-/// the waiting tasks twice over.
+/// than half of the pool is in use and the capacity that no run takes would
+/// hold the waiting tasks twice over.
 class IdleRoomCheck {
 public:
   /// \p RackByWorker names all workers of the pool.
