tests: cuts of workers without a restart, which last until the last one ends

Cause: RestartPlan could cut workers off only after a restart, and a worker in two cuts was reached again when the first of them ended, so a part of the second was not played.

Hosts count as calm, and idle room is looked for, only while all workers are reached.

--- a/Tests/Platform/OutageStage.cpp
+++ b/Tests/Platform/OutageStage.cpp
@@ -14,7 +14,8 @@
 
 constexpr std::int64_t TickMs = 50;
 constexpr std::int64_t ReadyTimeoutMs = 20000;
-/// After a fault, the system has this long to recover.
+/// After a fault, the system has this long to recover: the calm before the 3 s
+/// of rule LOST.
 constexpr std::int64_t GraceMs = 4000;
 /// bounds.evacuate-ms.
 constexpr std::int64_t EvacuateMs = 5000;
@@ -221,9 +222,11 @@
   return Found;
 }
 
-auto OutageStage::isCalm() const -> bool {
+auto OutageStage::isCalm() -> bool {
   return !IsStoreDown && std::ranges::all_of(Hosts, [](const EntryHost &Host) {
     return Host.state() == EntryHost::State::Running;
+  }) && std::ranges::all_of(Platform.workers(), [](const auto &Worker) {
+    return Worker->isReachable();
   });
 }
 
--- a/Tests/Platform/OutageStage.h
+++ b/Tests/Platform/OutageStage.h
@@ -37,7 +37,7 @@
   auto beginFaults(FaultPlan Plan) -> void;
   /// Plays the faults and looks for idle room for \p DurationMs.
   auto run(std::int64_t DurationMs) -> void;
-  /// The same until the store is up and all hosts run.
+  /// The same until the store is up, all hosts run and all workers are reached.
   auto runUntilCalm() -> void;
   /// Closes a zone while the owner is stopped, and kills the owner before it
   /// can act on that; the host starts again as after a fault. Returns when the
@@ -90,7 +90,7 @@
   /// Idle room is looked for only on workers outside \p ClosedZone.
   auto lookAtWorkersOutside(const std::string &ClosedZone) -> void;
   auto findDeadHosts() -> void;
-  auto isCalm() const -> bool;
+  auto isCalm() -> bool;
   /// Returns the host that took the shard last.
   auto owner() const -> std::size_t;
   auto tick() -> void;
--- a/Tests/Platform/OutageTest.cpp
+++ b/Tests/Platform/OutageTest.cpp
@@ -48,8 +48,6 @@
       Clients.push_back(sender(Round * ClientCount + Number, RandomJobs));
     runClients(Clients, [&] { Stage->run(DurationMs); });
   }
-
-  static constexpr Traffic RandomJobs{JobPlan::random, 400, 1600};
 };
 
 // Guards against a wide gang that starves for a rack beside idle workers when
--- a/Tests/Platform/RestartPlayer.cpp
+++ b/Tests/Platform/RestartPlayer.cpp
@@ -24,36 +24,53 @@
     : Platform(Platform), Random(Seed) {
   for (const auto &Each : Plan.Restarts)
     schedule(Each);
+  for (const auto &Each : Plan.Cuts)
+    schedule(Each);
 }
 
-auto RestartPlayer::scheduleStep(const WorkerRestart &Restart,
-                                 std::int64_t AtMs, const std::string &What,
+auto RestartPlayer::scheduleStep(const WorkerGroup &Group, std::int64_t AtMs,
+                                 const std::string &What,
                                  const std::function<void(std::size_t)> &Step)
     -> void {
   Steps.emplace(AtMs, [=, this] {
-    Platform.record().write(Restart.Group + " " + What);
-    for (const auto Worker : Restart.Workers)
+    Platform.record().write(Group.Name + " " + What);
+    for (const auto Worker : Group.Workers)
       Step(Worker);
   });
 }
 
+auto RestartPlayer::schedule(const WorkerCut &Cut) -> void {
+  scheduleStep(Cut.Group, Cut.AtMs, "is cut off",
+               [this, Delays = Cut.DelaysCalls](std::size_t Worker) {
+                 beginCut(Worker, Delays);
+               });
+  scheduleStep(Cut.Group, Cut.endMs(), "is reached again",
+               [this](std::size_t Worker) { endCut(Worker); });
+}
+
+auto RestartPlayer::beginCut(std::size_t Worker, bool DelaysCalls) -> void {
+  ++CutsByWorker[Worker];
+  Platform.workers()[Worker]->setCutOff(true, DelaysCalls);
+}
+
+auto RestartPlayer::endCut(std::size_t Worker) -> void {
+  if (--CutsByWorker[Worker] == 0)
+    Platform.workers()[Worker]->setCutOff(false);
+}
+
 auto RestartPlayer::schedule(const WorkerRestart &Restart) -> void {
   auto &Workers = Platform.workers();
   const auto Kind = Restart.IsOfMachines
                         ? review::WorkerStandIn::Crash::Machine
                         : review::WorkerStandIn::Crash::Process;
-  scheduleStep(Restart, Restart.AtMs, "crashes",
+  scheduleStep(Restart.Group, Restart.AtMs, "crashes",
                [&, Kind](std::size_t Worker) { Workers[Worker]->crash(Kind); });
-  scheduleStep(Restart, Restart.returnMs(), "is back",
+  scheduleStep(Restart.Group, Restart.returnMs(), "is back",
                [this, Delay = Restart.MaxEntryDelayMs](std::size_t Worker) {
                  startAgain(Worker, Delay);
                });
-  scheduleStep(Restart, Restart.cutAtMs(), "is cut off",
-               [&, Delays = Restart.DelaysCalls](std::size_t Worker) {
-                 Workers[Worker]->setCutOff(true, Delays);
-               });
-  scheduleStep(Restart, Restart.endMs(), "is reached again",
-               [&](std::size_t Worker) { Workers[Worker]->setCutOff(false); });
+  schedule(WorkerCut{Restart.Group, Restart.cutAtMs(), Restart.CutMs,
+                     Restart.DelaysCalls});
 }
 
 auto RestartPlayer::startAgain(std::size_t Worker, std::int64_t MaxEntryDelayMs)
--- a/Tests/Platform/RestartPlayer.h
+++ b/Tests/Platform/RestartPlayer.h
@@ -13,8 +13,8 @@
 
 namespace jayramp::platform_test {
 
-/// Plays the restarts of a plan on the workers of a platform, on a thread of
-/// its own, since a cut may follow a return within 20 ms.
+/// Plays the restarts and cuts of a plan on the workers of a platform, on a
+/// thread of its own, since a cut may follow a return within 20 ms.
 class RestartPlayer {
 public:
   RestartPlayer(review::Cluster &Platform, const RestartPlan &Plan,
@@ -24,14 +24,19 @@
   auto begin() -> void;
 
 private:
+  auto schedule(const WorkerCut &Cut) -> void;
   auto schedule(const WorkerRestart &Restart) -> void;
-  auto scheduleStep(const WorkerRestart &Restart, std::int64_t AtMs,
+  auto scheduleStep(const WorkerGroup &Group, std::int64_t AtMs,
                     const std::string &What,
                     const std::function<void(std::size_t)> &Step) -> void;
+  auto beginCut(std::size_t Worker, bool DelaysCalls) -> void;
+  auto endCut(std::size_t Worker) -> void;
   auto startAgain(std::size_t Worker, std::int64_t MaxEntryDelayMs) -> void;
 
   review::Cluster &Platform;
   std::mt19937_64 Random;
+  /// How many cuts each worker is in: it is reached again after the last one.
+  std::map<std::size_t, unsigned> CutsByWorker;
   std::multimap<std::int64_t, std::function<void()>> Steps; ///< By their ms.
   std::jthread Player;
 };
--- a/Tests/Platform/RestartTest.cpp
+++ b/Tests/Platform/RestartTest.cpp
@@ -2,7 +2,6 @@
 // off soon after. JAYRAMP_SEED repeats a run; README.md names the other
 // variables.
 #include "RestartPlan.h"
-#include "RestartPlayer.h"
 #include "StageTest.h"
 
 #include <gtest/gtest.h>
@@ -42,11 +41,6 @@
     }
   }
 
-  auto sleepUntil(std::int64_t AtMs) -> void {
-    if (const auto LeftMs = AtMs - Stage->elapsedMs(); LeftMs > 0)
-      review::sleepMs(LeftMs);
-  }
-
   /// Submits jobs around each return of workers, so that starts are sent to
   /// them then.
   auto sendBursts(std::uint64_t Client, const RestartPlan &Plan) -> void {
@@ -61,12 +55,7 @@
     }
   }
 
-  /// Plays the plan, with traffic until its last fault has ended.
-  auto play(const RestartPlan &Plan) -> void {
-    FaultPlan HostFaults;
-    HostFaults.HostFaults = Plan.HostFaults;
-    HostFaults.LooksForIdleRoom = false;
-    RestartPlayer Player(Stage->platform(), Plan, Seed);
+  auto playWithTraffic(const RestartPlan &Plan) -> void {
     std::vector<Client> Clients;
     std::uint64_t Number = 0;
     while (Number < SteadyClientCount)
@@ -75,12 +64,7 @@
       Clients.emplace_back(
           [&, Id = ++Number](const auto &) { sendBursts(Id, Plan); });
     Clients.emplace_back([&](const auto &) { loadAllWorkers(); });
-    Stage->beginFaults(HostFaults);
-    Player.begin();
-    runClients(Clients, [&] {
-      Stage->run(Plan.endMs());
-      Stage->runUntilCalm();
-    });
+    play(Plan, false, Clients);
   }
 
   auto expectFewRunLosses() -> void {
@@ -105,10 +89,10 @@
 // for answers of their processes, get starts at once, and are cut off.
 TEST_F(RestartTest, nextProcessHoldsALeaseThatTheOwnerBelievesToBeOver) {
   WorkerRestart Restart;
-  Restart.Group = "every second worker";
+  Restart.Group.Name = "every second worker";
   constexpr auto Count = OutageStage::RackCount * OutageStage::WorkersPerRack;
   for (unsigned Worker = 0; Worker < Count; Worker += 2)
-    Restart.Workers.push_back(Worker);
+    Restart.Group.Workers.push_back(Worker);
   Restart.AtMs = 3000;
   Restart.DownMs = 300;
   Restart.IsOfMachines = true;
@@ -118,7 +102,7 @@
   RestartPlan Plan;
   Plan.Restarts = {Restart};
   ASSERT_NO_FATAL_FAILURE(start());
-  play(Plan);
+  playWithTraffic(Plan);
   expectAllCompleted(CompletionLimitMs);
   expectFewRunLosses();
   expectNoFindings();
@@ -129,12 +113,9 @@
 TEST_F(RestartTest, tasksRunTwiceOnWorkersThatRestartAndAreCutOff) {
   std::mt19937_64 Random(Seed);
   const auto Plan = RestartPlan::random(Random, trafficMs(12));
-  for (const auto &Restart : Plan.Restarts)
-    std::cout << Restart.describe() << "\n";
-  for (const auto &Fault : Plan.HostFaults)
-    std::cout << Fault.describe() << "\n";
+  std::cout << Plan.describe();
   ASSERT_NO_FATAL_FAILURE(start());
-  play(Plan);
+  playWithTraffic(Plan);
   expectAllCompleted(CompletionLimitMs);
   expectFewRunLosses();
   expectNoFindings();
--- a/Tests/Platform/StageTest.cpp
+++ b/Tests/Platform/StageTest.cpp
@@ -1,5 +1,7 @@
 #include "StageTest.h"
 
+#include "RestartPlayer.h"
+
 #include <cinttypes>
 #include <cstdio>
 #include <cstdlib>
@@ -89,6 +91,25 @@
   Stop = true;
 }
 
+auto StageTest::play(const RestartPlan &Plan, bool LooksForIdleRoom,
+                     const std::vector<Client> &Clients) -> void {
+  FaultPlan HostFaults;
+  HostFaults.HostFaults = Plan.HostFaults;
+  HostFaults.LooksForIdleRoom = LooksForIdleRoom;
+  RestartPlayer Player(Stage->platform(), Plan, Seed);
+  Stage->beginFaults(HostFaults);
+  Player.begin();
+  runClients(Clients, [&] {
+    Stage->run(Plan.endMs());
+    Stage->runUntilCalm();
+  });
+}
+
+auto StageTest::sleepUntil(std::int64_t AtMs) -> void {
+  if (const auto LeftMs = AtMs - Stage->elapsedMs(); LeftMs > 0)
+    review::sleepMs(LeftMs);
+}
+
 auto StageTest::trafficMs(std::uint64_t DefaultSeconds) -> std::int64_t {
   return static_cast<std::int64_t>(
              environmentNumber("JAYRAMP_SECONDS", DefaultSeconds)) *
--- a/Tests/Platform/StageTest.h
+++ b/Tests/Platform/StageTest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "OutageStage.h"
+#include "RestartPlan.h"
 
 #include <gtest/gtest.h>
 
@@ -30,6 +31,7 @@
     int MinPauseMs;
     int MaxPauseMs;
   };
+  static constexpr Traffic RandomJobs{JobPlan::random, 400, 1600};
 
   StageTest();
   ~StageTest() override;
@@ -47,6 +49,12 @@
   /// while \p Play runs.
   auto runClients(const std::vector<Client> &Clients,
                   const std::function<void()> &Play) -> void;
+  /// Plays the plan with the traffic of \p Clients until its last fault has
+  /// ended.
+  auto play(const RestartPlan &Plan, bool LooksForIdleRoom,
+            const std::vector<Client> &Clients) -> void;
+  /// Sleeps until \p AtMs of the stage's time.
+  auto sleepUntil(std::int64_t AtMs) -> void;
   /// Asks hosts in turn for the states of jobs until \p Stop is set.
   auto askForStates(const std::atomic<bool> &Stop) -> void;
   /// Fails for accepted jobs that are not completed in time.
--- a/review/standins/WorkerStandIn.cpp
+++ b/review/standins/WorkerStandIn.cpp
@@ -153,6 +153,11 @@
   CutEnded.notify_all();
 }
 
+auto WorkerStandIn::isReachable() -> bool {
+  std::lock_guard Lock(Mutex);
+  return IsUp && !IsCutOff;
+}
+
 auto WorkerStandIn::startDraining(std::int64_t RemainingMs) -> void {
   std::lock_guard Lock(Mutex);
   LeavesAt = Clock::now() + milliseconds(RemainingMs);
--- a/review/standins/WorkerStandIn.h
+++ b/review/standins/WorkerStandIn.h
@@ -45,6 +45,8 @@
   /// the store. If \p Delays, the calls that arrive meanwhile are carried
   /// out when the cut ends, but never answered.
   auto setCutOff(bool CutOff, bool Delays = false) -> void;
+  /// Returns false while the worker is down or cut off.
+  auto isReachable() -> bool;
   /// What differs between a process and the next one under the same id.
   struct NextProcess {
     std::int64_t EntryDelayMs = 0; ///< From its start to its first entry.
