--- a/Tests/Platform/IdleRoomCheck.cpp
+++ b/Tests/Platform/IdleRoomCheck.cpp
@@ -94,7 +94,10 @@
     const auto Used = Found == Use.GpusByWorker.end()
                           ? 0
                           : std::min(Found->second, GpusPerWorker);
-    Room += (GpusPerWorker - Used) / Step.GpusPerTask;
+    const auto Tasks = (GpusPerWorker - Used) / Step.GpusPerTask;
+    Room += Step.MaxTasksPerWorker == 0
+                ? Tasks
+                : std::min(Tasks, Step.MaxTasksPerWorker);
   }
   return Room;
 }
--- a/Tests/Platform/JobPlan.cpp
+++ b/Tests/Platform/JobPlan.cpp
@@ -30,6 +30,13 @@
   return Plan;
 }
 
+auto JobPlan::singleStep(std::string Id, const StepPlan &Step) -> JobPlan {
+  JobPlan Plan;
+  Plan.Id = std::move(Id);
+  Plan.Steps = {Step};
+  return Plan;
+}
+
 auto JobPlan::wideGang(std::string Id, std::int64_t WorkMs) -> JobPlan {
   JobPlan Plan;
   Plan.Id = std::move(Id);
@@ -86,6 +93,8 @@
                {"mem-mb", Step.GpusPerTask * MemoryMbPerGpu},
                {"gpu", Step.GpusPerTask},
                {"estimated-ms", Step.WorkMs}};
+    if (Step.MaxTasksPerWorker > 0)
+      Entry["anti-affinity"] = Step.MaxTasksPerWorker;
     if (Index > 0)
       Entry["after"] = {Index - 1};
     if (IsSameRackGang) {
--- a/Tests/Platform/JobPlan.h
+++ b/Tests/Platform/JobPlan.h
@@ -12,6 +12,7 @@
   unsigned TaskCount = 1;
   unsigned GpusPerTask = 1;
   std::int64_t WorkMs = 1000;
+  unsigned MaxTasksPerWorker = 0; ///< 0 if any number may run on one worker.
 
   auto operator==(const StepPlan &) const -> bool = default;
 };
@@ -28,6 +29,8 @@
   /// themselves.
   static auto rackFiller(std::string Id, std::string Rack, unsigned Workers,
                          std::int64_t WorkMs) -> JobPlan;
+  /// Returns a job of one step that any worker may run.
+  static auto singleStep(std::string Id, const StepPlan &Step) -> JobPlan;
   /// Returns a gang of ten tasks in one rack, of which a worker holds two.
   static auto wideGang(std::string Id, std::int64_t WorkMs) -> JobPlan;
   /// Returns a single task, two steps, a gang or an urgent job.
