--- a/Tests/Platform/RestartTest.cpp
+++ b/Tests/Platform/RestartTest.cpp
@@ -2,16 +2,13 @@
 // off soon after. JAYRAMP_SEED repeats a run; README.md names the other
 // variables.
 #include "RestartPlan.h"
-#include "RestartPlayer.h"
 #include "StageTest.h"
 
 #include <gtest/gtest.h>
 
-#include <atomic>
-#include <cstdlib>
+#include <algorithm>
 #include <iostream>
 #include <map>
-#include <thread>
 
 namespace jayramp::platform_test {
 namespace {
@@ -32,12 +29,6 @@
 
 class RestartTest : public StageTest {
 protected:
-  auto submitLongJob(std::uint64_t Client, std::uint64_t Number,
-                     std::mt19937_64 &Random) -> void {
-    Stage->jobs().submit(JobPlan::randomLong(jobId(Client, Number), Random),
-                         Stage->callers(), Random() % FaultPlan::HostCount);
-  }
-
   /// Gives each worker a task, so that the owner talks to all of them. They are
   /// given once: a worker has no room for two.
   auto loadAllWorkers() -> void {
@@ -50,20 +41,6 @@
     }
   }
 
-  auto sleepUntil(std::int64_t AtMs) -> void {
-    if (const auto LeftMs = AtMs - Stage->elapsedMs(); LeftMs > 0)
-      review::sleepMs(LeftMs);
-  }
-
-  /// Submits long jobs through random hosts until \p Stop is set.
-  auto sendJobs(std::uint64_t Client, const std::atomic<bool> &Stop) -> void {
-    std::mt19937_64 Random(Seed << 32U | Client);
-    for (std::uint64_t Number = 1; !Stop; ++Number) {
-      submitLongJob(Client, Number, Random);
-      review::sleepMs(std::uniform_int_distribution(1000, 2500)(Random));
-    }
-  }
-
   /// Submits jobs around each return of workers, so that starts are sent to
   /// them then.
   auto sendBursts(std::uint64_t Client, const RestartPlan &Plan) -> void {
@@ -74,30 +51,20 @@
       sleepUntil(BeginMs + std::uniform_int_distribution(
                                Each.returnMs() - 150, Each.cutAtMs())(Random));
       for (unsigned Job = 0; Job < JobsPerBurst; ++Job)
-        submitLongJob(Client, ++Number, Random);
+        submitRandom(JobPlan::randomLong, jobId(Client, ++Number), Random);
     }
   }
 
-  /// Plays the plan, with traffic until its last fault has ended.
-  auto play(const RestartPlan &Plan) -> void {
-    FaultPlan HostFaults;
-    HostFaults.HostFaults = Plan.HostFaults;
-    HostFaults.LooksForIdleRoom = false;
-    RestartPlayer Player(Stage->platform(), Plan, Seed);
-    std::atomic<bool> Stop = false;
-    std::vector<std::jthread> Clients;
-    std::uint64_t Client = 0;
-    Stage->beginFaults(HostFaults);
-    Player.begin();
-    for (unsigned Number = 0; Number < SteadyClientCount; ++Number)
-      Clients.emplace_back([&, Id = ++Client] { sendJobs(Id, Stop); });
-    for (unsigned Number = 0; Number < BurstClientCount; ++Number)
-      Clients.emplace_back([&, Id = ++Client] { sendBursts(Id, Plan); });
-    Clients.emplace_back([&] { loadAllWorkers(); });
-    Clients.emplace_back([&] { askForStates(Stop); });
-    Stage->run(Plan.endMs());
-    Stage->runUntilCalm();
-    Stop = true;
+  auto playWithTraffic(const RestartPlan &Plan) -> void {
+    std::vector<Client> Clients;
+    std::uint64_t Number = 0;
+    while (Number < SteadyClientCount)
+      Clients.push_back(sender(++Number, LongJobs));
+    while (Number < SteadyClientCount + BurstClientCount)
+      Clients.emplace_back(
+          [&, Id = ++Number](const auto &) { sendBursts(Id, Plan); });
+    Clients.emplace_back([&](const auto &) { loadAllWorkers(); });
+    play(Plan, false, Clients);
   }
 
   auto expectFewRunLosses() -> void {
@@ -113,6 +80,8 @@
     }
     std::cout << "runs lost at most " << Most << " times by one worker\n";
   }
+
+  static constexpr Traffic LongJobs{JobPlan::randomLong, 1000, 2500};
 };
 
 // Guards against a start that the next process of a worker takes although its
@@ -120,10 +89,10 @@
 // for answers of their processes, get starts at once, and are cut off.
 TEST_F(RestartTest, nextProcessHoldsALeaseThatTheOwnerBelievesToBeOver) {
   WorkerRestart Restart;
-  Restart.Group = "every second worker";
+  Restart.Group.Name = "every second worker";
   constexpr auto Count = OutageStage::RackCount * OutageStage::WorkersPerRack;
   for (unsigned Worker = 0; Worker < Count; Worker += 2)
-    Restart.Workers.push_back(Worker);
+    Restart.Group.Workers.push_back(Worker);
   Restart.AtMs = 3000;
   Restart.DownMs = 300;
   Restart.IsOfMachines = true;
@@ -133,7 +102,7 @@
   RestartPlan Plan;
   Plan.Restarts = {Restart};
   ASSERT_NO_FATAL_FAILURE(start());
-  play(Plan);
+  playWithTraffic(Plan);
   expectAllCompleted(CompletionLimitMs);
   expectFewRunLosses();
   expectNoFindings();
@@ -143,16 +112,10 @@
 // stand still when workers restart under their ids and are cut off soon after.
 TEST_F(RestartTest, tasksRunTwiceOnWorkersThatRestartAndAreCutOff) {
   std::mt19937_64 Random(Seed);
-  const auto TrafficMs =
-      static_cast<std::int64_t>(environmentNumber("JAYRAMP_SECONDS", 12)) *
-      1000;
-  const auto Plan = RestartPlan::random(Random, TrafficMs);
-  for (const auto &Restart : Plan.Restarts)
-    std::cout << Restart.describe() << "\n";
-  for (const auto &Fault : Plan.HostFaults)
-    std::cout << Fault.describe() << "\n";
+  const auto Plan = RestartPlan::random(Random, trafficMs(12));
+  std::cout << Plan.describe();
   ASSERT_NO_FATAL_FAILURE(start());
-  play(Plan);
+  playWithTraffic(Plan);
   expectAllCompleted(CompletionLimitMs);
   expectFewRunLosses();
   expectNoFindings();
@@ -160,11 +123,3 @@
 
 } // namespace
 } // namespace jayramp::platform_test
-
-auto main(int ArgumentCount, char **Arguments) -> int {
-  testing::InitGoogleTest(&ArgumentCount, Arguments);
-  const auto Result = RUN_ALL_TESTS();
-  std::cout.flush();
-  // The threads of the stand-ins still use objects of static lifetime.
-  std::_Exit(Result);
-}
--- a/review/standins/WorkerStandIn.h
+++ b/review/standins/WorkerStandIn.h
@@ -45,6 +45,8 @@
   /// the store. If \p Delays, the calls that arrive meanwhile are carried
   /// out when the cut ends, but never answered.
   auto setCutOff(bool CutOff, bool Delays = false) -> void;
+  /// Returns false while the worker is down or cut off.
+  auto isReachable() -> bool;
   /// What differs between a process and the next one under the same id.
   struct NextProcess {
     std::int64_t EntryDelayMs = 0; ///< From its start to its first entry.
@@ -114,7 +116,7 @@
   auto extendLease(const nlohmann::json &Order) -> void;
   auto endRun(const std::string &Task, const std::string &How) -> void;
   /// Ends the runs whose work is done or whose lease has expired.
-  auto update() -> void;
+  auto endDueRuns() -> void;
   auto clockMs() const -> std::int64_t;
   auto reply(const std::string &Reason) const -> HttpResponse;
   auto writeEntryIfDue() -> void;
