tests: the stand-ins record when the lease of a worker lapses

RunRules took only a run that ended as lapsed for a sign that its worker's lease had lapsed. The rule speaks of the worker's lease, which lapses too while nothing runs, and a success that is acknowledged after that does not count as known.

--- a/Tests/Platform/RunRules.cpp
+++ b/Tests/Platform/RunRules.cpp
@@ -1,6 +1,5 @@
 #include "RunRules.h"
 
-#include <algorithm>
 #include <map>
 
 namespace jayramp::platform_test {
@@ -16,17 +15,13 @@
          (Run.EndMs ? std::to_string(*Run.EndMs) + " ms, " + Run.How : "now");
 }
 
-/// Returns true if a run on the worker of \p Run ended by its lease after the
-/// end of \p Run and before its acknowledgement.
-auto hasLeaseLapsed(const Entry &Run, const std::vector<Entry> &Runs) -> bool {
-  return std::ranges::any_of(Runs, [&](const Entry &Each) {
-    return Each.Worker == Run.Worker && Each.How == "lapsed" &&
-           Each.EndMs > Run.EndMs && Each.EndMs < Run.AcknowledgedMs;
-  });
+/// Returns whether the lease of the run's worker lapsed between the end of the
+/// run and its acknowledgement.
+auto hasLeaseLapsed(const Entry &Run) -> bool {
+  return Run.LeaseLapsedMs && *Run.LeaseLapsedMs < *Run.AcknowledgedMs;
 }
 
-auto compare(const Entry &Earlier, const Entry &Later,
-             const std::vector<Entry> &Runs, std::int64_t NowMs,
+auto compare(const Entry &Earlier, const Entry &Later, std::int64_t NowMs,
              std::vector<std::string> &Found) -> void {
   if (Later.StartMs < Earlier.EndMs.value_or(NowMs))
     Found.push_back("two runs overlap: " + describe(Earlier) + " and " +
@@ -38,7 +33,7 @@
                     " ms: " + describe(Earlier) + " and " + describe(Later);
   if (*Earlier.AcknowledgedMs < Later.StartMs)
     Found.push_back("started after " + Ends);
-  else if (*Earlier.EndMs < Later.StartMs && !hasLeaseLapsed(Earlier, Runs))
+  else if (*Earlier.EndMs < Later.StartMs && !hasLeaseLapsed(Earlier))
     Found.push_back("started again before " + Ends);
 }
 
@@ -52,7 +47,7 @@
   for (const auto &Run : Runs) {
     auto &Earlier = ByTask[Run.Task];
     for (const auto *Each : Earlier)
-      compare(*Each, Run, Runs, NowMs, Found);
+      compare(*Each, Run, NowMs, Found);
     Earlier.push_back(&Run);
   }
   return Found;
--- a/Tests/Platform/RunRules.h
+++ b/Tests/Platform/RunRules.h
@@ -14,8 +14,7 @@
   /// Returns the pairs of runs of one task that overlap, where a run without an
   /// end lasts until \p NowMs, and the runs that start after the end of an
   /// earlier run as `done`, if its worker was told before or later that this
-  /// end is known. Not if the worker's lease lapsed in between; only a run that
-  /// ended so shows that.
+  /// end is known. Not if the worker's lease lapsed in between.
   static auto findings(const std::vector<review::RunHistory::Entry> &Runs,
                        std::int64_t NowMs) -> std::vector<std::string>;
 };
--- a/review/standins/RunHistory.h
+++ b/review/standins/RunHistory.h
@@ -27,6 +27,9 @@
     std::string How;
     /// When the worker was told that its end is known.
     std::optional<std::int64_t> AcknowledgedMs;
+    /// When the worker's lease first lapsed after the end, if it did before the
+    /// worker was told.
+    std::optional<std::int64_t> LeaseLapsedMs;
   };
 
   explicit RunHistory(Record &Output) : Output(Output) {}
@@ -35,7 +38,7 @@
   auto start(const std::string &Task, std::uint32_t Run,
              const std::string &Worker) -> std::size_t {
     std::lock_guard Lock(Mutex);
-    Entries.push_back({Task, Run, Worker, Output.elapsedMs(), {}, {}, {}});
+    Entries.push_back({Task, Run, Worker, Output.elapsedMs(), {}, {}, {}, {}});
     Output.write("run starts: " + describe(Entries.back()));
     return Entries.size() - 1;
   }
@@ -53,6 +56,11 @@
     Entries.at(Position).AcknowledgedMs = Output.elapsedMs();
   }
 
+  auto recordLapse(std::size_t Position) -> void {
+    std::lock_guard Lock(Mutex);
+    Entries.at(Position).LeaseLapsedMs = Output.elapsedMs();
+  }
+
   auto entries() const -> std::vector<Entry> {
     std::lock_guard Lock(Mutex);
     return Entries;
--- a/review/standins/WorkerStandIn.cpp
+++ b/review/standins/WorkerStandIn.cpp
@@ -388,6 +388,14 @@
   }
   for (const auto &[Task, How] : Ending)
     endRun(Task, How);
+  if (clockMs() >= Known.LeaseEndMs)
+    recordLapse();
+}
+
+auto WorkerStandIn::recordLapse() -> void {
+  for (auto &Each : Known.Ends)
+    if (!std::exchange(Each.IsLeaseLapsed, true))
+      History.recordLapse(Each.HistoryPosition);
 }
 
 } // namespace review
--- a/review/standins/WorkerStandIn.h
+++ b/review/standins/WorkerStandIn.h
@@ -87,6 +87,7 @@
     std::uint32_t Run = 0;
     std::string How;
     std::size_t HistoryPosition = 0;
+    bool IsLeaseLapsed = false; ///< Since the end.
   };
   /// What a process knows; the next one begins with none of it.
   struct Memory {
@@ -117,6 +118,8 @@
   auto endRun(const std::string &Task, const std::string &How) -> void;
   /// Ends the runs whose work is done or whose lease has expired.
   auto endDueRuns() -> void;
+  /// Records for the ends that are listed if the worker's lease has lapsed.
+  auto recordLapse() -> void;
   auto clockMs() const -> std::int64_t;
   auto reply(const std::string &Reason) const -> HttpResponse;
   auto writeEntryIfDue() -> void;
