scheduling: try workers that refuse starts last

A worker that refuses a start gets no task for 0.5 s, one to which a start cannot be sent for 20 ms to 1 s. After that it comes before the others again, if it has the least free room. A task that met eight such workers in 0.5 s never tried another, and a task whose run could not be sent returned to the same worker for ever, as its own delay ends at the same time.

Such workers come last now, as those that failed tasks do, until they start one.

WaitBoundTest: red on the code before, 4 of 4 (no start in 20 s of simulated time), green after.

--- a/Source/Scheduling/LayoutSearch.cpp
+++ b/Source/Scheduling/LayoutSearch.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 /// Costs that rank layouts without victims.
-constexpr double RecentFailureCost = 1e6;
+constexpr double DoubtfulWorkerCost = 1e6;
 constexpr double RemoteDataCost = 1e4;
 
 } // namespace
@@ -33,7 +33,7 @@
   for (const auto &Speeds : Group.Speeds.rangesForGang(Workers.speedClasses(),
                                                        Group.AllowedSpeeds)) {
     auto Result = cheapestLayoutWithin(Speeds, Group, Source);
-    if (Result && Result->Cost < RecentFailureCost)
+    if (Result && Result->Cost < DoubtfulWorkerCost)
       return Result;
   }
   return OnAnyWorkers;
@@ -126,16 +126,15 @@
     if (MaxTasks == 0)
       continue;
     const auto &Entry = *Candidate.Worker;
-    const bool HasRecentFailure = !Entry.FailedJobs.empty();
     const bool IsFarFromData =
         !Spec.DataRack.empty() && Entry.Report.Rack != Spec.DataRack;
     // Among workers of one speed, fill the racks and workers with the least
     // free resources first, so that whole racks and workers stay free.
-    Options.push_back(
-        {{HasRecentFailure, IsFarFromData, Group.Speeds.rankOf(Candidate.Speed),
-          Workers.freeGpusOfRack(Entry.Rack), Available.Gpus,
-          Available.MemoryMb, Position},
-         MaxTasks});
+    Options.push_back({{Entry.isDoubtful(), IsFarFromData,
+                        Group.Speeds.rankOf(Candidate.Speed),
+                        Workers.freeGpusOfRack(Entry.Rack), Available.Gpus,
+                        Available.MemoryMb, Position},
+                       MaxTasks});
     Total += MaxTasks;
   }
   if (Total == 0 || (Spec.Gang && Total < Group.TaskCount))
@@ -153,7 +152,7 @@
         std::min(Group.TaskCount - Result.TaskCount, Choice.MaxTasks);
     Result.TaskCounts.emplace_back(Choice.position(), TaskCount);
     Result.TaskCount += TaskCount;
-    Result.Cost += std::get<0>(Choice.Preference) ? RecentFailureCost : 0;
+    Result.Cost += std::get<0>(Choice.Preference) ? DoubtfulWorkerCost : 0;
     Result.Cost += std::get<1>(Choice.Preference) ? RemoteDataCost : 0;
     Options.pop_back();
   }
--- a/Source/Scheduling/ShardScheduler.cpp
+++ b/Source/Scheduling/ShardScheduler.cpp
@@ -113,6 +113,7 @@
     Entry.FailedJobs.clear();
     Entry.QuarantinedUntil = {};
     Entry.UnsentRuns.recordSuccess();
+    Entry.RefusedStart = false;
     // A worker that is new to this owner may be known to the one before.
     if (Entry.Report.Incarnation != 0)
       RunTimes.forgetWorker(Report.Id);
@@ -176,6 +177,8 @@
 
 auto ShardScheduler::pauseWorker(const std::string &Id, TimePoint Now) -> void {
   quarantineWorker(Id, Now + Policy.StartRefusalBackoff);
+  if (const auto Found = Workers.find(Id); Found != Workers.end())
+    Found->second.RefusedStart = true;
 }
 
 auto ShardScheduler::quarantineWorker(const std::string &Id, TimePoint Until)
@@ -203,8 +206,11 @@
   LiveRun.LastReportAt = Now;
   auto &Job = *LiveRun.Job;
   Job.recordStarted(Id.Step, Id.Index);
-  if (const auto Target = Workers.find(LiveRun.Worker); Target != Workers.end())
+  if (const auto Target = Workers.find(LiveRun.Worker);
+      Target != Workers.end()) {
     Target->second.UnsentRuns.recordSuccess();
+    Target->second.RefusedStart = false;
+  }
   if (Job.Spec.Steps[Id.Step].Gang)
     StartingGangs.insert(gangId(Id));
   if (Job.Progress.State == JobState::Pending) {
--- a/Source/Scheduling/WorkerEntry.h
+++ b/Source/Scheduling/WorkerEntry.h
@@ -30,6 +30,7 @@
   TimePoint QuarantinedUntil;
   /// Of runs that the worker could not be sent since its last start.
   RetryBackoff UnsentRuns;
+  bool RefusedStart = false; ///< Since its last start.
   /// Expected time of a task here as a multiple of its time on a typical
   /// worker; updated before each scheduling pass.
   double TimeFactor = 1.0;
@@ -37,6 +38,13 @@
 
   /// Returns whether the worker's capacity counts as capacity of its pool.
   auto isOpen() const -> bool { return Registered && !InClosedZone; }
+  /// Returns whether the worker has failed tasks, or could not start one, and
+  /// nothing has shown since that this is over. Such workers are tried last: a
+  /// task would go on trying them otherwise, and never the others.
+  auto isDoubtful() const -> bool {
+    return !FailedJobs.empty() || RefusedStart ||
+           UnsentRuns.until() != TimePoint();
+  }
 };
 
 } // namespace jayramp::scheduling
