shard: take a run back from a worker that does not start it

A start that its worker never answered, that could not be sent, or whose lease had always expired on arrival was sent again for ever while the worker answered renewals; only members of gangs were moved. The run held room and its task stood still.

If a start fails 2 s or more after the first attempt and the worker answers, the run is given back: unsent if none was sent, else after a stop, which makes the worker reject a start that is still under way. The worker is tried last until it starts something.

--- a/Source/Shard/RunOrders.h
+++ b/Source/Shard/RunOrders.h
@@ -17,6 +17,7 @@
   unsigned StartsUnanswered = 0;
   bool StartInFlight = false;
   bool StopInFlight = false;
+  TimePoint FirstStartAt; ///< When a start was attempted first.
   TimePoint NextStart;
   TimePoint NextStop;
   /// If set, the run has ended if a renewal sent at this time or later does
--- a/Source/Shard/RunOverEvidence.cpp
+++ b/Source/Shard/RunOverEvidence.cpp
@@ -9,6 +9,7 @@
   case RunOverEvidence::StoppedUnsent:
   case RunOverEvidence::WorkerSilent:
   case RunOverEvidence::OtherProcess:
+  case RunOverEvidence::StartNotSent:
     return true;
   case RunOverEvidence::StartRefused:
   case RunOverEvidence::NotListed:
@@ -22,7 +23,8 @@
 
 auto isUnsentForWorker(RunOverEvidence Evidence) -> bool {
   return Evidence == RunOverEvidence::WorkerSilent ||
-         Evidence == RunOverEvidence::OtherProcess;
+         Evidence == RunOverEvidence::OtherProcess ||
+         Evidence == RunOverEvidence::StartNotSent;
 }
 
 auto toString(RunOverEvidence Evidence) -> std::string_view {
@@ -37,6 +39,8 @@
     return "worker-silent";
   case RunOverEvidence::OtherProcess:
     return "other-process";
+  case RunOverEvidence::StartNotSent:
+    return "start-not-sent";
   case RunOverEvidence::StartRefused:
     return "start-refused";
   case RunOverEvidence::NotListed:
--- a/Source/Shard/RunOverEvidence.h
+++ b/Source/Shard/RunOverEvidence.h
@@ -11,7 +11,8 @@
   StoppedUnsent,  ///< Never sent: it was stopped before.
   WorkerSilent,   ///< Never sent: its worker does not answer.
   OtherProcess,   ///< Never sent: another process of its worker listens.
-  StartRefused,   ///< The worker refused its only start.
+  StartNotSent,   ///< Never sent: no start could be, though its worker answers.
+  StartRefused,   ///< The worker refused all its starts.
   NotListed,      ///< The worker has stopped it and does not list it.
   NewIncarnation, ///< The worker's process has been replaced.
   LeaseExpired,   ///< The worker does not answer, and its leases are over.
--- a/Source/Shard/ShardSettings.h
+++ b/Source/Shard/ShardSettings.h
@@ -62,6 +62,10 @@
   auto longestStartTimeout() const -> Milliseconds {
     return startTimeout(MaxStartTimeoutFactor);
   }
+  /// A run is taken back from a worker that answers if a start fails this long
+  /// after the first attempt. Leaves time for three starts without an answer,
+  /// the last of which ends before a job may count as standing still (3 s).
+  Milliseconds MaxStartTime{2000};
   /// Added to a renewal's wait to get its timeout.
   Milliseconds RenewReplyMargin{600};
   Milliseconds RetryDelay{100};
--- a/Source/Shard/WorkerOrders.cpp
+++ b/Source/Shard/WorkerOrders.cpp
@@ -211,6 +211,8 @@
   Order.LeaseExpiresAtMs = Link.grantLease();
   Order.FencingToken = SharedContext.FencingToken;
   State.StartInFlight = true;
+  if (State.StartAttempts == 0)
+    State.FirstStartAt = now();
   ++State.StartsSent;
   ++State.StartAttempts;
   SharedContext.Scheduler.runStartSent(ActiveRun.Id);
@@ -247,7 +249,7 @@
     SharedContext.Scheduler.stopRun(Id, StopReason::StartRefused);
     break;
   case OrderOutcome::LeaseExpired:
-    State.NextStart = now() + SharedContext.Settings.RetryDelay;
+    retryStart(Id, State, Reply, SharedContext.Settings.RetryDelay);
     break;
   case OrderOutcome::NoCapacity:
   case OrderOutcome::Refused:
@@ -256,11 +258,11 @@
     break;
   case OrderOutcome::Unanswered:
     ++State.StartsUnanswered;
-    State.NextStart = now() + UnansweredStartDelay;
+    retryStart(Id, State, Reply, UnansweredStartDelay);
     break;
   case OrderOutcome::NotSent:
     --State.StartsSent;
-    State.NextStart = now() + SharedContext.Settings.RetryDelay;
+    retryStart(Id, State, Reply, SharedContext.Settings.RetryDelay);
     break;
   }
   if (Reply.Outcome != OrderOutcome::Accepted)
@@ -272,11 +274,30 @@
   SharedContext.OnStateChanged();
 }
 
+auto WorkerOrders::retryStart(const RunId &Id, RunOrders &State,
+                              const OrderReply &Reply, Milliseconds Delay)
+    -> void {
+  if (!isStartOverdue(Id, State))
+    State.NextStart = now() + Delay;
+  else if (State.isNeverSent())
+    dropUnsent(Id, RunOverEvidence::StartNotSent);
+  else
+    abandonStart(Id, State, Reply);
+}
+
+auto WorkerOrders::isStartOverdue(const RunId &Id, const RunOrders &State) const
+    -> bool {
+  // The runs of a worker that does not answer are over with their leases.
+  const auto *ActiveRun = SharedContext.Scheduler.run(Id);
+  return ActiveRun && ActiveRun->Phase == RunPhase::Assigned &&
+         Link.life().answers() &&
+         now() - State.FirstStartAt >= SharedContext.Settings.MaxStartTime;
+}
+
 auto WorkerOrders::abandonStart(const RunId &Id, const RunOrders &State,
                                 const OrderReply &Reply) -> void {
   const bool CannotStart = State.StartsUnanswered == 0 && !State.Recovered;
-  if (Reply.Outcome == OrderOutcome::NoCapacity ||
-      Reply.Outcome == OrderOutcome::Refused)
+  if (Reply.Outcome != OrderOutcome::WrongIncarnation)
     SharedContext.Scheduler.pauseWorker(Link.worker(), now());
   if (Reply.Outcome == OrderOutcome::WrongIncarnation)
     Session.OnOtherProcess();
--- a/Source/Shard/WorkerOrders.h
+++ b/Source/Shard/WorkerOrders.h
@@ -81,6 +81,12 @@
   auto sendStart(const scheduling::Run &ActiveRun, RunOrders &State) -> void;
   auto onStartReply(const scheduling::RunId &Id, const OrderReply &Reply)
       -> void;
+  /// Sends a start that failed again after \p Delay, or abandons it.
+  auto retryStart(const scheduling::RunId &Id, RunOrders &State,
+                  const OrderReply &Reply, Milliseconds Delay) -> void;
+  /// Returns whether a worker that answers has not started the run in time.
+  auto isStartOverdue(const scheduling::RunId &Id, const RunOrders &State) const
+      -> bool;
   auto abandonStart(const scheduling::RunId &Id, const RunOrders &State,
                     const OrderReply &Reply) -> void;
   auto sendStop(const scheduling::RunId &Id) -> void;
--- a/Tests/Shard/FakeWorkers.h
+++ b/Tests/Shard/FakeWorkers.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -35,6 +36,8 @@
     unsigned UnansweredStarts = 0; ///< Next starts that get no reply.
     bool MisdirectsStarts = false; ///< Starts, not queries, reach another one.
     bool FailsTasks = false;       ///< All tasks fail.
+    /// No start is carried out; each has this outcome.
+    std::optional<shard::OrderOutcome> StartOutcome = std::nullopt;
     std::map<scheduling::RunId, Task> Running;
     std::vector<shard::ReportedEnd> Ended;
     std::set<scheduling::RunId> StoppedOrEnded; ///< May not start again.
@@ -101,6 +104,15 @@
       });
       return;
     }
+    if (Each.StartOutcome) {
+      const bool IsAnswered =
+          *Each.StartOutcome != shard::OrderOutcome::Unanswered;
+      later(IsAnswered ? Each.AnswerDelay : Timeout,
+            [Done, Reply = shard::OrderReply{*Each.StartOutcome,
+                                             IsAnswered ? clockMs(Each) : 0,
+                                             {}}] { Done(Reply); });
+      return;
+    }
     if (Order.FencingToken < Each.HighestToken)
       Outcome = shard::OrderOutcome::Fenced;
     else if (Each.StoppedOrEnded.contains(Order.Run))
--- a/Tests/Shard/ShardFixture.h
+++ b/Tests/Shard/ShardFixture.h
@@ -94,6 +94,7 @@
     Settings.RenewWait = Milliseconds(60);
     Settings.RenewReplyMargin = Milliseconds(60);
     Settings.OrderTimeout = Milliseconds(40);
+    Settings.MaxStartTime = Milliseconds(120);
     Settings.RetryDelay = Milliseconds(10);
     Settings.StoreTimeout = Milliseconds(80);
     Settings.HeartbeatInterval = Milliseconds(50);
