scheduling: use quarantined workers beside an idle pool

A worker on which two jobs failed, or a run stalled, gets no task for 8 s, and again after each further failure or stall. Stalls have no limit of attempts: a task that makes no progress anywhere keeps four to five workers in quarantine for as long as its job lives. Three such tasks of 8 accelerators kept a gang of four from twelve workers, of which three were in use, for 50 s of simulated time, when the test ended.

In a pool that is less than half in use, quarantined workers are the last choice once a group has waited 1.5 s, instead of none. Doubtful workers take turns, the one whose last trouble is longest ago first: else a few that refuse every start keep a task from the sound ones in quarantine. Workers that refused a start or have an end withheld stay without tasks: their pause is a value of its own.

WaitBoundTest: hungTasks... and failingTasksKeepMostOfThePoolInQuarantine red on the code before, green after.

--- a/Source/Scheduling/LayoutSearch.cpp
+++ b/Source/Scheduling/LayoutSearch.cpp
@@ -103,12 +103,12 @@
     bool IncludeStoppingRuns) const -> std::optional<Layout> {
   const auto &Spec = Group.spec();
   struct Option {
-    std::tuple<bool, bool, int, std::int64_t, std::int64_t, std::int64_t,
-               std::size_t>
+    std::tuple<bool, TimePoint, bool, int, std::int64_t, std::int64_t,
+               std::int64_t, std::size_t>
         Preference;
     std::uint32_t MaxTasks;
 
-    auto position() const -> std::size_t { return std::get<6>(Preference); }
+    auto position() const -> std::size_t { return std::get<7>(Preference); }
   };
   std::vector<Option> Options;
   std::uint32_t Total = 0;
@@ -126,12 +126,14 @@
     if (MaxTasks == 0)
       continue;
     const auto &Entry = *Candidate.Worker;
+    const bool IsDoubtful = Entry.isDoubtful(Now);
     const bool IsFarFromData =
         !Spec.DataRack.empty() && Entry.Report.Rack != Spec.DataRack;
+    // Doubtful workers take turns, so that each that is sound is tried.
     // Among workers of one speed, fill the racks and workers with the least
     // free resources first, so that whole racks and workers stay free.
-    Options.push_back({{Entry.isDoubtful(), IsFarFromData,
-                        Group.Speeds.rankOf(Candidate.Speed),
+    Options.push_back({{IsDoubtful, IsDoubtful ? Entry.TroubledAt : TimePoint(),
+                        IsFarFromData, Group.Speeds.rankOf(Candidate.Speed),
                         Workers.freeGpusOfRack(Entry.Rack), Available.Gpus,
                         Available.MemoryMb, Position},
                        MaxTasks});
@@ -153,7 +155,7 @@
     Result.TaskCounts.emplace_back(Choice.position(), TaskCount);
     Result.TaskCount += TaskCount;
     Result.Cost += std::get<0>(Choice.Preference) ? DoubtfulWorkerCost : 0;
-    Result.Cost += std::get<1>(Choice.Preference) ? RemoteDataCost : 0;
+    Result.Cost += std::get<2>(Choice.Preference) ? RemoteDataCost : 0;
     Options.pop_back();
   }
   // Prefer the set of workers that has the fewest free accelerators.
--- a/Source/Scheduling/PlacementPass.cpp
+++ b/Source/Scheduling/PlacementPass.cpp
@@ -36,6 +36,7 @@
 auto PlacementPass::run() -> void {
   collectCandidates();
   auto Groups = TaskGroupCollector(Scheduler, Candidates, Now).collect();
+  addQuarantined(Groups);
   PendingGatherings = Scheduler.RoomForGangs.gatherings();
   for (auto &Group : Groups) {
     holdGangRoom(Group, Groups);
@@ -104,13 +105,35 @@
       PoolCoreEquivalents += Entry.Report.Capacity.coreEquivalents();
     if (Entry.isOpen() && ReserveSpeeds.contains(Speed))
       TotalGpus += Entry.Report.Capacity.Gpus;
-    if (Entry.isOpen() && Entry.Reachable && !Entry.Report.Draining &&
-        Now >= Entry.QuarantinedUntil && Entry.UnsentRuns.isOver(Now))
+    if (!Entry.takesTasks(Now))
+      continue;
+    if (Now >= Entry.QuarantinedUntil)
       Candidates.add(Entry, Speed);
+    else
+      Quarantined.emplace_back(&Entry, Speed);
   }
   ReservedGpus = Scheduler.Reserve.size(TotalGpus, Now);
 }
 
+auto PlacementPass::addQuarantined(const std::vector<TaskGroup> &Groups)
+    -> void {
+  UsesQuarantined =
+      !Quarantined.empty() &&
+      std::any_of(Groups.begin(), Groups.end(),
+                  [this](const auto &Each) { return needsQuarantined(Each); });
+  if (!UsesQuarantined)
+    return;
+  // They are tried last, by all groups.
+  for (const auto &[Worker, Speed] : Quarantined)
+    Candidates.add(*Worker, Speed);
+}
+
+auto PlacementPass::needsQuarantined(const TaskGroup &Group) -> bool {
+  const auto Waited = Now - Group.Job->waitingSince(Group.Step).value_or(Now);
+  return !Group.NotTried && Waited >= Scheduler.Policy.MaxQuarantineWait &&
+         poolUseOf(Group) < Scheduler.Policy.IdlePoolUse;
+}
+
 auto PlacementPass::speedClassOf(const WorkerEntry &Worker) const
     -> SpeedClass {
   return SpeedsKnown ? scheduling::speedClassOf(Worker.TimeFactor) : 0;
@@ -266,7 +289,8 @@
   if (Now < Scheduler.NextWaitDiagnosis)
     return;
   Scheduler.NextWaitDiagnosis = Now + WaitDiagnosisInterval;
-  auto Reports = WaitDiagnosis(Scheduler, Search, Now).diagnose(Groups);
+  auto Reports =
+      WaitDiagnosis(Scheduler, Search, UsesQuarantined, Now).diagnose(Groups);
   std::move(Reports.begin(), Reports.end(),
             std::back_inserter(Scheduler.WaitReports));
 }
--- a/Source/Scheduling/PlacementPass.h
+++ b/Source/Scheduling/PlacementPass.h
@@ -29,6 +29,11 @@
 
 private:
   auto collectCandidates() -> void;
+  /// Makes quarantined workers candidates if a group may use them.
+  auto addQuarantined(const std::vector<TaskGroup> &Groups) -> void;
+  /// Returns whether the group has waited so long beside an idle pool that
+  /// quarantined workers are used.
+  auto needsQuarantined(const TaskGroup &Group) -> bool;
   /// Holds the room that is gathered for gangs against \p Next and the groups
   /// after it. Places the gangs that fit.
   auto holdGangRoom(const TaskGroup &Next, std::vector<TaskGroup> &Groups)
@@ -125,6 +130,9 @@
   PlacementFailureCache PreemptionFailures;
   /// Failures to preempt equally urgent runs as well, for a guarantee.
   PlacementFailureCache ReclaimFailures;
+  /// Workers that take tasks but for a quarantine, with their speeds.
+  std::vector<std::pair<WorkerEntry *, SpeedClass>> Quarantined;
+  bool UsesQuarantined = false; ///< They are candidates in this pass.
   /// Gatherings whose room is not held yet in this pass.
   std::vector<GangRoom::Gathering> PendingGatherings;
   double PoolCoreEquivalents = 0; ///< Capacity of the registered workers.
--- a/Source/Scheduling/RunSupervision.cpp
+++ b/Source/Scheduling/RunSupervision.cpp
@@ -43,9 +43,11 @@
     -> void {
   for (const auto &Id : StalledRuns) {
     const auto WorkerIt = Scheduler.Workers.find(Scheduler.Runs.at(Id).Worker);
-    if (WorkerIt != Scheduler.Workers.end())
+    if (WorkerIt != Scheduler.Workers.end()) {
+      WorkerIt->second.TroubledAt = Now;
       WorkerIt->second.QuarantinedUntil =
           Now + Scheduler.Policy.QuarantineDuration;
+    }
     Scheduler.stopRun(Id, StopReason::Stalled);
   }
   // The other members of the gangs are stopped only after all stalled runs, so
--- a/Source/Scheduling/ShardScheduler.cpp
+++ b/Source/Scheduling/ShardScheduler.cpp
@@ -112,6 +112,7 @@
   if (Entry.Report.Incarnation != Report.Incarnation) {
     Entry.FailedJobs.clear();
     Entry.QuarantinedUntil = {};
+    Entry.PausedUntil = {};
     Entry.UnsentRuns.recordSuccess();
     Entry.RefusedStart = false;
     // A worker that is new to this owner may be known to the one before.
@@ -177,16 +178,17 @@
 
 auto ShardScheduler::pauseWorker(const std::string &Id, TimePoint Now) -> void {
   quarantineWorker(Id, Now + Policy.StartRefusalBackoff);
-  if (const auto Found = Workers.find(Id); Found != Workers.end())
+  if (const auto Found = Workers.find(Id); Found != Workers.end()) {
     Found->second.RefusedStart = true;
+    Found->second.TroubledAt = Now;
+  }
 }
 
 auto ShardScheduler::quarantineWorker(const std::string &Id, TimePoint Until)
     -> void {
   auto Found = Workers.find(Id);
   if (Found != Workers.end())
-    Found->second.QuarantinedUntil =
-        std::max(Found->second.QuarantinedUntil, Until);
+    Found->second.PausedUntil = std::max(Found->second.PausedUntil, Until);
 }
 
 auto ShardScheduler::runStartSent(const RunId &Id) -> void {
@@ -343,8 +345,10 @@
   Found->second.Job->recordUnsentRun(Id.Step, Id.Index, Policy.UnsentRunDelay,
                                      Now);
   if (const auto Target = Workers.find(Found->second.Worker);
-      WorkerCausedIt && Target != Workers.end())
+      WorkerCausedIt && Target != Workers.end()) {
     Target->second.UnsentRuns.recordFailure(Policy.UnsentRunDelay, Now);
+    Target->second.TroubledAt = Now;
+  }
   runLost(Id, Now);
 }
 
@@ -542,6 +546,7 @@
     return;
   auto &Entry = Found->second;
   Entry.FailedJobs.insert(Job);
+  Entry.TroubledAt = Now;
   if (Entry.FailedJobs.size() >= Policy.QuarantineFailures)
     Entry.QuarantinedUntil = Now + Policy.QuarantineDuration;
 }
--- a/Source/Scheduling/WaitDiagnosis.cpp
+++ b/Source/Scheduling/WaitDiagnosis.cpp
@@ -131,10 +131,12 @@
 auto WaitDiagnosis::roomOnQuarantined(const TaskGroup &Group) const
     -> std::uint32_t {
   std::uint32_t Count = 0;
-  for (const auto &[Id, Entry] : Scheduler.workers())
-    if (isEligible(Group, Entry) && Entry.Reachable &&
-        (Now < Entry.QuarantinedUntil || !Entry.UnsentRuns.isOver(Now)))
+  for (const auto &[Id, Entry] : Scheduler.workers()) {
+    const bool IsLeftOut = !Entry.takesTasks(Now) ||
+                           (Now < Entry.QuarantinedUntil && !UsesQuarantined);
+    if (isEligible(Group, Entry) && Entry.Reachable && IsLeftOut)
       Count += roomOn(Group, Entry);
+  }
   return Count;
 }
 
--- a/Source/Scheduling/WaitDiagnosis.h
+++ b/Source/Scheduling/WaitDiagnosis.h
@@ -17,9 +17,11 @@
 /// at a time, and each job is diagnosed again only after a while.
 class WaitDiagnosis {
 public:
+  /// \p UsesQuarantined tells whether the pass used quarantined workers.
   WaitDiagnosis(const ShardScheduler &Scheduler, const LayoutSearch &Search,
-                TimePoint Now)
-      : Scheduler(Scheduler), Search(Search), Now(Now) {}
+                bool UsesQuarantined, TimePoint Now)
+      : Scheduler(Scheduler), Search(Search), UsesQuarantined(UsesQuarantined),
+        Now(Now) {}
 
   /// Diagnoses some of the groups that are due, those whose last diagnosis is
   /// oldest first, and records the reasons in their jobs.
@@ -46,6 +48,7 @@
 
   const ShardScheduler &Scheduler;
   const LayoutSearch &Search;
+  bool UsesQuarantined;
   TimePoint Now;
 };
 
--- a/Source/Scheduling/WorkerEntry.h
+++ b/Source/Scheduling/WorkerEntry.h
@@ -27,7 +27,12 @@
   std::map<RunId, Run *> Runs;
   /// Jobs that failed on the worker since its last success.
   std::set<std::string> FailedJobs;
+  /// When a task last failed, stalled or could not be started on the worker.
+  TimePoint TroubledAt;
+  /// Tasks failed or stalled on the worker: until then it is used only in an
+  /// idle pool, for tasks that find no other room.
   TimePoint QuarantinedUntil;
+  TimePoint PausedUntil; ///< It gets no tasks at all until then.
   /// Of runs that the worker could not be sent since its last start.
   RetryBackoff UnsentRuns;
   bool RefusedStart = false; ///< Since its last start.
@@ -38,12 +43,17 @@
 
   /// Returns whether the worker's capacity counts as capacity of its pool.
   auto isOpen() const -> bool { return Registered && !InClosedZone; }
+  /// Returns whether the worker gets tasks at \p Now apart from a quarantine.
+  auto takesTasks(TimePoint Now) const -> bool {
+    return isOpen() && Reachable && !Report.Draining && Now >= PausedUntil &&
+           UnsentRuns.isOver(Now);
+  }
   /// Returns whether the worker has failed tasks, or could not start one, and
   /// nothing has shown since that this is over. Such workers are tried last: a
   /// task would go on trying them otherwise, and never the others.
-  auto isDoubtful() const -> bool {
+  auto isDoubtful(TimePoint Now) const -> bool {
     return !FailedJobs.empty() || RefusedStart ||
-           UnsentRuns.until() != TimePoint();
+           UnsentRuns.until() != TimePoint() || Now < QuarantinedUntil;
   }
 };
 
--- a/Tests/Shard/WaitBoundTest.cpp
+++ b/Tests/Shard/WaitBoundTest.cpp
@@ -122,5 +122,53 @@
   EXPECT_LE(StartedAt, LongestWaitMs);
 }
 
+// Guards against a gang that waits beside idle workers because a few tasks that
+// make no progress anywhere go from worker to worker, each of which gets
+// nothing for a while.
+TEST_F(WaitBoundTest, hungTasksKeepMostOfThePoolInQuarantine) {
+  addWorkers(1, 12);
+  for (const auto *Id : {"hung0", "hung1", "hung2"})
+    addJob(Id, {1, 1, 8});
+  bool IsPlaced = false;
+  for (std::int64_t Ms = 0; Ms <= 60000 && !IsPlaced; Ms += StepMs) {
+    if (Ms == 10000)
+      addJob("gang", {1, 4, 8, true}, Ms);
+    Scheduler.schedule(at(Ms));
+    IsPlaced = !runsOf("gang").empty();
+    for (const auto &[Id, LiveRun] : std::map(Scheduler.runs()))
+      if (LiveRun.Phase == RunPhase::Stopping)
+        Scheduler.runEnded(Id, RunOutcome::Stopped, {}, at(Ms));
+      else
+        Scheduler.runProgressed(Id, 0, {}, at(Ms));
+  }
+  EXPECT_TRUE(IsPlaced);
+}
+
+// Guards against the same by tasks that fail wherever they run.
+TEST_F(WaitBoundTest, failingTasksKeepMostOfThePoolInQuarantine) {
+  addWorkers(1, 12);
+  int Next = 0;
+  bool IsPlaced = false;
+  for (std::int64_t Ms = 0; Ms <= 60000 && !IsPlaced; Ms += StepMs) {
+    if (Ms % 500 == 0)
+      addJob("failing" + std::to_string(Next++),
+             {1, 4, 1, false, false, Milliseconds(500), "", 1}, Ms);
+    if (Ms == 10000)
+      addJob("gang", {1, 6, 8, true}, Ms);
+    Scheduler.schedule(at(Ms));
+    IsPlaced = !runsOf("gang").empty();
+    for (const auto &[Id, LiveRun] : std::map(Scheduler.runs()))
+      if (LiveRun.Phase == RunPhase::Assigned)
+        Scheduler.runStarted(Id, at(Ms));
+      else
+        Scheduler.runEnded(Id,
+                           LiveRun.Phase == RunPhase::Stopping
+                               ? RunOutcome::Stopped
+                               : RunOutcome::Failed,
+                           {}, at(Ms));
+  }
+  EXPECT_TRUE(IsPlaced);
+}
+
 } // namespace
 } // namespace jayramp::scheduling
