tests: random faults around an owner

Twelve workers fall silent, restart, leave, fail starts in each way, lose stops, tell no clock and answer late, partitions of the store fail and owners change, for 3 s with short leases. Then all of it ends, or all but a quarter of the workers, which go on failing starts, and all jobs have to end and all room to be free.

--- a/Tests/Shard/FakeWorkers.h
+++ b/Tests/Shard/FakeWorkers.h
@@ -36,6 +36,8 @@
     unsigned UnansweredStarts = 0; ///< Next starts that get no reply.
     bool MisdirectsStarts = false; ///< Starts, not queries, reach another one.
     bool FailsTasks = false;       ///< All tasks fail.
+    bool LosesStops = false;       ///< Stops have no effect and get no reply.
+    bool TellsClock = true;        ///< In its replies to renewals.
     /// No start is carried out; each has this outcome.
     std::optional<shard::OrderOutcome> StartOutcome = std::nullopt;
     std::map<scheduling::RunId, Task> Running;
@@ -139,7 +141,7 @@
       -> void override {
     auto &Each = WorkersById[Target.Id];
     ++Orders;
-    if (Each.Unresponsive) {
+    if (Each.Unresponsive || Each.LosesStops) {
       later(Timeout, [Done] { Done({}); });
       return;
     }
@@ -234,7 +236,7 @@
     }
     shard::RenewReply Reply;
     Reply.Outcome = shard::OrderOutcome::Accepted;
-    Reply.WorkerClockMs = clockMs(Each);
+    Reply.WorkerClockMs = Each.TellsClock ? clockMs(Each) : 0;
     Reply.Incarnation = Each.TellsIncarnation ? Each.Incarnation : 0;
     Reply.Ended = Each.Ended;
     for (const auto &[RunId, Task] : Each.Running)
