tests: two waits that a worker outside the protocol can cause (red)

A worker that answers renewals keeps a task for ever, beside workers with room, if its replies tell no clock (the start waits with reason clock-unknown, without an attempt), or if it answers no stop (each renewal extends the lease of the run that it should stop). By the protocol each reply tells the clock and a stop ends in time, and lost stops are repeated, so both need a worker at fault. Not mended here: a worker whose leases are not renewed loses all its runs.

--- a/Tests/Shard/StartBoundTest.cpp
+++ b/Tests/Shard/StartBoundTest.cpp
@@ -24,6 +24,9 @@
 
   /// No job may have nothing running for longer.
   static constexpr Milliseconds LongestWait{3000};
+  /// After which a run without progress is stopped.
+  static constexpr Milliseconds StallTimeout =
+      scheduling::SchedulingPolicy{}.StallTimeout;
 };
 
 // Guards against a task that stays for ever on a worker that answers no start.
@@ -56,5 +59,28 @@
   EXPECT_TRUE(isCompletedBesideWorkerWith(OrderOutcome::WrongIncarnation));
 }
 
+// Guards against a task that stays for ever on a worker whose replies do not
+// tell its clock, without which no lease can be granted.
+TEST_F(StartBoundTest, workerThatTellsNoClockKeepsATaskForEver) {
+  for (const auto *Id : {"w1", "w2"})
+    Registry.add(Id);
+  Workers["w1"].TellsClock = false;
+  startOwner();
+  runFor(Milliseconds(30));
+  submit(job("a"));
+  EXPECT_TRUE(runUntil([&] { return stateOf("a") == JobState::Completed; },
+                       LongestWait));
+}
+
+// Guards against a run without progress that is never over: its worker answers
+// renewals, each of which extends its lease, but no stop.
+TEST_F(StartBoundTest, leaseOfARunThatCannotBeStoppedIsRenewedForEver) {
+  ASSERT_NO_FATAL_FAILURE(startOwnerWithLongRun());
+  Workers["w1"].LosesStops = true;
+  Registry.add("w2");
+  EXPECT_TRUE(runUntil([&] { return stateOf("a") == JobState::Completed; },
+                       StallTimeout + LongestWait));
+}
+
 } // namespace
 } // namespace jayramp::test
