scheduling: leave workers with a label to those that wait for them

Tasks that may run anywhere are put where least is free. If only the workers of one rack have the label of a gang that needs all of them, these tasks keep coming there: the gang waited 59 s of simulated time, when the test ended, with a tenth of the pool in use. Room is gathered for gangs only in a pool that is half in use.

Once a group with a label has waited 1.5 s beside an idle pool, tasks without a label use the workers that have it last.

WaitBoundTest.smallTasksKeepALabelledGangFromAnIdlePool: red on the code before, green after.

--- a/Source/Scheduling/CandidateWorkers.h
+++ b/Source/Scheduling/CandidateWorkers.h
@@ -22,6 +22,8 @@
   /// reserved for waiting task groups.
   Resources FreeAfterStops;
   Resources Held; ///< Held for gangs; not part of FreeAfterStops.
+  /// Tasks that may run on few workers have waited for this one.
+  bool IsWanted = false;
 
   /// Returns what a task can use now without taking reserved resources.
   auto usable() const -> Resources {
@@ -51,6 +53,10 @@
     Candidates[Position].FreeAfterStops -= Need;
     Candidates[Position].Held += Need;
   }
+  /// Has other tasks use the worker last.
+  auto markWanted(std::size_t Position) -> void {
+    Candidates[Position].IsWanted = true;
+  }
   /// Makes the resources available again that are held for gangs.
   auto releaseHeld() -> void;
   /// Adds the resources of a run that has just been told to stop.
--- a/Source/Scheduling/LayoutSearch.cpp
+++ b/Source/Scheduling/LayoutSearch.cpp
@@ -103,12 +103,12 @@
     bool IncludeStoppingRuns) const -> std::optional<Layout> {
   const auto &Spec = Group.spec();
   struct Option {
-    std::tuple<bool, TimePoint, bool, int, std::int64_t, std::int64_t,
+    std::tuple<bool, TimePoint, bool, bool, int, std::int64_t, std::int64_t,
                std::int64_t, std::size_t>
         Preference;
     std::uint32_t MaxTasks;
 
-    auto position() const -> std::size_t { return std::get<7>(Preference); }
+    auto position() const -> std::size_t { return std::get<8>(Preference); }
   };
   std::vector<Option> Options;
   std::uint32_t Total = 0;
@@ -132,11 +132,13 @@
     // Doubtful workers take turns, so that each that is sound is tried.
     // Among workers of one speed, fill the racks and workers with the least
     // free resources first, so that whole racks and workers stay free.
-    Options.push_back({{IsDoubtful, IsDoubtful ? Entry.TroubledAt : TimePoint(),
-                        IsFarFromData, Group.Speeds.rankOf(Candidate.Speed),
-                        Workers.freeGpusOfRack(Entry.Rack), Available.Gpus,
-                        Available.MemoryMb, Position},
-                       MaxTasks});
+    Options.push_back(
+        {{IsDoubtful, IsDoubtful ? Entry.TroubledAt : TimePoint(),
+          IsFarFromData, Candidate.IsWanted && Spec.RequiredLabel.empty(),
+          Group.Speeds.rankOf(Candidate.Speed),
+          Workers.freeGpusOfRack(Entry.Rack), Available.Gpus,
+          Available.MemoryMb, Position},
+         MaxTasks});
     Total += MaxTasks;
   }
   if (Total == 0 || (Spec.Gang && Total < Group.TaskCount))
--- a/Source/Scheduling/PlacementPass.cpp
+++ b/Source/Scheduling/PlacementPass.cpp
@@ -37,6 +37,7 @@
   collectCandidates();
   auto Groups = TaskGroupCollector(Scheduler, Candidates, Now).collect();
   addQuarantined(Groups);
+  markWanted(Groups);
   PendingGatherings = Scheduler.RoomForGangs.gatherings();
   for (auto &Group : Groups) {
     holdGangRoom(Group, Groups);
@@ -119,8 +120,9 @@
     -> void {
   UsesQuarantined =
       !Quarantined.empty() &&
-      std::any_of(Groups.begin(), Groups.end(),
-                  [this](const auto &Each) { return needsQuarantined(Each); });
+      std::any_of(Groups.begin(), Groups.end(), [this](const auto &Each) {
+        return waitsBesideIdlePool(Each);
+      });
   if (!UsesQuarantined)
     return;
   // They are tried last, by all groups.
@@ -128,9 +130,19 @@
     Candidates.add(*Worker, Speed);
 }
 
-auto PlacementPass::needsQuarantined(const TaskGroup &Group) -> bool {
+auto PlacementPass::markWanted(const std::vector<TaskGroup> &Groups) -> void {
+  for (const auto &Group : Groups) {
+    if (Group.spec().RequiredLabel.empty() || !waitsBesideIdlePool(Group))
+      continue;
+    for (std::size_t Position = 0; Position < Candidates.size(); ++Position)
+      if (Group.mayRunOn(*Candidates[Position].Worker))
+        Candidates.markWanted(Position);
+  }
+}
+
+auto PlacementPass::waitsBesideIdlePool(const TaskGroup &Group) -> bool {
   const auto Waited = Now - Group.Job->waitingSince(Group.Step).value_or(Now);
-  return !Group.NotTried && Waited >= Scheduler.Policy.MaxQuarantineWait &&
+  return !Group.NotTried && Waited >= Scheduler.Policy.MaxWaitBesideIdlePool &&
          poolUseOf(Group) < Scheduler.Policy.IdlePoolUse;
 }
 
--- a/Source/Scheduling/PlacementPass.h
+++ b/Source/Scheduling/PlacementPass.h
@@ -31,9 +31,11 @@
   auto collectCandidates() -> void;
   /// Makes quarantined workers candidates if a group may use them.
   auto addQuarantined(const std::vector<TaskGroup> &Groups) -> void;
-  /// Returns whether the group has waited so long beside an idle pool that
-  /// quarantined workers are used.
-  auto needsQuarantined(const TaskGroup &Group) -> bool;
+  /// Has tasks that may run anywhere leave workers to groups that may run only
+  /// on workers with a label, as far as there are others.
+  auto markWanted(const std::vector<TaskGroup> &Groups) -> void;
+  /// Returns whether the group has waited long beside an idle pool.
+  auto waitsBesideIdlePool(const TaskGroup &Group) -> bool;
   /// Holds the room that is gathered for gangs against \p Next and the groups
   /// after it. Places the gangs that fit.
   auto holdGangRoom(const TaskGroup &Next, std::vector<TaskGroup> &Groups)
--- a/Source/Scheduling/SchedulingPolicy.h
+++ b/Source/Scheduling/SchedulingPolicy.h
@@ -19,10 +19,11 @@
   double IdlePoolUse = 0.5;
   /// How long a worker gets no tasks after jobs failed or stalled on it.
   Milliseconds QuarantineDuration{8000};
-  /// Tasks that have waited this long use such workers all the same if the pool
-  /// is idle: jobs that fail or stall everywhere may keep most of it in
+  /// Once tasks have waited this long beside an idle pool, quarantined workers
+  /// are used: jobs that fail or stall everywhere may keep most of it in
   /// quarantine. Only on a busy pool are others served better by the wait.
-  Milliseconds MaxQuarantineWait{1500};
+  /// Besides, other tasks leave the workers with a label to those that need it.
+  Milliseconds MaxWaitBesideIdlePool{1500};
   /// Number of different jobs that must fail on a worker, without a success in
   /// between, before it is quarantined.
   std::uint32_t QuarantineFailures = 2;
--- a/Tests/Shard/WaitBoundTest.cpp
+++ b/Tests/Shard/WaitBoundTest.cpp
@@ -170,5 +170,30 @@
   EXPECT_TRUE(IsPlaced);
 }
 
+// Guards against a gang that only the workers of one rack may run, and that
+// never finds all of them free beside an idle pool: tasks that may run anywhere
+// are put where least is free, so they keep coming to the same workers.
+TEST_F(WaitBoundTest, smallTasksKeepALabelledGangFromAnIdlePool) {
+  for (int Number = 0; Number < 16; ++Number) {
+    const auto Rack = "r" + std::to_string(Number / 4);
+    auto Report = workerReport("w" + std::to_string(100 + Number), Rack);
+    Report.Labels = {Rack};
+    Scheduler.updateWorker(Report, at(0));
+  }
+  auto Gang = jobSpec("gang", {1, 4, 8, true});
+  Gang.Steps[0].RequiredLabel = "r0";
+  bool IsPlaced = false;
+  for (std::int64_t Ms = 0; Ms <= 60000 && !IsPlaced; Ms += StepMs) {
+    if (Ms % 200 == 0)
+      addJob("small" + std::to_string(Ms), {1, 1, 1}, Ms);
+    if (Ms == 1000)
+      Scheduler.addJob(Gang, {}, at(Ms));
+    Scheduler.schedule(at(Ms));
+    IsPlaced = !runsOf("gang").empty();
+    endRuns(Ms);
+  }
+  EXPECT_TRUE(IsPlaced);
+}
+
 } // namespace
 } // namespace jayramp::scheduling
