--- a/Source/Scheduling/ShardScheduler.cpp
+++ b/Source/Scheduling/ShardScheduler.cpp
@@ -112,7 +112,9 @@
   if (Entry.Report.Incarnation != Report.Incarnation) {
     Entry.FailedJobs.clear();
     Entry.QuarantinedUntil = {};
+    Entry.PausedUntil = {};
     Entry.UnsentRuns.recordSuccess();
+    Entry.RefusedStart = false;
     // A worker that is new to this owner may be known to the one before.
     if (Entry.Report.Incarnation != 0)
       RunTimes.forgetWorker(Report.Id);
@@ -176,14 +178,17 @@
 
 auto ShardScheduler::pauseWorker(const std::string &Id, TimePoint Now) -> void {
   quarantineWorker(Id, Now + Policy.StartRefusalBackoff);
+  if (const auto Found = Workers.find(Id); Found != Workers.end()) {
+    Found->second.RefusedStart = true;
+    Found->second.TroubledAt = Now;
+  }
 }
 
 auto ShardScheduler::quarantineWorker(const std::string &Id, TimePoint Until)
     -> void {
   auto Found = Workers.find(Id);
   if (Found != Workers.end())
-    Found->second.QuarantinedUntil =
-        std::max(Found->second.QuarantinedUntil, Until);
+    Found->second.PausedUntil = std::max(Found->second.PausedUntil, Until);
 }
 
 auto ShardScheduler::runStartSent(const RunId &Id) -> void {
@@ -203,8 +208,11 @@
   LiveRun.LastReportAt = Now;
   auto &Job = *LiveRun.Job;
   Job.recordStarted(Id.Step, Id.Index);
-  if (const auto Target = Workers.find(LiveRun.Worker); Target != Workers.end())
+  if (const auto Target = Workers.find(LiveRun.Worker);
+      Target != Workers.end()) {
     Target->second.UnsentRuns.recordSuccess();
+    Target->second.RefusedStart = false;
+  }
   if (Job.Spec.Steps[Id.Step].Gang)
     StartingGangs.insert(gangId(Id));
   if (Job.Progress.State == JobState::Pending) {
@@ -337,8 +345,10 @@
   Found->second.Job->recordUnsentRun(Id.Step, Id.Index, Policy.UnsentRunDelay,
                                      Now);
   if (const auto Target = Workers.find(Found->second.Worker);
-      WorkerCausedIt && Target != Workers.end())
+      WorkerCausedIt && Target != Workers.end()) {
     Target->second.UnsentRuns.recordFailure(Policy.UnsentRunDelay, Now);
+    Target->second.TroubledAt = Now;
+  }
   runLost(Id, Now);
 }
 
@@ -536,6 +546,7 @@
     return;
   auto &Entry = Found->second;
   Entry.FailedJobs.insert(Job);
+  Entry.TroubledAt = Now;
   if (Entry.FailedJobs.size() >= Policy.QuarantineFailures)
     Entry.QuarantinedUntil = Now + Policy.QuarantineDuration;
 }
--- a/Tests/Shard/FakeWorkers.h
+++ b/Tests/Shard/FakeWorkers.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -39,6 +40,10 @@
     bool QueriedBeforeStarts = false;
     bool MisdirectsStarts = false; ///< Starts, not queries, reach another one.
     bool FailsTasks = false;       ///< All tasks fail.
+    bool LosesStops = false;       ///< Stops have no effect and get no reply.
+    bool TellsClock = true;        ///< In its replies to renewals.
+    /// No start is carried out; each has this outcome.
+    std::optional<shard::OrderOutcome> StartOutcome = std::nullopt;
     std::map<scheduling::RunId, Task> Running;
     std::vector<shard::ReportedEnd> Ended;
     std::set<scheduling::RunId> StoppedOrEnded; ///< May not start again.
@@ -130,6 +135,15 @@
              shard::OrderReply{shard::OrderOutcome::WrongIncarnation, 0, {}});
       return;
     }
+    if (Each.StartOutcome) {
+      const bool IsAnswered =
+          *Each.StartOutcome != shard::OrderOutcome::Unanswered;
+      later(IsAnswered ? Each.AnswerDelay : Timeout,
+            [Done, Reply = shard::OrderReply{*Each.StartOutcome,
+                                             IsAnswered ? clockMs(Each) : 0,
+                                             {}}] { Done(Reply); });
+      return;
+    }
     if (Order.FencingToken < Each.HighestToken)
       Outcome = shard::OrderOutcome::Fenced;
     else if (Each.StoppedOrEnded.contains(Order.Run))
@@ -156,7 +170,7 @@
       -> void override {
     auto &Each = WorkersById[Target.Id];
     ++Orders;
-    if (Each.Unresponsive) {
+    if (Each.Unresponsive || Each.LosesStops) {
       later(Timeout, [Done] { Done({}); });
       return;
     }
@@ -263,7 +277,7 @@
     }
     shard::RenewReply Reply;
     Reply.Outcome = shard::OrderOutcome::Accepted;
-    Reply.WorkerClockMs = clockMs(Each);
+    Reply.WorkerClockMs = Each.TellsClock ? clockMs(Each) : 0;
     Reply.Incarnation = Each.TellsIncarnation ? Each.Incarnation : 0;
     Reply.Ended = Each.Ended;
     for (const auto &[RunId, Task] : Each.Running)
