shard: renewals are awaited for as long as workers take to answer

On a full link, workers that answer a little later than 0.6 s beyond the wait of a renewal counted as silent again and again: they got no tasks, and runs that were not sent yet were given back. A worker that always takes 0.8 s was never reached at all.

A renewal is awaited for as long as an order, and that of a worker that seems silent for the longest time. SlowAnswersTest.workerThatAnswersLateIsReachedAndStaysSo was red before (no task started in 9 s).

--- a/Source/Shard/SessionContext.h
+++ b/Source/Shard/SessionContext.h
@@ -41,7 +41,7 @@
   /// Called when a worker has seen a higher fencing token.
   std::function<void()> OnFenced;
   StartDelayLog StartDelays;
-  /// Of starts and stops.
+  /// Learned from starts and stops.
   AnswerTimes Answers{Settings.OrderTimeout, Settings.longestStartTimeout()};
 };
 
--- a/Source/Shard/ShardSettings.h
+++ b/Source/Shard/ShardSettings.h
@@ -68,7 +68,8 @@
   /// after the first attempt. Leaves time for three starts without an answer,
   /// the last of which ends before a job may count as standing still (3 s).
   Milliseconds MaxStartTime{2000};
-  /// Added to a renewal's wait to get its timeout.
+  /// Added to a renewal's wait to get its timeout; longer if workers take
+  /// longer to answer.
   Milliseconds RenewReplyMargin{600};
   Milliseconds RetryDelay{100};
   Milliseconds HeartbeatInterval{250};
--- a/Source/Shard/WorkerSession.cpp
+++ b/Source/Shard/WorkerSession.cpp
@@ -136,6 +136,14 @@
   return SharedContext.Settings.renewWaitFor(Orders.highestPollRate());
 }
 
+auto WorkerSession::replyMargin() const -> Milliseconds {
+  const auto &Settings = SharedContext.Settings;
+  // A worker that seems silent may answer late.
+  const auto Least = Link.life().isSilent() ? Settings.longestStartTimeout()
+                                            : SharedContext.Answers.timeout();
+  return std::max(Settings.RenewReplyMargin, Least);
+}
+
 auto WorkerSession::sendRenewal(Milliseconds Wait) -> void {
   RenewOrder Order;
   Order.FencingToken = SharedContext.FencingToken;
@@ -149,7 +157,7 @@
   RenewInFlight = true;
   LastAsked = now();
   SharedContext.Transport.renewLeases(
-      Target, Order, Wait + SharedContext.Settings.RenewReplyMargin,
+      Target, Order, Wait + replyMargin(),
       expectReply<RenewReply>(
           [this, SentAt = now(), Number = ++RenewNumber](const auto &Reply) {
             if (Number == RenewNumber)
--- a/Source/Shard/WorkerSession.h
+++ b/Source/Shard/WorkerSession.h
@@ -78,6 +78,8 @@
   auto idleFrom() const -> TimePoint;
   /// Returns how long the worker may delay the reply to the next renewal.
   auto renewWait() const -> Milliseconds;
+  /// Returns how long the reply to a renewal is awaited beyond its wait.
+  auto replyMargin() const -> Milliseconds;
   auto sendRenewal(Milliseconds Wait) -> void;
   auto onRenewReply(TimePoint SentAt, const RenewReply &Reply) -> void;
   auto onRenewFailure() -> void;
--- a/Tests/Shard/SlowAnswersTest.cpp
+++ b/Tests/Shard/SlowAnswersTest.cpp
@@ -64,6 +64,21 @@
   EXPECT_EQ(Events.count("task-stopped", "reason=stalled"), 0U);
 }
 
+// Guards against a worker that stands idle, or whose runs are given up, because
+// each of its answers comes a little later than the first timeout of a renewal.
+TEST_F(SlowAnswersTest, workerThatAnswersLateIsReachedAndStaysSo) {
+  Registry.add("w1");
+  Workers["w1"].AnswerDelay = Milliseconds(800);
+  Workers["w1"].WorkTime = Milliseconds(2000);
+  startOwner();
+  submit(job("a", 8));
+  EXPECT_TRUE(runUntil([&] { return stateOf("a") == JobState::Completed; },
+                       Milliseconds(9000)));
+  // Before its first answer, and before the first answer to an order.
+  EXPECT_LE(Events.count("worker-unreachable"), 2U);
+  EXPECT_EQ(Workers.startsOf("a"), 8U);
+}
+
 // Guards against starts that are given up and sent again while their answers
 // are on the way, which fills the link further.
 TEST_F(SlowAnswersTest, startsAreNotGivenUpOnceAnswersAreKnownToBeSlow) {
