--- a/Source/Scheduling/ShardScheduler.cpp
+++ b/Source/Scheduling/ShardScheduler.cpp
@@ -176,15 +176,16 @@
     markWorkerChanged(Id);
 }
 
-auto ShardScheduler::pauseWorker(const std::string &Id, TimePoint Now) -> void {
-  quarantineWorker(Id, Now + Policy.StartRefusalBackoff);
+auto ShardScheduler::recordStartRefused(const std::string &Id, TimePoint Now)
+    -> void {
+  pauseWorkerUntil(Id, Now + Policy.StartRefusalBackoff);
   if (const auto Found = Workers.find(Id); Found != Workers.end()) {
     Found->second.RefusedStart = true;
     Found->second.TroubledAt = Now;
   }
 }
 
-auto ShardScheduler::quarantineWorker(const std::string &Id, TimePoint Until)
+auto ShardScheduler::pauseWorkerUntil(const std::string &Id, TimePoint Until)
     -> void {
   auto Found = Workers.find(Id);
   if (Found != Workers.end())
--- a/Source/Scheduling/ShardScheduler.h
+++ b/Source/Scheduling/ShardScheduler.h
@@ -65,11 +65,11 @@
   /// have ended.
   auto unregisterWorker(const std::string &Id) -> void;
   auto setReachable(const std::string &Id, bool Reachable) -> void;
-  /// Places no tasks on a worker for a short time because it refused a task
-  /// that should have fitted.
-  auto pauseWorker(const std::string &Id, TimePoint Now) -> void;
+  /// Records that a worker did not take a start that should have succeeded: it
+  /// gets no tasks for a short time and is tried last until it starts one.
+  auto recordStartRefused(const std::string &Id, TimePoint Now) -> void;
   /// Places no tasks on a worker until \p Until.
-  auto quarantineWorker(const std::string &Id, TimePoint Until) -> void;
+  auto pauseWorkerUntil(const std::string &Id, TimePoint Until) -> void;
   /// Records that a start of the run is sent to its worker.
   auto runStartSent(const RunId &Id) -> void;
   /// Records that the worker confirmed the start or reports the run as running.
--- a/Source/Shard/EndRecorder.cpp
+++ b/Source/Shard/EndRecorder.cpp
@@ -12,7 +12,7 @@
 
 /// A worker with an end that must not be acknowledged gets no new tasks, so
 /// that its leases expire; renewed at each reply, which comes earlier.
-constexpr Milliseconds WithheldEndQuarantine{1000};
+constexpr Milliseconds WithheldEndPause{1000};
 
 } // namespace
 
@@ -55,7 +55,7 @@
   if (!Ends.withheldEnd())
     WithheldSince = Clock::now();
   Ends.withhold({End.Number, End.Run.Job});
-  quarantine();
+  pauseWorker();
 }
 
 auto EndRecorder::releaseWithheld(const std::vector<ReportedEnd> &Ended,
@@ -76,12 +76,12 @@
     Ends.release();
     return;
   }
-  quarantine();
+  pauseWorker();
 }
 
-auto EndRecorder::quarantine() const -> void {
-  SharedContext.Scheduler.quarantineWorker(Worker, Clock::now() +
-                                                       WithheldEndQuarantine);
+auto EndRecorder::pauseWorker() const -> void {
+  SharedContext.Scheduler.pauseWorkerUntil(Worker,
+                                           Clock::now() + WithheldEndPause);
 }
 
 auto EndRecorder::logRelease(std::string_view Reason) const -> void {
--- a/Source/Shard/EndRecorder.h
+++ b/Source/Shard/EndRecorder.h
@@ -43,7 +43,7 @@
       -> void;
   /// Keeps tasks off the worker until the next reply, so that its leases can
   /// expire.
-  auto quarantine() const -> void;
+  auto pauseWorker() const -> void;
   /// Logs why an end is no longer withheld, and for how long it was.
   auto logRelease(std::string_view Reason) const -> void;
 
--- a/Source/Shard/WorkerOrders.cpp
+++ b/Source/Shard/WorkerOrders.cpp
@@ -320,7 +320,7 @@
                                 const OrderReply &Reply) -> void {
   const bool CannotStart = State.StartsUnanswered == 0 && !State.Recovered;
   if (Reply.Outcome != OrderOutcome::WrongIncarnation)
-    SharedContext.Scheduler.pauseWorker(Link.worker(), now());
+    SharedContext.Scheduler.recordStartRefused(Link.worker(), now());
   if (Reply.Outcome == OrderOutcome::WrongIncarnation)
     Session.OnOtherProcess();
   // An earlier start without an answer may still arrive. After a stop, the
--- a/Tests/Shard/WaitBoundModel.cpp
+++ b/Tests/Shard/WaitBoundModel.cpp
@@ -262,7 +262,7 @@
   const auto &Id = LiveRun.Id;
   switch (On.Now) {
   case Condition::RefusesStarts:
-    Scheduler.pauseWorker(LiveRun.Worker, now());
+    Scheduler.recordStartRefused(LiveRun.Worker, now());
     Scheduler.runLost(Id, now());
     return;
   case Condition::CannotBeSent:
@@ -272,7 +272,7 @@
     Scheduler.runStartSent(Id);
     if (NowMs - msSince(LiveRun.AssignedAt) < UnansweredStartMs)
       return;
-    Scheduler.pauseWorker(LiveRun.Worker, now());
+    Scheduler.recordStartRefused(LiveRun.Worker, now());
     Scheduler.stopRun(Id, StopReason::StartRefused);
     return;
   default:
--- a/Tests/Shard/WaitBoundTest.cpp
+++ b/Tests/Shard/WaitBoundTest.cpp
@@ -71,7 +71,7 @@
       waitForStart("task", 0, 20000, [this](const RunId &Id, std::int64_t Ms) {
         if (!isOn(Id, "r0"))
           return true;
-        Scheduler.pauseWorker(Scheduler.run(Id)->Worker, at(Ms));
+        Scheduler.recordStartRefused(Scheduler.run(Id)->Worker, at(Ms));
         Scheduler.runLost(Id, at(Ms));
         return false;
       });
@@ -86,7 +86,7 @@
       waitForStart("gang", 0, 20000, [this](const RunId &Id, std::int64_t Ms) {
         if (!isOn(Id, "r0"))
           return true;
-        Scheduler.pauseWorker(Scheduler.run(Id)->Worker, at(Ms));
+        Scheduler.recordStartRefused(Scheduler.run(Id)->Worker, at(Ms));
         Scheduler.runLost(Id, at(Ms));
         return false;
       });
--- a/Tests/Shard/WaitDiagnosisTest.cpp
+++ b/Tests/Shard/WaitDiagnosisTest.cpp
@@ -101,7 +101,7 @@
 
 TEST_F(WaitDiagnosisTest, namesQuarantinedAndUnreachableWorkers) {
   addWorkers(1, 1);
-  Scheduler.quarantineWorker("w00", at(3000));
+  Scheduler.pauseWorkerUntil("w00", at(3000));
   addJob("task", {0, 1, 1});
   expectReason("task", 1000, WaitReason::Quarantine);
   Scheduler.setReachable("w00", false);
@@ -151,7 +151,7 @@
 // a wait of the others.
 TEST_F(WaitDiagnosisTest, tasksOfAStepThatStartsWaitAnew) {
   addWorkers(1, 1);
-  Scheduler.quarantineWorker("w00", at(900));
+  Scheduler.pauseWorkerUntil("w00", at(900));
   addJob("tasks", {1, 2, 8});
   Scheduler.schedule(at(900));
   ASSERT_EQ(runsOf("tasks").size(), 1U);
@@ -171,7 +171,7 @@
   Scheduler.addJob(Job, {}, at(0));
   Scheduler.schedule(at(0));
   Scheduler.runEnded({"job", 0, 0, 1}, RunOutcome::Succeeded, {}, at(5000));
-  Scheduler.quarantineWorker("w00", at(9000));
+  Scheduler.pauseWorkerUntil("w00", at(9000));
   EXPECT_FALSE(reportOf("job", 5000));
   const auto Report = reportOf("job", 6000);
   ASSERT_TRUE(Report);
@@ -230,8 +230,8 @@
   addJob("tasks", {1, 2, 8, false, false, Milliseconds(90000)});
   Scheduler.schedule(at(0));
   ASSERT_EQ(runsOf("tasks").size(), 2U);
-  Scheduler.quarantineWorker("w00", at(60000));
-  Scheduler.quarantineWorker("w01", at(60000));
+  Scheduler.pauseWorkerUntil("w00", at(60000));
+  Scheduler.pauseWorkerUntil("w01", at(60000));
   Scheduler.runLost({"tasks", 0, 0, 1}, at(1000));
   Scheduler.schedule(at(1000));
   Scheduler.runEnded({"tasks", 0, 0, 1}, RunOutcome::Succeeded, {}, at(1500));
