--- a/review/6/Case.cpp
+++ b/review/6/Case.cpp
@@ -1,5 +1,6 @@
-// A configuration sends a queue to another service while a job of the queue
-// runs. The job must stay known and must stay one job.
+// Configurations send two queues to another service while a job of each runs:
+// one queue is changed in place, the other is removed by one version and added
+// again by the next. The jobs must stay known, and each must stay one job.
 
 #include "../stage/Stage.h"
 
@@ -14,12 +15,12 @@
 constexpr std::size_t WorkersPerService = 4;
 constexpr int ConfigApplyMs = 2000; ///< bounds.config-apply-ms
 constexpr int VisibleMs = 3000;     ///< bounds.visible_ms
-constexpr const char *Queue = "/panel/";
-constexpr const char *Job = "/panel/5c0e7a21d94b36f8";
-/// Two work units of 25 s each.
+const std::string ChangedJob = "/panel/5c0e7a21d94b36f8";
+const std::string ReplacedJob = "/take/5c0e7a21d94b36f1";
+/// Two work units of 40 s each.
 constexpr const char *Body =
-    R"({"spec":"ms=25000","steps":[{"count":2,"cpu":4000,"mem-mb":1024,)"
-    R"("estimated-ms":25000}]})";
+    R"({"spec":"ms=40000","steps":[{"count":2,"cpu":4000,"mem-mb":1024,)"
+    R"("estimated-ms":40000}]})";
 
 /// Returns the number of pairs of runs of one work unit that overlap.
 auto overlaps(const std::vector<StartSeen> &Starts, Record &Log) -> int {
@@ -39,33 +40,52 @@
   return Count;
 }
 
+/// Returns how many hosts answer that they don't know the job.
+auto unknownAt(Stage &Scene, const std::string &Job) -> int {
+  int Count = 0;
+  for (const auto &Host : Scene.hosts())
+    if (Scene.stateOf(*Host, Job) == "410") {
+      ++Count;
+      Scene.record().add("BROKEN LOST: " + Host->name() + " answers 410 for " +
+                         Job + ", which was accepted and runs");
+    }
+  return Count;
+}
+
 auto play(Stage &Scene) -> Verdict {
-  Scene.addWorkers(WorkersPerService, {.Service = "svc-a"});
-  Scene.addWorkers(WorkersPerService, {.Service = "svc-b"});
+  const std::vector<std::string> Services{"svc-a", "svc-b"};
+  const Route Changed{"panel-match", "/panel/", "svc-b"};
+  for (const auto &Service : Services)
+    Scene.addWorkers(WorkersPerService, {.Service = Service});
   Scene.addHosts(HostCount);
-  Scene.configure({{"panel-match", Queue, "svc-a"}}, {"svc-a", "svc-b"});
-  if (!Scene.waitUntilReady(2) || !Scene.submit(Job, Body))
+  Scene.configure(
+      {{"panel-match", "/panel/", "svc-a"}, {"take-check", "/take/", "svc-a"}},
+      Services);
+  if (!Scene.waitUntilReady(Services.size()) ||
+      !Scene.submit(ChangedJob, Body) || !Scene.submit(ReplacedJob, Body))
     return Verdict::NotRun;
   Stage::pause(VisibleMs);
-  if (Scene.stateOf(*Scene.hosts()[0], Job) != "running")
-    return Verdict::NotRun;
+  for (const auto &Job : {ChangedJob, ReplacedJob})
+    if (Scene.stateOf(*Scene.hosts()[0], Job) != "running")
+      return Verdict::NotRun;
   if (Stage::hasTrouble())
-    Scene.configure({{"panel-match", Queue, "svc-b"}}, {"svc-a", "svc-b"});
+    Scene.configure({Changed}, Services);
   Stage::pause(ConfigApplyMs + 1000);
-  int Lost = 0;
-  for (const auto &Host : Scene.hosts())
-    if (Scene.stateOf(*Host, Job) == "410") {
-      ++Lost;
-      Scene.record().add("BROKEN LOST: " + Host->name() +
-                         " answers 410 for an accepted job");
-    }
-  // A repetition of the submission that arrives seconds after its answer.
-  Scene.call(*Scene.hosts()[1], "POST", Job, Body);
+  const int ChangedLost = unknownAt(Scene, ChangedJob);
+  if (Stage::hasTrouble())
+    Scene.configure({Changed, {"take-check", "/take/", "svc-b"}}, Services);
+  Stage::pause(ConfigApplyMs + 1000);
+  const int ReplacedLost = unknownAt(Scene, ReplacedJob);
+  // Repetitions of the submissions that arrive seconds after their answers.
+  for (const auto &Job : {ChangedJob, ReplacedJob})
+    Scene.call(*Scene.hosts()[1], "POST", Job, Body);
   Stage::pause(5000);
   const int Twice = overlaps(Scene.starts().all(), Scene.record());
-  std::cout << "answers 410: " << Lost << ", overlapping runs: " << Twice
-            << '\n';
-  return Lost > 0 || Twice > 0 ? Verdict::Broken : Verdict::Held;
+  std::cout << "answers 410 for the job of the changed queue: " << ChangedLost
+            << ", of the replaced queue: " << ReplacedLost
+            << ", overlapping runs: " << Twice << '\n';
+  return ChangedLost + ReplacedLost + Twice > 0 ? Verdict::Broken
+                                                : Verdict::Held;
 }
 
 } // namespace
